--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,1 @@
+//! The command line.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! The replicated control state, and the port that the rest of a daemon reaches it through.
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,1 @@
+//! One daemon: starts the parts, joins them, and stops them.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! fescuebay: a serving system for rarely used models.
+//!
+//! One binary runs on every VM. Decisions are pure: they take the time, an event and a random
+//! number generator, and return what to do next. Shells around them carry bytes.
+
+pub mod admin;
+pub mod cli;
+pub mod config;
+pub mod consensus;
+pub mod control;
+pub mod daemon;
+pub mod ids;
+pub mod logging;
+pub mod membership;
+pub mod peer;
+pub mod placement;
+pub mod report;
+pub mod routing;
+pub mod settings;
+pub mod stand_in;
+pub mod storage;
+pub mod target;
+pub mod traffic;
+pub mod units;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,1 @@
+//! Log lines for people, or one JSON object a line.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `fescuebay` program.
+
+fn main() {}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Calls between daemons.
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! What is loaded where: replicas, loads, memory and orders.
--- /dev/null
+++ b/src/report/mod.rs
@@ -0,0 +1,1 @@
+//! Short reports: what held, what did not, and why.
--- /dev/null
+++ b/src/stand_in/mod.rs
@@ -0,0 +1,1 @@
+//! Small stand-in targets for the `dev` command and the tests.
--- /dev/null
+++ b/src/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! The HTTP side towards callers.
