--- /dev/null
+++ b/tests/target_http.rs
@@ -0,0 +1,145 @@
+//! The HTTP adapter to a target, against a stand-in and against servers that break the protocol.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fescuebay::ids::{TargetId, Term};
+use fescuebay::target::{Target, call, http, order};
+use fescuebay::{stand_in, units};
+use futures::StreamExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+fn adapter(address: SocketAddr) -> http::Http {
+    http::Http::new("t-1".parse().unwrap(), address, LOOPBACK, "secret".to_owned())
+}
+
+fn attempt(path: &str, body: &str) -> call::Attempt {
+    call::Attempt {
+        request: "r-1".parse().unwrap(),
+        attempt: 0,
+        method: ::http::Method::POST,
+        path: path.to_owned(),
+        headers: [("content-type", "application/json")]
+            .map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap()))
+            .into_iter()
+            .collect(),
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        priority: 1,
+        is_stream: true,
+    }
+}
+
+fn load_order(model: &str) -> order::Order {
+    order::Order {
+        fencing: order::Fencing { term: Term(1), sequence: 1 },
+        order_id: "o-1".parse().unwrap(),
+        action: order::Action::Load,
+        model: model.parse().unwrap(),
+        version: "1".parse().unwrap(),
+        memory_bytes: units::Bytes::GIB,
+        expires_ms: u64::MAX,
+    }
+}
+
+async fn stand_in_with(model: &str) -> (stand_in::Handle, Arc<http::Http>) {
+    let target: TargetId = "t-1".parse().unwrap();
+    let listen = SocketAddr::from((LOOPBACK, 0));
+    let settings = stand_in::Settings::new(target, "a".parse().unwrap(), listen).load_ms(1);
+    let handle = stand_in::start(settings.token_ms(1)).await.unwrap();
+    let http = Arc::new(adapter(handle.address()));
+    assert_eq!(http.order(load_order(model)).await.unwrap(), order::Reply::Accepted);
+    let fencing = order::Fencing::default();
+    while http.state(fencing).await.unwrap().holds[0].phase != order::Phase::Loaded {
+        tokio::task::yield_now().await;
+    }
+    (handle, http)
+}
+
+/// The outcome of every part of an answer, in short.
+async fn parts(answer: call::Answer) -> Vec<String> {
+    let name = |part: call::Result<call::Part>| match part {
+        Ok(call::Part::Event { offset, .. }) => format!("event {offset}"),
+        Ok(call::Part::Bytes(bytes)) => format!("{} bytes", bytes.len()),
+        Ok(call::Part::End) => "end".to_owned(),
+        Err(report) => format!("{:?}", report.current_context().cause),
+    };
+    answer.body.map(name).collect().await
+}
+
+#[tokio::test]
+async fn a_stream_comes_whole_and_can_be_resumed_at_an_offset() {
+    let (_handle, http) = stand_in_with("quill").await;
+    let body = r#"{"model":"quill","stream":true,"max_tokens":4,"prompt":"a b"}"#;
+    let answer = http.call(attempt("/v1/completions", body)).await.unwrap();
+    let expected = ["event 0", "event 1", "event 2", "event 3", "end"];
+    assert_eq!(parts(answer).await, expected);
+
+    let resume = call::Resume { request: "r-1".parse().unwrap(), attempt: 1, offset: 2 };
+    let answer = http.resume(resume.clone()).await.unwrap();
+    assert_eq!(parts(answer).await, expected[2..]);
+
+    http.cancel(&resume.request).await.unwrap();
+    let error = http.resume(resume).await.unwrap_err();
+    assert_eq!(error.current_context().cause, call::Cause::UnknownStream);
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_known_as_not_written() {
+    let listener = std::net::TcpListener::bind((LOOPBACK, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let error = adapter(address).call(attempt("/x", "{}")).await.unwrap_err();
+    assert_eq!(error.current_context().written, call::Written::No);
+}
+
+/// Answers one connection with `text` and closes it.
+async fn serve_once(text: &'static str) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind((LOOPBACK, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4096];
+        let _ = socket.read(&mut buffer).await.unwrap();
+        socket.write_all(text.as_bytes()).await.unwrap();
+        socket.shutdown().await.unwrap();
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_short_answer_is_never_taken_for_a_whole_one() {
+    let cases = [
+        ("", "call: Broken"),
+        ("not http at all\r\n\r\n", "call: Broken"),
+        ("HTTP/1.1 200 OK\r\n\r\nno length", "9 bytes, Truncated"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", "4 bytes, Broken"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfull", "4 bytes, end"),
+        ("HTTP/1.1 204 No Content\r\n\r\n", "end"),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: x\n\n",
+            "event 0, Truncated",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: x\n\ndata: [DONE]\n\n",
+            "event 0, end",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 99\r\n\r\ndata: x\n\n",
+            "event 0, Broken",
+        ),
+    ];
+    for (text, expected) in cases {
+        let http = adapter(serve_once(text).await);
+        let seen = match http.call(attempt("/x", "{}")).await {
+            Ok(answer) => parts(answer).await.join(", "),
+            Err(report) => {
+                assert_eq!(report.current_context().written, call::Written::Maybe, "{text:?}");
+                format!("call: {:?}", report.current_context().cause)
+            }
+        };
+        assert_eq!(seen, expected, "{text:?}");
+    }
+}
