--- /dev/null
+++ b/src/membership/directory.rs
@@ -0,0 +1,184 @@
+//! The leader's directory of targets: it joins the reports of all home daemons.
+
+use crate::ids::{DaemonId, Incarnation, TargetId};
+use crate::membership::table::{Change, Entry, Replica, Standing};
+use crate::membership::targets::Report;
+use crate::target::order;
+
+/// Time that a target has to be reported by another daemon after its home was lost, and that a
+/// new leader gives to the targets which it knows from its own route table.
+pub const ADOPTION_MS: u64 = 4_000;
+
+/// What a report changes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// The route table changes.
+    Table(Change),
+    /// Placement learns the state of a target.
+    State(Box<order::State>),
+    /// Placement learns that a life of a target has ended.
+    Gone(TargetId),
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    entry: Entry,
+    sequence: u64,
+    home: Option<DaemonId>,
+    /// Time by which some daemon must have reported it.
+    adopt_by_ms: Option<u64>,
+    is_drained: bool,
+    standing: Standing,
+}
+
+impl Known {
+    fn key(&self) -> (Incarnation, u64) {
+        (self.entry.incarnation, self.sequence)
+    }
+}
+
+/// The targets, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    known: Vec<Known>,
+}
+
+impl Directory {
+    /// The directory of a new leader: it starts from the route table that it has, so that no
+    /// router loses its targets, and drops what nobody confirms.
+    pub fn adopt(now_ms: u64, entries: &[Entry]) -> Self {
+        let known = entries.iter().map(|entry| Known {
+            entry: entry.clone(),
+            sequence: 0,
+            home: None,
+            adopt_by_ms: Some(now_ms + ADOPTION_MS),
+            is_drained: false,
+            standing: entry.standing,
+        });
+        Self { known: known.collect() }
+    }
+
+    /// Takes the report of a home daemon.
+    pub fn report(&mut self, from: &DaemonId, report: Report) -> Vec<Effect> {
+        match report {
+            Report::State(state, standing) => self.state(from, *state, standing),
+            Report::Gone(target, incarnation) => self.gone(from, &target, incarnation),
+        }
+    }
+
+    /// A daemon is gone: its targets must be reported by others within [`ADOPTION_MS`].
+    pub fn daemon_gone(&mut self, now_ms: u64, daemon: &DaemonId) {
+        for known in self.known.iter_mut().filter(|known| known.home.as_ref() == Some(daemon)) {
+            known.home = None;
+            known.adopt_by_ms = Some(now_ms + ADOPTION_MS);
+        }
+    }
+
+    /// Sets which targets an operator has taken out.
+    pub fn drain(&mut self, is_drained: impl Fn(&Entry) -> bool) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for known in &mut self.known {
+            known.is_drained = is_drained(&known.entry);
+            let standing = shown(known.standing, known.is_drained);
+            if known.entry.standing != standing {
+                known.entry.standing = standing;
+                effects.push(Effect::Table(Change::Put(known.entry.clone())));
+            }
+        }
+        effects
+    }
+
+    /// Drops targets that nobody adopted in time.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Effect> {
+        let is_lost = |known: &Known| known.adopt_by_ms.is_some_and(|by_ms| by_ms <= now_ms);
+        let lost: Vec<TargetId> =
+            self.known.iter().filter(|k| is_lost(k)).map(|k| k.entry.target.clone()).collect();
+        self.known.retain(|known| !is_lost(known));
+        lost.into_iter().flat_map(removed).collect()
+    }
+
+    /// The entries as routers see them.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.known.iter().map(|known| known.entry.clone()).collect()
+    }
+
+    fn place(&self, target: &TargetId) -> Result<usize, usize> {
+        self.known.binary_search_by(|known| known.entry.target.cmp(target))
+    }
+
+    fn state(&mut self, from: &DaemonId, state: order::State, standing: Standing) -> Vec<Effect> {
+        let place = self.place(&state.target);
+        let mut is_drained = false;
+        let mut effects = Vec::new();
+        if let Ok(at) = place {
+            let known = &self.known[at];
+            let key = (state.incarnation, state.sequence);
+            if key < known.key() {
+                return effects;
+            }
+            is_drained = known.is_drained;
+            if state.incarnation > known.entry.incarnation {
+                effects.push(Effect::Gone(state.target.clone()));
+            }
+        }
+        let known = Known {
+            entry: entry(&state, shown(standing, is_drained)),
+            sequence: state.sequence,
+            home: Some(from.clone()),
+            adopt_by_ms: None,
+            is_drained,
+            standing,
+        };
+        let is_same_entry = place.is_ok_and(|at| self.known[at].entry == known.entry);
+        if !is_same_entry {
+            effects.push(Effect::Table(Change::Put(known.entry.clone())));
+        }
+        effects.push(Effect::State(Box::new(state)));
+        match place {
+            Ok(at) => self.known[at] = known,
+            Err(at) => self.known.insert(at, known),
+        }
+        effects
+    }
+
+    fn gone(&mut self, from: &DaemonId, target: &TargetId, life: Incarnation) -> Vec<Effect> {
+        let Ok(at) = self.place(target) else { return Vec::new() };
+        let known = &self.known[at];
+        // A daemon that no longer watches the target must not end it.
+        let is_home = known.home.as_ref().is_none_or(|home| home == from);
+        if !is_home || known.entry.incarnation != life {
+            return Vec::new();
+        }
+        self.known.remove(at);
+        removed(target.clone())
+    }
+}
+
+fn removed(target: TargetId) -> Vec<Effect> {
+    vec![Effect::Table(Change::Remove(target.clone())), Effect::Gone(target)]
+}
+
+fn shown(standing: Standing, is_drained: bool) -> Standing {
+    if is_drained { Standing::Leaving } else { standing }
+}
+
+fn entry(state: &order::State, standing: Standing) -> Entry {
+    let ready = state.holds.iter().filter(|held| held.phase == order::Phase::Loaded);
+    let mut replicas: Vec<Replica> = ready
+        .map(|held| Replica { model: held.model.clone(), version: held.version.clone() })
+        .collect();
+    replicas.sort_unstable();
+    let mut services = state.services.clone();
+    services.sort_unstable();
+    Entry {
+        target: state.target.clone(),
+        incarnation: state.incarnation,
+        kind: state.kind,
+        availability_zone: state.availability_zone.clone(),
+        address: state.address,
+        standing,
+        slots: state.load.slots,
+        replicas,
+        services,
+    }
+}
--- /dev/null
+++ b/src/membership/targets.rs
@@ -0,0 +1,242 @@
+//! The targets that a daemon watches: it takes their announcements and reports changes of state.
+
+use crate::ids::{Incarnation, TargetId};
+use crate::membership::table::Standing;
+use crate::target::order;
+
+/// Time for which a target that is gone is remembered, so that late announcements are known.
+const REMEMBER_GONE_MS: u64 = 600_000;
+/// Time in which the penalty for a return halves.
+const PENALTY_HALF_LIFE_MS: f64 = 30_000.0;
+/// Penalty from which a target that comes and goes is held back.
+const DAMP_ABOVE: f64 = 2.5;
+/// Penalty below which it is trusted again.
+const TRUST_BELOW: f64 = 1.2;
+
+/// Times after which a silent target is doubted and given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Silence after which a target gets work only if no other can do it.
+    pub suspect_ms: u64,
+    /// Silence after which a target counts as gone.
+    pub dead_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { suspect_ms: 1_250, dead_ms: 2_500 }
+    }
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A target announced itself.
+    Announced(order::State),
+    /// A target said that it is gone.
+    Left(TargetId, Incarnation),
+    /// Time went on.
+    Tick,
+}
+
+/// A change of state to pass on.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Report {
+    /// The target is new or its state differs. Load alone is not a difference.
+    State(Box<order::State>, Standing),
+    /// This life of the target has ended.
+    Gone(TargetId, Incarnation),
+}
+
+/// What the daemon answers to an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is the newest of this target.
+    New,
+    /// It is late, repeated or of an earlier life: nothing changed.
+    Stale,
+}
+
+#[derive(Clone, Debug)]
+struct Watched {
+    state: order::State,
+    standing: Standing,
+    heard_ms: u64,
+    is_gone: bool,
+    penalty: f64,
+    penalty_ms: u64,
+    is_damped: bool,
+}
+
+impl Watched {
+    fn new(state: order::State, now_ms: u64) -> Self {
+        let standing = if state.leaving { Standing::Leaving } else { Standing::Up };
+        Self {
+            state,
+            standing,
+            heard_ms: now_ms,
+            is_gone: false,
+            penalty: 0.0,
+            penalty_ms: now_ms,
+            is_damped: false,
+        }
+    }
+
+    fn key(&self) -> (Incarnation, u64) {
+        (self.state.incarnation, self.state.sequence)
+    }
+
+    fn decay(&mut self, now_ms: u64) {
+        let age_ms = now_ms.saturating_sub(self.penalty_ms) as f64;
+        self.penalty *= 0.5_f64.powf(age_ms / PENALTY_HALF_LIFE_MS);
+        self.penalty_ms = now_ms;
+        self.is_damped = match self.is_damped {
+            true => self.penalty > TRUST_BELOW,
+            false => self.penalty > DAMP_ABOVE,
+        };
+    }
+
+    fn count_return(&mut self, now_ms: u64) {
+        self.decay(now_ms);
+        self.penalty += 1.0;
+        self.is_damped |= self.penalty > DAMP_ABOVE;
+    }
+
+    fn standing_at(&self, now_ms: u64, settings: &Settings) -> Standing {
+        let silence_ms = now_ms.saturating_sub(self.heard_ms);
+        match () {
+            () if self.state.leaving => Standing::Leaving,
+            () if self.is_damped || silence_ms >= settings.suspect_ms => Standing::Suspect,
+            () => Standing::Up,
+        }
+    }
+
+    fn report(&self) -> Report {
+        match self.is_gone {
+            true => Report::Gone(self.state.target.clone(), self.state.incarnation),
+            false => Report::State(Box::new(self.state.clone()), self.standing),
+        }
+    }
+}
+
+/// The targets watched by one daemon, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    settings: Settings,
+    watched: Vec<Watched>,
+}
+
+impl Registry {
+    /// A registry that watches nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, watched: Vec::new() }
+    }
+
+    /// Takes an event and returns the changes of state to pass on.
+    pub fn on(&mut self, now_ms: u64, event: Event) -> (Taken, Vec<Report>) {
+        match event {
+            Event::Announced(state) => self.announced(now_ms, state),
+            Event::Left(target, incarnation) => self.left(&target, incarnation),
+            Event::Tick => (Taken::New, self.tick(now_ms)),
+        }
+    }
+
+    /// The state of every target that is not gone, for a leader that knows none.
+    pub fn all(&self) -> Vec<Report> {
+        self.watched.iter().filter(|w| !w.is_gone).map(Watched::report).collect()
+    }
+
+    /// Stops watching a target whose home is another daemon now. Nothing is reported.
+    pub fn release(&mut self, target: &TargetId) {
+        if let Ok(at) = self.place(target) {
+            self.watched.remove(at);
+        }
+    }
+
+    /// The targets watched, gone ones among them.
+    pub fn len(&self) -> usize {
+        self.watched.len()
+    }
+
+    /// Whether no target is watched.
+    pub fn is_empty(&self) -> bool {
+        self.watched.is_empty()
+    }
+
+    fn place(&self, target: &TargetId) -> Result<usize, usize> {
+        self.watched.binary_search_by(|watched| watched.state.target.cmp(target))
+    }
+
+    fn announced(&mut self, now_ms: u64, state: order::State) -> (Taken, Vec<Report>) {
+        let at = match self.place(&state.target) {
+            Ok(at) => at,
+            Err(at) => {
+                self.watched.insert(at, Watched::new(state, now_ms));
+                return (Taken::New, vec![self.watched[at].report()]);
+            }
+        };
+        let settings = self.settings;
+        let watched = &mut self.watched[at];
+        if (state.incarnation, state.sequence) <= watched.key() {
+            return (Taken::Stale, Vec::new());
+        }
+        let is_new_life = state.incarnation > watched.state.incarnation;
+        // A target that said it is gone stays gone for the rest of that life.
+        if watched.is_gone && watched.state.leaving && !is_new_life {
+            return (Taken::Stale, Vec::new());
+        }
+        let has_returned = watched.is_gone || is_new_life;
+        if has_returned || watched.standing == Standing::Suspect && !watched.is_damped {
+            watched.count_return(now_ms);
+        }
+        let is_same = !has_returned && is_same_state(&watched.state, &state);
+        watched.state = state;
+        watched.heard_ms = now_ms;
+        watched.is_gone = false;
+        watched.decay(now_ms);
+        let before = std::mem::replace(&mut watched.standing, Standing::Up);
+        watched.standing = watched.standing_at(now_ms, &settings);
+        if is_same && before == watched.standing {
+            return (Taken::New, Vec::new());
+        }
+        (Taken::New, vec![watched.report()])
+    }
+
+    fn left(&mut self, target: &TargetId, incarnation: Incarnation) -> (Taken, Vec<Report>) {
+        let Ok(at) = self.place(target) else { return (Taken::Stale, Vec::new()) };
+        let watched = &mut self.watched[at];
+        if watched.is_gone || watched.state.incarnation != incarnation {
+            return (Taken::Stale, Vec::new());
+        }
+        watched.is_gone = true;
+        watched.state.leaving = true;
+        (Taken::New, vec![watched.report()])
+    }
+
+    fn tick(&mut self, now_ms: u64) -> Vec<Report> {
+        let settings = self.settings;
+        self.watched.retain(|w| {
+            !w.is_gone || now_ms.saturating_sub(w.heard_ms) < REMEMBER_GONE_MS + settings.dead_ms
+        });
+        let mut reports = Vec::new();
+        for watched in self.watched.iter_mut().filter(|w| !w.is_gone) {
+            watched.decay(now_ms);
+            let before = watched.standing;
+            watched.standing = watched.standing_at(now_ms, &settings);
+            watched.is_gone = now_ms.saturating_sub(watched.heard_ms) >= settings.dead_ms;
+            if watched.is_gone || watched.standing != before {
+                reports.push(watched.report());
+            }
+        }
+        reports
+    }
+}
+
+/// Whether two announcements of one life tell the same, but for their load.
+fn is_same_state(old: &order::State, new: &order::State) -> bool {
+    let mut new_without_load = new.clone();
+    new_without_load.sequence = old.sequence;
+    new_without_load.load.running = old.load.running;
+    new_without_load.load.waiting = old.load.waiting;
+    new_without_load == *old
+}
