--- /dev/null
+++ b/src/consensus/core/election.rs
@@ -0,0 +1,212 @@
+//! Terms, votes and elections, with pre-vote.
+
+use rand::Rng as _;
+
+use super::{Core, Role};
+use crate::consensus::entry::VoterId;
+use crate::consensus::message::{Body, LastEntry, Message};
+use crate::ids::Term;
+
+impl Core {
+    /// A single voter need not wait for anyone; a new group need not wait for an old leader.
+    pub(super) fn plan_first_election(&mut self, now_ms: u64) {
+        let is_alone = self.log.membership().voters == [self.config.id.clone()];
+        if is_alone {
+            self.election_due_ms = now_ms;
+        } else if self.is_leader_heard {
+            self.reset_election(now_ms);
+        } else {
+            let jitter_ms = self.config.timing.election_jitter_ms;
+            self.election_due_ms = now_ms + self.rng.random_range(0..jitter_ms);
+        }
+    }
+
+    pub(super) fn reset_election(&mut self, now_ms: u64) {
+        let timing = &self.config.timing;
+        let jitter_ms = self.rng.random_range(0..timing.election_jitter_ms);
+        self.election_due_ms = now_ms + timing.election_ms + jitter_ms;
+    }
+
+    /// Whether this voter upholds a leader, whose lease may rest on it.
+    fn upholds_leader(&self, now_ms: u64) -> bool {
+        let until_ms = self.heard_ms + self.config.timing.election_ms;
+        self.is_leader() || (self.is_leader_heard && now_ms < until_ms)
+    }
+
+    /// Brings the term up to that of a message. Returns whether the message is to be handled.
+    pub(super) fn accept_term(&mut self, now_ms: u64, message: &Message) -> bool {
+        if message.term == self.hard.term || self.is_outside_terms(message) {
+            return true;
+        }
+        if message.term < self.hard.term {
+            self.answer_old_term(message);
+            return false;
+        }
+        match message.body {
+            Body::Vote { is_transfer: false, .. } if self.upholds_leader(now_ms) => false,
+            Body::Append { .. } | Body::Chunk { .. } => {
+                self.become_follower(now_ms, message.term, Some(message.from.clone()));
+                true
+            }
+            _ => {
+                self.become_follower(now_ms, message.term, None);
+                true
+            }
+        }
+    }
+
+    /// A pre-vote changes no term, and one that is granted may come from a voter behind in terms.
+    fn is_outside_terms(&self, message: &Message) -> bool {
+        match message.body {
+            Body::PreVote { .. } => true,
+            Body::PreVoteReply { .. } => message.term < self.hard.term,
+            _ => false,
+        }
+    }
+
+    /// Tells a sender of an older term about this one, so that it gives way.
+    fn answer_old_term(&mut self, message: &Message) {
+        let body = match &message.body {
+            Body::Append { prev_index, round, .. } => {
+                Body::Rejected { prev_index: *prev_index, hint: *prev_index, round: *round }
+            }
+            Body::Chunk { meta, round, .. } => {
+                Body::ChunkReply { index: meta.index, next_offset: 0, round: *round }
+            }
+            Body::Vote { .. } => Body::VoteReply { is_granted: false },
+            _ => return,
+        };
+        self.send(&message.from, body);
+    }
+
+    pub(super) fn become_follower(&mut self, now_ms: u64, term: Term, leader: Option<VoterId>) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.persist_hard();
+            self.incoming = None;
+        }
+        self.fail_reads();
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election(now_ms);
+    }
+
+    fn is_up_to_date(&self, last: LastEntry) -> bool {
+        last >= self.log.last()
+    }
+
+    fn other_voters(&self) -> Vec<VoterId> {
+        let voters = &self.log.membership().voters;
+        voters.iter().filter(|id| **id != self.config.id).cloned().collect()
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
+        self.reset_election(now_ms);
+        if !self.log.membership().is_voter(&self.config.id) {
+            return;
+        }
+        self.leader = None;
+        self.role = Role::PreCandidate { grants: vec![self.config.id.clone()] };
+        let next_term = self.hard.term.next();
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            self.send(&voter, Body::PreVote { next_term, last });
+        }
+        if self.log.membership().quorum() == 1 {
+            self.start_election(now_ms, false);
+        }
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        now_ms: u64,
+        from: VoterId,
+        next_term: Term,
+        last: LastEntry,
+    ) {
+        let is_granted =
+            next_term > self.hard.term && !self.upholds_leader(now_ms) && self.is_up_to_date(last);
+        self.send(&from, Body::PreVoteReply { next_term, is_granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        now_ms: u64,
+        from: VoterId,
+        next_term: Term,
+        is_granted: bool,
+    ) {
+        let is_current = next_term == self.hard.term.next();
+        let is_voter = self.log.membership().is_voter(&from);
+        let quorum = self.log.membership().quorum();
+        let Role::PreCandidate { grants } = &mut self.role else { return };
+        if !is_granted || !is_current || !is_voter {
+            return;
+        }
+        if let Err(at) = grants.binary_search(&from) {
+            grants.insert(at, from);
+        }
+        if grants.len() >= quorum {
+            self.start_election(now_ms, false);
+        }
+    }
+
+    pub(super) fn start_election(&mut self, now_ms: u64, is_transfer: bool) {
+        if self.is_leader() || !self.log.membership().is_voter(&self.config.id) {
+            return;
+        }
+        self.hard.term = self.hard.term.next();
+        self.hard.vote = Some(self.config.id.clone());
+        self.persist_hard();
+        self.incoming = None;
+        self.leader = None;
+        self.role = Role::Candidate { grants: vec![self.config.id.clone()] };
+        self.reset_election(now_ms);
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            self.send(&voter, Body::Vote { last, is_transfer });
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        now_ms: u64,
+        from: VoterId,
+        last: LastEntry,
+        is_transfer: bool,
+    ) {
+        let is_free = self.hard.vote.as_ref().is_none_or(|vote| *vote == from);
+        let is_allowed = is_transfer || !self.upholds_leader(now_ms);
+        let is_granted = is_free && is_allowed && self.is_up_to_date(last);
+        if is_granted {
+            if self.hard.vote.is_none() {
+                self.hard.vote = Some(from.clone());
+                self.persist_hard();
+            }
+            self.reset_election(now_ms);
+        }
+        self.send(&from, Body::VoteReply { is_granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, now_ms: u64, from: VoterId, is_granted: bool) {
+        let is_voter = self.log.membership().is_voter(&from);
+        let Role::Candidate { grants } = &mut self.role else { return };
+        if !is_granted || !is_voter {
+            return;
+        }
+        if let Err(at) = grants.binary_search(&from) {
+            grants.insert(at, from);
+        }
+        self.try_win(now_ms);
+    }
+
+    /// Becomes leader once a majority voted and the own vote is durable.
+    pub(super) fn try_win(&mut self, now_ms: u64) {
+        let Role::Candidate { grants } = &self.role else { return };
+        let is_durable = self.hard_write <= self.synced;
+        if is_durable && grants.len() >= self.log.membership().quorum() {
+            self.become_leader(now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/core/mod.rs
@@ -0,0 +1,457 @@
+//! The replicated log of one group as a state machine without input or output.
+//!
+//! Raft after D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus Algorithm"
+//! (USENIX ATC 2014), and D. Ongaro, "Consensus: Bridging Theory and Practice" (dissertation,
+//! Stanford 2014): membership changes of one server at a time and learners (chapter 4, with the
+//! rule of his raft-dev note of July 2015 that a leader first commits an entry of its own term),
+//! leadership transfer (3.10), snapshots (chapter 5), check-quorum and lease reads (6.2, 6.4),
+//! pre-vote (9.6), pipelining and writing in parallel with sending (10.2).
+//!
+//! The caller passes in the time and what happened, then collects [`Action`]s with
+//! [`Core::take_actions`] and carries them out in order. What must be durable before a message
+//! leaves is tracked by write numbers: such a message is held until [`Core::synced`].
+
+mod changes;
+mod election;
+mod follower;
+mod leader;
+mod reads;
+mod replication;
+mod snapshots;
+
+use std::collections::VecDeque;
+use std::fmt;
+
+use super::entry::{Entry, HardState, Membership, Payload, Snapshot, SnapshotMeta, VoterId};
+use super::log::Log;
+use super::message::{Body, Message};
+use super::timing::Timing;
+use crate::ids::{GroupId, LogIndex, Term};
+use crate::storage::record::Record;
+
+pub use changes::Change;
+use leader::Leader;
+use snapshots::Incoming;
+
+/// The group, the voter and its times.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The group.
+    pub group: GroupId,
+    /// This voter.
+    pub id: VoterId,
+    /// Times of the protocol.
+    pub timing: Timing,
+    /// How many applied entries call for a snapshot.
+    pub snapshot_every: u64,
+}
+
+/// What was read from the data folder.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Term and vote.
+    pub hard: HardState,
+    /// The last snapshot; at index 0 it holds the first membership and no state.
+    pub snapshot: Snapshot,
+    /// The entries that follow the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+/// What the caller is to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Write and sync `records`, then call [`Core::synced`] with `write`.
+    Persist {
+        /// The number of this write.
+        write: u64,
+        /// What to write.
+        records: Vec<Record>,
+    },
+    /// Replace the machine's state, save the snapshot and start an empty log after it, then call
+    /// [`Core::synced`].
+    Install {
+        /// The number of this write.
+        write: u64,
+        /// The snapshot, received from the leader.
+        snapshot: Snapshot,
+        /// Term and vote, which the new log begins with.
+        hard: HardState,
+    },
+    /// Send a message; it may be lost.
+    Send(Message),
+    /// Apply committed entries to the machine.
+    Apply(Vec<Entry>),
+    /// Save the machine's state as it is now, then call [`Core::snapshot_saved`].
+    TakeSnapshot(SnapshotMeta),
+    /// A read asked for by [`Core::read`] may be served from the machine as it is now.
+    ReadReady(u64),
+    /// A read cannot be served here: leadership is lost.
+    ReadFailed(u64),
+}
+
+/// Why a request was not taken. Nothing was proposed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Another voter leads, if it is known.
+    NotLeader(Option<VoterId>),
+    /// Leadership is being handed over.
+    Transferring,
+    /// An earlier change of membership, or the first entry of the term, is not committed.
+    ChangePending,
+    /// The learner does not durably hold the committed log.
+    NotCaughtUp,
+    /// The change makes no sense for the membership in force.
+    BadChange(&'static str),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotLeader(Some(leader)) => write!(f, "not the leader, which is {leader}"),
+            Self::NotLeader(None) => f.write_str("not the leader, and none is known"),
+            Self::Transferring => f.write_str("leadership is being handed over"),
+            Self::ChangePending => f.write_str("an earlier entry is not committed yet"),
+            Self::NotCaughtUp => f.write_str("the learner does not hold the committed log yet"),
+            Self::BadChange(reason) => f.write_str(reason),
+        }
+    }
+}
+
+/// The place of a proposal; another entry may end up there unless it commits with this term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proposed {
+    /// The index.
+    pub index: LogIndex,
+    /// The term.
+    pub term: Term,
+}
+
+/// What a voter is at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoleKind {
+    /// Receives the log.
+    Follower,
+    /// Asks whether an election could be won.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// A summary for operators and callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// What the voter is.
+    pub role: RoleKind,
+    /// Its term.
+    pub term: Term,
+    /// The leader it follows or is.
+    pub leader: Option<VoterId>,
+    /// The last entry known to be committed.
+    pub commit: LogIndex,
+    /// The last entry applied.
+    pub applied: LogIndex,
+    /// The last entry held.
+    pub last: LogIndex,
+    /// The last entry of the last saved snapshot.
+    pub snapshot: LogIndex,
+    /// Until when a leader may serve reads alone, by its own clock.
+    pub lease_valid_until_ms: Option<u64>,
+    /// The membership in force.
+    pub membership: Membership,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    PreCandidate { grants: Vec<VoterId> },
+    Candidate { grants: Vec<VoterId> },
+    Leader(Box<Leader>),
+}
+
+/// A message that must not leave before a write is synced.
+struct Held {
+    write: u64,
+    message: Message,
+}
+
+/// Entries of a write, by which the durable end of the log is known.
+struct OwnWrite {
+    write: u64,
+    end: LogIndex,
+    term: Term,
+}
+
+/// One voter of one group.
+pub struct Core {
+    config: Config,
+    rng: Box<dyn rand::RngCore>,
+    hard: HardState,
+    log: Log,
+    snapshot: Snapshot,
+    is_saving_snapshot: bool,
+    commit: LogIndex,
+    applied: LogIndex,
+    role: Role,
+    leader: Option<VoterId>,
+    /// When a leader was last heard; helping another to power waits for `election_ms` after it.
+    heard_ms: u64,
+    is_leader_heard: bool,
+    election_due_ms: u64,
+    incoming: Option<Incoming>,
+    /// Records that the next write will hold; its number is `writes + 1`.
+    batch: Vec<Record>,
+    writes: u64,
+    synced: u64,
+    hard_write: u64,
+    entries_write: u64,
+    own_writes: VecDeque<OwnWrite>,
+    durable: LogIndex,
+    held: Vec<Held>,
+    actions: Vec<Action>,
+}
+
+impl Core {
+    /// A voter that starts with what its folder holds.
+    pub fn new(config: Config, stored: Stored, now_ms: u64, rng: Box<dyn rand::RngCore>) -> Self {
+        let log = Log::new(&stored.snapshot.meta, stored.entries);
+        let start = stored.snapshot.meta.index;
+        let durable = log.last().index;
+        // A voter that took part before may have upheld a lease right before it stopped.
+        let is_leader_heard = stored.hard.term > Term(0);
+        let mut core = Self {
+            config,
+            rng,
+            hard: stored.hard,
+            log,
+            snapshot: stored.snapshot,
+            is_saving_snapshot: false,
+            commit: start,
+            applied: start,
+            role: Role::Follower,
+            leader: None,
+            heard_ms: now_ms,
+            is_leader_heard,
+            election_due_ms: now_ms,
+            incoming: None,
+            batch: Vec::new(),
+            writes: 0,
+            synced: 0,
+            hard_write: 0,
+            entries_write: 0,
+            own_writes: VecDeque::new(),
+            durable,
+            held: Vec::new(),
+            actions: Vec::new(),
+        };
+        core.plan_first_election(now_ms);
+        core
+    }
+
+    /// This voter's id.
+    pub fn id(&self) -> &VoterId {
+        &self.config.id
+    }
+
+    /// The leader it follows or is.
+    pub fn leader(&self) -> Option<&VoterId> {
+        self.leader.as_ref()
+    }
+
+    /// Whether it leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// A summary of its state.
+    pub fn status(&self, now_ms: u64) -> Status {
+        let role = match self.role {
+            Role::Follower => RoleKind::Follower,
+            Role::PreCandidate { .. } => RoleKind::PreCandidate,
+            Role::Candidate { .. } => RoleKind::Candidate,
+            Role::Leader(_) => RoleKind::Leader,
+        };
+        Status {
+            role,
+            term: self.hard.term,
+            leader: self.leader.clone(),
+            commit: self.commit,
+            applied: self.applied,
+            last: self.log.last().index,
+            snapshot: self.snapshot.meta.index,
+            lease_valid_until_ms: self.lease_until_ms(now_ms),
+            membership: self.log.membership().clone(),
+        }
+    }
+
+    /// The log in memory.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// When [`Core::tick`] has something to do next.
+    pub fn next_tick_ms(&self) -> u64 {
+        match &self.role {
+            Role::Leader(leader) => leader.next_tick_ms(&self.config.timing),
+            _ => self.election_due_ms,
+        }
+    }
+
+    /// Passes the time.
+    pub fn tick(&mut self, now_ms: u64) {
+        if self.is_leader() {
+            self.tick_leader(now_ms);
+        } else if now_ms >= self.election_due_ms {
+            self.start_pre_vote(now_ms);
+        }
+    }
+
+    /// Takes a message. One for another group or voter is dropped.
+    pub fn receive(&mut self, now_ms: u64, message: Message) {
+        if message.group != self.config.group || message.to != self.config.id {
+            return;
+        }
+        if !self.accept_term(now_ms, &message) {
+            return;
+        }
+        let Message { from, body, .. } = message;
+        match body {
+            Body::PreVote { next_term, last } => self.on_pre_vote(now_ms, from, next_term, last),
+            Body::PreVoteReply { next_term, is_granted } => {
+                self.on_pre_vote_reply(now_ms, from, next_term, is_granted);
+            }
+            Body::Vote { last, is_transfer } => self.on_vote(now_ms, from, last, is_transfer),
+            Body::VoteReply { is_granted } => self.on_vote_reply(now_ms, from, is_granted),
+            Body::Append { prev_index, prev_term, entries, commit, round } => {
+                self.on_append(now_ms, from, (prev_index, prev_term), entries, commit, round);
+            }
+            Body::Chunk { meta, offset, total_bytes, data, round } => {
+                self.on_chunk(now_ms, from, meta, (offset, total_bytes, data), round);
+            }
+            Body::Accepted { matched, round } => self.on_accepted(&from, matched, round),
+            Body::Rejected { prev_index, hint, round } => {
+                self.on_rejected(&from, prev_index, hint, round);
+            }
+            Body::ChunkReply { index, next_offset, round } => {
+                self.on_chunk_reply(&from, index, next_offset, round);
+            }
+            Body::TimeoutNow => self.start_election(now_ms, true),
+        }
+    }
+
+    /// Appends a command, if this voter leads.
+    ///
+    /// # Errors
+    /// Why nothing was proposed.
+    pub fn propose(&mut self, command: bytes::Bytes) -> Result<Proposed, Refusal> {
+        let Role::Leader(leader) = &self.role else {
+            return Err(Refusal::NotLeader(self.leader.clone()));
+        };
+        if leader.is_transferring() {
+            return Err(Refusal::Transferring);
+        }
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    /// Learns that all writes up to `write` are synced.
+    pub fn synced(&mut self, now_ms: u64, write: u64) {
+        self.synced = self.synced.max(write);
+        while let Some(own) = self.own_writes.front()
+            && own.write <= self.synced
+        {
+            // A later truncation may have replaced what the write held.
+            if self.log.term_at(own.end) == Some(own.term) {
+                self.durable = self.durable.max(own.end);
+            }
+            self.own_writes.pop_front();
+        }
+        let held = std::mem::take(&mut self.held);
+        for Held { write, message } in held {
+            self.send_after(write, message);
+        }
+        self.try_win(now_ms);
+        self.advance_commit();
+    }
+
+    /// Collects what is to be done, and closes the current write.
+    pub fn take_actions(&mut self, now_ms: u64) -> Vec<Action> {
+        self.replicate(now_ms);
+        self.close_batch();
+        self.apply_committed();
+        self.serve_reads();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn close_batch(&mut self) {
+        if self.batch.is_empty() {
+            return;
+        }
+        self.writes += 1;
+        let records = std::mem::take(&mut self.batch);
+        // The write starts before messages of the same step leave.
+        self.actions.push(Action::Persist { write: self.writes, records });
+    }
+
+    fn apply_committed(&mut self) {
+        if self.commit <= self.applied {
+            return;
+        }
+        let entries = self.log.slice(self.applied.next(), self.commit, usize::MAX);
+        self.applied = self.commit;
+        self.actions.push(Action::Apply(entries));
+        self.consider_snapshot();
+    }
+
+    fn persist_hard(&mut self) {
+        self.batch.push(Record::Hard(self.hard.clone()));
+        self.hard_write = self.writes + 1;
+    }
+
+    fn persist_entries(&mut self, entries: &[Entry]) {
+        let Some(last) = entries.last() else { return };
+        self.batch.extend(entries.iter().cloned().map(Record::Entry));
+        let write = self.writes + 1;
+        self.entries_write = write;
+        self.own_writes.push_back(OwnWrite { write, end: last.index, term: last.term });
+    }
+
+    fn append_own(&mut self, payload: Payload) -> Proposed {
+        let term = self.hard.term;
+        let index = self.log.last().index.next();
+        let entry = Entry { index, term, payload };
+        self.persist_entries(std::slice::from_ref(&entry));
+        self.log.push(entry);
+        Proposed { index, term }
+    }
+
+    fn message(&self, to: &VoterId, body: Body) -> Message {
+        Message {
+            group: self.config.group,
+            from: self.config.id.clone(),
+            to: to.clone(),
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    /// Sends once the term and vote that the message speaks for are durable.
+    fn send(&mut self, to: &VoterId, body: Body) {
+        let message = self.message(to, body);
+        self.send_after(self.hard_write, message);
+    }
+
+    /// Sends once the term, vote and entries that the message speaks for are durable.
+    fn send_after_entries(&mut self, to: &VoterId, body: Body) {
+        let message = self.message(to, body);
+        self.send_after(self.hard_write.max(self.entries_write), message);
+    }
+
+    fn send_after(&mut self, write: u64, message: Message) {
+        if write <= self.synced {
+            self.actions.push(Action::Send(message));
+        } else {
+            self.held.push(Held { write, message });
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/core/snapshots.rs
@@ -0,0 +1,167 @@
+//! Snapshots: when to take one, and how a peer that lacks the entries is sent one.
+
+use bytes::Bytes;
+
+use super::replication::{Mode, Progress};
+use super::{Action, Core, Role};
+use crate::consensus::entry::{Snapshot, SnapshotMeta, VoterId};
+use crate::consensus::log::Log;
+use crate::consensus::message::{Body, Round};
+use crate::ids::LogIndex;
+
+/// The size of one part of a snapshot, in bytes.
+const CHUNK_BYTES: usize = 256 * 1024;
+
+/// Most entries kept in memory for live peers that are behind.
+const MAX_TAIL_ENTRIES: u64 = 50_000;
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    meta: SnapshotMeta,
+    data: Vec<u8>,
+}
+
+impl Core {
+    /// Asks for a snapshot once enough entries were applied since the last.
+    ///
+    /// Half the bound is the trigger, so that entries which arrive while one is saved still keep
+    /// the replay after a restart within the bound.
+    pub(super) fn consider_snapshot(&mut self) {
+        let since = self.applied.0 - self.snapshot.meta.index.0;
+        if self.is_saving_snapshot || since < (self.config.snapshot_every / 2).max(1) {
+            return;
+        }
+        let Some(term) = self.log.term_at(self.applied) else { return };
+        self.is_saving_snapshot = true;
+        let membership = self.log.membership_at(self.applied).clone();
+        let meta = SnapshotMeta { index: self.applied, term, membership };
+        self.actions.push(Action::TakeSnapshot(meta));
+    }
+
+    /// Learns that a snapshot is durable. A tail of entries before it stays in memory, for peers
+    /// that are behind.
+    pub fn snapshot_saved(&mut self, now_ms: u64, snapshot: Snapshot) {
+        self.is_saving_snapshot = false;
+        if snapshot.meta.index <= self.snapshot.meta.index {
+            return;
+        }
+        let keep_from = self.oldest_needed(now_ms, snapshot.meta.index);
+        if keep_from > self.log.base().index {
+            self.log.compact(keep_from);
+        }
+        self.snapshot = snapshot;
+    }
+
+    /// The entry after which live peers still need the log, within bounds.
+    fn oldest_needed(&self, now_ms: u64, saved: LogIndex) -> LogIndex {
+        let short = saved.0.saturating_sub(self.config.snapshot_every);
+        let long = saved.0.saturating_sub(MAX_TAIL_ENTRIES).min(short);
+        let Role::Leader(leader) = &self.role else { return LogIndex(short) };
+        let live_ms = self.config.timing.election_ms;
+        let is_live =
+            |peer: &&Progress| peer.answered.is_some_and(|round| round.sent_ms + live_ms > now_ms);
+        let needed = |peer: &Progress| match &peer.outgoing {
+            Some(snapshot) => snapshot.meta.index.0,
+            None => peer.matched.0,
+        };
+        let oldest = leader.peers.iter().filter(is_live).map(needed).min();
+        LogIndex(oldest.map_or(short, |oldest| oldest.clamp(long, short)))
+    }
+
+    /// Turns to sending a snapshot if the entries that a peer lacks are gone.
+    pub(super) fn fall_back_to_snapshot(&mut self, id: &VoterId) {
+        let base = self.log.base().index;
+        let snapshot = self.snapshot.clone();
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(peer) = leader.peer_mut(id) else { return };
+        if peer.outgoing.is_none() && peer.next <= base {
+            peer.mode = Mode::Snapshot { index: snapshot.meta.index, offset: 0 };
+            peer.outgoing = Some(snapshot);
+            peer.is_due = true;
+        }
+    }
+
+    pub(super) fn send_chunk(&mut self, now_ms: u64, id: &VoterId, offset: u64) {
+        let round = self.current_round(now_ms);
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(peer) = leader.peer_mut(id) else { return };
+        let Some(Snapshot { meta, data }) = peer.outgoing.clone() else { return };
+        let total_bytes = data.len() as u64;
+        let begin = offset.min(total_bytes) as usize;
+        let end = (begin + CHUNK_BYTES).min(data.len());
+        let data = data.slice(begin..end);
+        peer.sent_ms = now_ms;
+        peer.is_due = false;
+        self.send(id, Body::Chunk { meta, offset: begin as u64, total_bytes, data, round });
+    }
+
+    pub(super) fn on_chunk_reply(
+        &mut self,
+        from: &VoterId,
+        index: LogIndex,
+        next_offset: u64,
+        round: Round,
+    ) {
+        let Some(peer) = self.note_answer(from, round) else { return };
+        if let Mode::Snapshot { index: sent, offset } = peer.mode
+            && sent == index
+            && next_offset != offset
+        {
+            peer.mode = Mode::Snapshot { index, offset: next_offset };
+            peer.is_due = true;
+        }
+    }
+
+    pub(super) fn on_chunk(
+        &mut self,
+        now_ms: u64,
+        from: VoterId,
+        meta: SnapshotMeta,
+        part: (u64, u64, Bytes),
+        round: Round,
+    ) {
+        self.hear_leader(now_ms, &from);
+        let index = meta.index;
+        if self.log.term_at(index) == Some(meta.term) || index <= self.commit {
+            // The log holds all of this, and perhaps entries beyond it that were acknowledged.
+            let matched = index;
+            self.commit = self.commit.max(matched);
+            self.send_after_entries(&from, Body::Accepted { matched, round });
+            return;
+        }
+        let (offset, total_bytes, data) = part;
+        let is_same = self.incoming.as_ref().is_some_and(|incoming| incoming.meta == meta);
+        if !is_same {
+            self.incoming = Some(Incoming { meta, data: Vec::new() });
+        }
+        let Some(incoming) = &mut self.incoming else { return };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(&data);
+        }
+        let next_offset = incoming.data.len() as u64;
+        if next_offset < total_bytes {
+            self.send(&from, Body::ChunkReply { index, next_offset, round });
+        } else {
+            self.install(&from, round);
+        }
+    }
+
+    fn install(&mut self, from: &VoterId, round: Round) {
+        let Some(Incoming { meta, data }) = self.incoming.take() else { return };
+        let snapshot = Snapshot { meta, data: data.into() };
+        let index = snapshot.meta.index;
+        self.close_batch();
+        self.writes += 1;
+        self.entries_write = self.writes;
+        self.own_writes.clear();
+        self.log = Log::new(&snapshot.meta, Vec::new());
+        self.durable = index;
+        self.commit = index;
+        self.applied = index;
+        self.snapshot = snapshot.clone();
+        let hard = self.hard.clone();
+        self.actions.push(Action::Install { write: self.writes, snapshot, hard });
+        self.send_after_entries(from, Body::Accepted { matched: index, round });
+    }
+}
--- /dev/null
+++ b/src/consensus/message.rs
@@ -0,0 +1,136 @@
+//! Messages between the voters of a group.
+
+use bytes::Bytes;
+
+use super::entry::{Entry, SnapshotMeta, VoterId};
+use crate::ids::{GroupId, LogIndex, Term};
+
+/// One message. A receiver drops it unless `group` and `to` are its own.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Message {
+    /// The group that it belongs to.
+    pub group: GroupId,
+    /// The sender.
+    pub from: VoterId,
+    /// The receiver, with its incarnation: a voter that lost its folder is another receiver.
+    pub to: VoterId,
+    /// The sender's term.
+    pub term: Term,
+    /// What it says.
+    pub body: Body,
+}
+
+/// Identifies the leader's broadcast that a reply answers.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct Round {
+    /// Rises with every read that needs a quorum round.
+    pub number: u64,
+    /// When the leader sent it, by the leader's clock; the lease counts from here.
+    pub sent_ms: u64,
+}
+
+/// The last entry of a candidate's log, by which its log is compared.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub struct LastEntry {
+    /// Its term, compared first.
+    pub term: Term,
+    /// Its index.
+    pub index: LogIndex,
+}
+
+/// The kinds of message.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Body {
+    /// Asks whether an election in `next_term` could be won, without changing any term.
+    PreVote {
+        /// The term that the election would have.
+        next_term: Term,
+        /// The end of the sender's log.
+        last: LastEntry,
+    },
+    /// Answers `PreVote`.
+    PreVoteReply {
+        /// The term that was asked about.
+        next_term: Term,
+        /// Whether the vote would be given.
+        is_granted: bool,
+    },
+    /// Asks for a vote in the message's term.
+    Vote {
+        /// The end of the sender's log.
+        last: LastEntry,
+        /// Whether the leader itself asked for this election and gave up its lease.
+        is_transfer: bool,
+    },
+    /// Answers `Vote`.
+    VoteReply {
+        /// Whether the vote is given.
+        is_granted: bool,
+    },
+    /// Entries, or none as a heartbeat.
+    Append {
+        /// The index before the first entry.
+        prev_index: LogIndex,
+        /// The term at `prev_index`.
+        prev_term: Term,
+        /// Entries that follow `prev_index`.
+        entries: Vec<Entry>,
+        /// The leader's commit index.
+        commit: LogIndex,
+        /// The broadcast.
+        round: Round,
+    },
+    /// Answers `Append`, and the last chunk of a snapshot: durable up to `matched`.
+    Accepted {
+        /// Everything up to here is synced and equal to the leader's log.
+        matched: LogIndex,
+        /// The broadcast that is answered.
+        round: Round,
+    },
+    /// Answers `Append` when the entry before does not match.
+    Rejected {
+        /// `prev_index` of the `Append`.
+        prev_index: LogIndex,
+        /// The last index that may match.
+        hint: LogIndex,
+        /// The broadcast that is answered.
+        round: Round,
+    },
+    /// A part of a snapshot.
+    Chunk {
+        /// What the snapshot covers.
+        meta: SnapshotMeta,
+        /// Where in the snapshot this part begins, in bytes.
+        offset: u64,
+        /// The size of the whole snapshot, in bytes.
+        total_bytes: u64,
+        /// The part.
+        data: Bytes,
+        /// The broadcast.
+        round: Round,
+    },
+    /// Answers `Chunk`: the part that is wanted next.
+    ChunkReply {
+        /// The last entry that the snapshot covers.
+        index: LogIndex,
+        /// Where the next part is to begin, in bytes.
+        next_offset: u64,
+        /// The broadcast that is answered.
+        round: Round,
+    },
+    /// Asks the receiver to hold an election at once.
+    TimeoutNow,
+}
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -1,4 +1,14 @@
 //! The replicated log of a control group.
+//!
+//! [`core`] decides without input or output; [`node`] carries its actions out on the control
+//! thread; [`crate::storage`] keeps what must survive.
+
+pub mod core;
+pub mod entry;
+pub mod log;
+pub mod message;
+pub mod node;
+pub mod timing;
 
 use crate::ids::LogIndex;
 
--- /dev/null
+++ b/src/consensus/node/handle.rs
@@ -0,0 +1,183 @@
+//! The handle by which the rest of the control thread uses the node.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use error_stack::Report;
+use tokio::sync::watch;
+
+use super::shell::{Leadership, Shared, Status};
+use super::{Error, Result};
+use crate::consensus::core::{Change, Core, Proposed, Refusal};
+use crate::consensus::entry::VoterId;
+use crate::consensus::message::Message;
+use crate::ids::DaemonId;
+
+/// How often a learner is looked at while it catches up, in milliseconds.
+const CATCH_UP_POLL_MS: u64 = 50;
+
+/// A voter that runs on this thread.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Rc<RefCell<Shared>>,
+    stopped: watch::Receiver<bool>,
+}
+
+impl From<Refusal> for Error {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::NotLeader(leader) => Self::NotLeader(leader.map(|leader| leader.daemon)),
+            other => Self::Unavailable(other.to_string()),
+        }
+    }
+}
+
+impl Handle {
+    pub(super) fn new(shared: Rc<RefCell<Shared>>, stopped: watch::Receiver<bool>) -> Self {
+        Self { shared, stopped }
+    }
+
+    /// Proposes a command and waits until it is committed and applied here. Returns the
+    /// machine's outcome.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] and [`Error::Unavailable`]: it is certainly not proposed, or was
+    /// replaced. [`Error::Unknown`]: it may yet be committed.
+    pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>> {
+        metrics::counter!("consensus_proposals_total").increment(1);
+        self.commit(|core| core.propose(command.into())).await
+    }
+
+    /// Waits until everything committed before the call is applied here, and this voter still
+    /// leads: what the machine then holds is no older than the call.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] or [`Error::Unavailable`].
+    pub async fn read_barrier(&self) -> Result<()> {
+        let answered = {
+            let mut shared = self.shared.borrow_mut();
+            let now_ms = shared.now_ms();
+            let ticket = shared.next_ticket();
+            shared.core_mut()?.read(now_ms, ticket).map_err(Error::from)?;
+            shared.wait_for_read(ticket)
+        };
+        answered.await.unwrap_or_else(|_| Err(Report::new(Error::NotLeader(None))))
+    }
+
+    /// Takes a message from another daemon. One that cannot be read, or whose sender is not the
+    /// daemon that sent it, is dropped.
+    pub fn receive(&self, from: &DaemonId, message: &[u8]) {
+        let Ok(message) = postcard::from_bytes::<Message>(message) else {
+            metrics::counter!("consensus_unreadable_messages_total").increment(1);
+            return;
+        };
+        if message.from.daemon != *from {
+            metrics::counter!("consensus_unreadable_messages_total").increment(1);
+            return;
+        }
+        let mut shared = self.shared.borrow_mut();
+        let now_ms = shared.now_ms();
+        if let Ok(core) = shared.core_mut() {
+            core.receive(now_ms, message);
+        }
+    }
+
+    /// A summary of the voter's state.
+    pub fn status(&self) -> Status {
+        self.shared.borrow().status()
+    }
+
+    /// Follows who leads.
+    pub fn subscribe(&self) -> watch::Receiver<Leadership> {
+        self.shared.borrow().subscribe()
+    }
+
+    /// Adds a learner, which takes the place of an older learner of its daemon.
+    ///
+    /// # Errors
+    /// As for [`Handle::propose`].
+    pub async fn add_learner(&self, id: VoterId) -> Result<()> {
+        self.change(Change::AddLearner(id)).await
+    }
+
+    /// Makes a learner a voter, if it durably holds the committed log.
+    ///
+    /// # Errors
+    /// As for [`Handle::propose`].
+    pub async fn promote(&self, id: VoterId) -> Result<()> {
+        self.change(Change::Promote(id)).await
+    }
+
+    /// Takes out a voter or learner.
+    ///
+    /// # Errors
+    /// As for [`Handle::propose`].
+    pub async fn remove(&self, id: VoterId) -> Result<()> {
+        self.change(Change::Remove(id)).await
+    }
+
+    /// Replaces a voter: adds `new` as a learner, waits until it durably holds the committed log,
+    /// promotes it, and only then removes `old`. May be called again after an error.
+    ///
+    /// # Errors
+    /// As for [`Handle::propose`].
+    pub async fn replace(&self, old: VoterId, new: VoterId) -> Result<()> {
+        let membership = self.status().core.membership;
+        if !membership.is_voter(&new) && !membership.is_learner(&new) {
+            self.add_learner(new.clone()).await?;
+        }
+        if !membership.is_voter(&new) {
+            while !self.is_caught_up(&new)? {
+                tokio::time::sleep(std::time::Duration::from_millis(CATCH_UP_POLL_MS)).await;
+            }
+            self.promote(new).await?;
+        }
+        if self.status().core.membership.is_voter(&old) {
+            self.remove(old).await?;
+        }
+        Ok(())
+    }
+
+    /// Whether a member durably holds all that is committed.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] or [`Error::Unavailable`].
+    pub fn is_caught_up(&self, id: &VoterId) -> Result<bool> {
+        let mut shared = self.shared.borrow_mut();
+        Ok(shared.core_mut()?.is_caught_up(id).map_err(Error::from)?)
+    }
+
+    /// Starts to hand leadership to another voter; [`Handle::subscribe`] tells when it is done.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] or [`Error::Unavailable`].
+    pub fn transfer(&self, to: VoterId) -> Result<()> {
+        let mut shared = self.shared.borrow_mut();
+        let now_ms = shared.now_ms();
+        shared.core_mut()?.transfer(now_ms, to).map_err(Error::from)?;
+        Ok(())
+    }
+
+    /// Stops the voter once queued writes are synced. Proposals that wait end as unknown.
+    pub async fn stop(&self) {
+        self.shared.borrow_mut().stop();
+        let mut stopped = self.stopped.clone();
+        let _ = stopped.wait_for(|is_stopped| *is_stopped).await;
+    }
+
+    async fn change(&self, change: Change) -> Result<()> {
+        self.commit(|core| core.change(&change)).await.map(|_| ())
+    }
+
+    async fn commit(
+        &self,
+        propose: impl FnOnce(&mut Core) -> std::result::Result<Proposed, Refusal>,
+    ) -> Result<Vec<u8>> {
+        let answered = {
+            let mut shared = self.shared.borrow_mut();
+            let proposed = propose(shared.core_mut()?).map_err(Error::from)?;
+            shared.wait_for(proposed)
+        };
+        answered.await.unwrap_or_else(|_| Err(Report::new(Error::Unknown)))
+    }
+}
--- /dev/null
+++ b/src/consensus/node/mod.rs
@@ -0,0 +1,63 @@
+//! One voter on the control thread: carries out what [`super::core`] decides.
+//!
+//! Runs inside a `tokio::task::LocalSet`. Files are written by a thread of their own.
+
+mod handle;
+mod settings;
+mod shell;
+
+use std::fmt;
+
+use error_stack::Report;
+
+use crate::ids::DaemonId;
+
+pub use handle::Handle;
+pub use settings::{Opened, Settings, start};
+pub use shell::{Leadership, Status};
+
+/// Carries messages to other daemons.
+pub trait Transport {
+    /// Sends without waiting; the message may be lost.
+    fn send(&self, to: &DaemonId, message: Vec<u8>);
+}
+
+/// A transport for a group of one voter: there is nobody to send to.
+#[derive(Clone, Copy, Debug)]
+pub struct NoTransport;
+
+impl Transport for NoTransport {
+    fn send(&self, _to: &DaemonId, _message: Vec<u8>) {}
+}
+
+/// Why a request to the node failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// Another daemon leads, if it is known. Nothing was proposed.
+    NotLeader(Option<DaemonId>),
+    /// Nothing was proposed, for the reason given.
+    Unavailable(String),
+    /// It was proposed, and may yet be committed.
+    Unknown,
+    /// The node cannot start.
+    Start(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotLeader(Some(leader)) => write!(f, "this voter does not lead; {leader} does"),
+            Self::NotLeader(None) => {
+                f.write_str("this voter does not lead, and no leader is known")
+            }
+            Self::Unavailable(reason) => write!(f, "nothing was proposed: {reason}"),
+            Self::Unknown => f.write_str("leadership was lost; the change may yet be committed"),
+            Self::Start(step) => write!(f, "the voter cannot start: {step}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The result of a request to the node.
+pub type Result<T> = std::result::Result<T, Report<Error>>;
--- /dev/null
+++ b/src/consensus/node/settings.rs
@@ -0,0 +1,171 @@
+//! Settings of a voter, and how it starts.
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use error_stack::{ResultExt as _, ensure};
+
+use super::handle::Handle;
+use super::shell;
+use super::{Error, Result, Transport};
+use crate::consensus::Machine;
+use crate::consensus::core::{Config, Stored};
+use crate::consensus::entry::{Membership, Snapshot, SnapshotMeta, VoterId};
+use crate::consensus::timing::Timing;
+use crate::ids::{DaemonId, GroupId, Incarnation};
+use crate::storage::disk::Folder;
+use crate::storage::store::{Owner, Store};
+
+/// How many entries a restart replays at most.
+const DEFAULT_SNAPSHOT_EVERY: u64 = 1000;
+
+/// Settings of a voter.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    owner: Owner,
+    folder: PathBuf,
+    new_incarnation: Incarnation,
+    initial_voters: Vec<VoterId>,
+    timing: Timing,
+    snapshot_every: u64,
+}
+
+impl Settings {
+    /// Settings with the default times and no initial voters.
+    pub fn new(cluster: &str, group: GroupId, daemon: DaemonId, folder: PathBuf) -> Self {
+        Self {
+            owner: Owner { cluster: cluster.to_owned(), group, daemon },
+            folder,
+            new_incarnation: Incarnation(1),
+            initial_voters: Vec::new(),
+            timing: Timing::default(),
+            snapshot_every: DEFAULT_SNAPSHOT_EVERY,
+        }
+    }
+
+    /// The incarnation that an empty folder is given. It must differ from that of every folder
+    /// which this daemon ever had, as the time of the start does.
+    pub fn new_incarnation(mut self, incarnation: Incarnation) -> Self {
+        self.new_incarnation = incarnation;
+        self
+    }
+
+    /// The voters of a new group, the same at each of them. Used only while the folder is empty;
+    /// without it, a voter with an empty folder waits to be added as a learner.
+    pub fn initial_voters(mut self, voters: Vec<VoterId>) -> Self {
+        self.initial_voters = voters;
+        self
+    }
+
+    /// Times of the protocol.
+    pub fn timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+
+    /// How many entries a restart replays at most.
+    pub fn snapshot_every(mut self, entries: u64) -> Self {
+        self.snapshot_every = entries;
+        self
+    }
+
+    /// Opens and locks the folder, and reads it.
+    ///
+    /// # Errors
+    /// The folder cannot be used, or the times break a rule.
+    pub fn open(self) -> Result<Opened> {
+        self.timing.check().change_context(Error::Start("check the times".to_owned()))?;
+        let step = || Error::Start(format!("open the data folder {}", self.folder.display()));
+        let disk = Folder::open(&self.folder).change_context_lazy(step)?;
+        let opened = Store::open(disk, &self.owner, self.new_incarnation);
+        let (store, stored) = opened.change_context_lazy(step)?;
+        let id = store.voter_id(&self.owner.daemon);
+        Ok(Opened { settings: self, store, stored, id })
+    }
+}
+
+/// A voter whose folder is open and which does not run yet.
+pub struct Opened {
+    settings: Settings,
+    store: Store<Folder>,
+    stored: Stored,
+    id: VoterId,
+}
+
+impl Opened {
+    /// Its id.
+    pub fn voter_id(&self) -> &VoterId {
+        &self.id
+    }
+
+    /// Whether its folder knows a group, or it has learnt of one from a leader.
+    pub fn is_formed(&self) -> bool {
+        let has_members = !self.stored.snapshot.meta.membership.voters.is_empty();
+        has_members || !self.stored.entries.is_empty()
+    }
+
+    /// How many entries will be replayed.
+    pub fn replay_entries(&self) -> usize {
+        self.stored.entries.len()
+    }
+
+    /// Makes this a voter of a new group. Every voter of it must be given the same list.
+    ///
+    /// # Errors
+    /// A group is known already, this voter is not in the list, or the folder cannot be written.
+    pub fn form(&mut self, voters: Vec<VoterId>) -> Result<()> {
+        let start = |reason: &str| Error::Start(format!("form a group: {reason}"));
+        ensure!(!self.is_formed(), start("the folder already knows one"));
+        ensure!(voters.contains(&self.id), start("this voter is not one of its voters"));
+        let membership = Membership::of_voters(voters);
+        let meta = SnapshotMeta { membership, ..SnapshotMeta::default() };
+        let snapshot = Snapshot { meta, ..Snapshot::default() };
+        self.store.save_snapshot(&snapshot).change_context_lazy(|| start("write the folder"))?;
+        self.stored.snapshot = snapshot;
+        Ok(())
+    }
+
+    /// Starts the voter on the current `LocalSet`.
+    ///
+    /// # Errors
+    /// The machine cannot read the snapshot, or the storage thread cannot start.
+    pub fn start<M, T, R>(self, machine: Rc<RefCell<M>>, transport: T, rng: R) -> Result<Handle>
+    where
+        M: Machine + 'static,
+        T: Transport + 'static,
+        R: rand::RngCore + 'static,
+    {
+        let config = Config {
+            group: self.settings.owner.group,
+            id: self.id,
+            timing: self.settings.timing,
+            snapshot_every: self.settings.snapshot_every,
+        };
+        shell::start(config, self.store, self.stored, machine, transport, Box::new(rng))
+    }
+}
+
+/// Opens the folder and starts the voter, forming the group of the initial voters where the
+/// folder is empty.
+///
+/// # Errors
+/// As for [`Settings::open`], [`Opened::form`] and [`Opened::start`].
+pub fn start<M, T, R>(
+    settings: Settings,
+    machine: Rc<RefCell<M>>,
+    transport: T,
+    rng: R,
+) -> Result<Handle>
+where
+    M: Machine + 'static,
+    T: Transport + 'static,
+    R: rand::RngCore + 'static,
+{
+    let voters = settings.initial_voters.clone();
+    let mut opened = settings.open()?;
+    if !opened.is_formed() && !voters.is_empty() {
+        opened.form(voters)?;
+    }
+    opened.start(machine, transport, rng)
+}
--- /dev/null
+++ b/src/consensus/node/shell.rs
@@ -0,0 +1,339 @@
+//! The loop that feeds the core and carries out its actions.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use error_stack::{Report, ResultExt as _};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::time::{Duration, Instant};
+
+use super::handle::Handle;
+use super::{Error, Result, Transport};
+use crate::consensus::Machine;
+use crate::consensus::core::{self, Action, Config, Core, Proposed, RoleKind, Stored};
+use crate::consensus::entry::{Entry, HardState, Payload, Snapshot, SnapshotMeta, VoterId};
+use crate::ids::{LogIndex, Term};
+use crate::storage::disk::Disk;
+use crate::storage::store::Store;
+use crate::storage::writer::{self, Job, Writer};
+
+/// The loop looks at the clock at least this often.
+const MAX_SLEEP_MS: u64 = 60_000;
+
+/// Who leads, as seen by one voter.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Leadership {
+    /// The term.
+    pub term: Term,
+    /// The leader, if one is known.
+    pub leader: Option<VoterId>,
+    /// Whether this voter leads.
+    pub is_leader: bool,
+}
+
+/// A summary of the node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// The voter's own id.
+    pub id: VoterId,
+    /// Its state in the protocol.
+    pub core: core::Status,
+    /// How long the leader's lease still lasts.
+    pub lease_left_ms: u64,
+    /// Why the voter stopped, if a write or sync failed.
+    pub failure: Option<String>,
+}
+
+type Answer = oneshot::Sender<Result<Vec<u8>>>;
+
+struct Waiting {
+    term: Term,
+    answer: Answer,
+}
+
+/// State shared by the loop and the handles.
+pub(super) struct Shared {
+    core: Core,
+    epoch: Instant,
+    wake: Rc<Notify>,
+    /// Proposals by the index where they wait. A tree, since they come and go by the thousand.
+    waiting: BTreeMap<LogIndex, Waiting>,
+    reads: BTreeMap<u64, oneshot::Sender<Result<()>>>,
+    next_ticket: u64,
+    leadership: watch::Sender<Leadership>,
+    failure: Option<String>,
+    is_stopping: bool,
+}
+
+impl Shared {
+    pub(super) fn now_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+
+    /// The core, for a command; the loop is woken to carry out what follows from it.
+    pub(super) fn core_mut(&mut self) -> Result<&mut Core> {
+        if let Some(failure) = &self.failure {
+            return Err(Report::new(Error::Unavailable(failure.clone())));
+        }
+        if self.is_stopping {
+            return Err(Report::new(Error::Unavailable("the voter is stopping".to_owned())));
+        }
+        self.wake.notify_one();
+        Ok(&mut self.core)
+    }
+
+    pub(super) fn wait_for(&mut self, proposed: Proposed) -> oneshot::Receiver<Result<Vec<u8>>> {
+        let (answer, answered) = oneshot::channel();
+        self.waiting.insert(proposed.index, Waiting { term: proposed.term, answer });
+        answered
+    }
+
+    pub(super) fn next_ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    pub(super) fn wait_for_read(&mut self, ticket: u64) -> oneshot::Receiver<Result<()>> {
+        let (answer, answered) = oneshot::channel();
+        self.reads.insert(ticket, answer);
+        answered
+    }
+
+    pub(super) fn status(&self) -> Status {
+        let now_ms = self.now_ms();
+        let core = self.core.status(now_ms);
+        let lease_left_ms =
+            core.lease_valid_until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms));
+        let failure = self.failure.clone();
+        Status { id: self.core.id().clone(), core, lease_left_ms, failure }
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<Leadership> {
+        self.leadership.subscribe()
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.is_stopping = true;
+        self.wake.notify_one();
+    }
+
+    /// Answers proposals that this voter can no longer follow.
+    fn give_up(&mut self, is_lost: impl Fn(&Waiting) -> bool) {
+        for (_, lost) in self.waiting.extract_if(.., |_, waiting| is_lost(waiting)) {
+            let _ = lost.answer.send(Err(Report::new(Error::Unknown)));
+        }
+    }
+
+    fn fail_reads(&mut self) {
+        for (_, read) in std::mem::take(&mut self.reads) {
+            let _ = read.send(Err(Report::new(Error::NotLeader(None))));
+        }
+    }
+
+    /// Tells subscribers of a change of leadership.
+    fn publish(&mut self) {
+        let status = self.core.status(self.now_ms());
+        let is_leader = status.role == RoleKind::Leader && self.failure.is_none();
+        let leadership = Leadership { term: status.term, leader: status.leader, is_leader };
+        let led = leadership.is_leader.then_some(leadership.term);
+        self.give_up(|waiting| Some(waiting.term) != led);
+        let is_changed = self.leadership.send_if_modified(|known| {
+            let is_changed = *known != leadership;
+            *known = leadership.clone();
+            is_changed
+        });
+        if is_changed && leadership.leader.is_some() {
+            metrics::counter!("consensus_leader_changes_total").increment(1);
+            let id = self.core.id();
+            log::info!("{id}: term {}, leader {:?}", status.term, leadership.leader);
+        }
+    }
+}
+
+/// What the loop alone owns.
+struct Shell<M, T> {
+    shared: Rc<RefCell<Shared>>,
+    machine: Rc<RefCell<M>>,
+    transport: T,
+    writer: Writer,
+    reports: mpsc::UnboundedReceiver<writer::Report>,
+    wake: Rc<Notify>,
+}
+
+/// Restores the machine and starts the loop.
+pub(super) fn start<M, T, D>(
+    config: Config,
+    store: Store<D>,
+    stored: Stored,
+    machine: Rc<RefCell<M>>,
+    transport: T,
+    rng: Box<dyn rand::RngCore>,
+) -> Result<Handle>
+where
+    M: Machine + 'static,
+    T: Transport + 'static,
+    D: Disk + 'static,
+{
+    restore(&machine, &stored.snapshot).map_err(|error| Report::new(Error::Start(error)))?;
+    let (sender, reports) = mpsc::unbounded_channel();
+    let step = || Error::Start("start the storage thread".to_owned());
+    let writer = Writer::start(store, sender).change_context_lazy(step)?;
+    let wake = Rc::new(Notify::new());
+    let shared = Rc::new(RefCell::new(Shared {
+        core: Core::new(config, stored, 0, rng),
+        epoch: Instant::now(),
+        wake: wake.clone(),
+        waiting: BTreeMap::new(),
+        reads: BTreeMap::new(),
+        next_ticket: 0,
+        leadership: watch::channel(Leadership::default()).0,
+        failure: None,
+        is_stopping: false,
+    }));
+    let (stopped_sender, stopped) = watch::channel(false);
+    let shell = Shell { shared: shared.clone(), machine, transport, writer, reports, wake };
+    tokio::task::spawn_local(async move {
+        shell.run().await;
+        let _ = stopped_sender.send(true);
+    });
+    Ok(Handle::new(shared, stopped))
+}
+
+fn restore<M: Machine>(
+    machine: &RefCell<M>,
+    snapshot: &Snapshot,
+) -> std::result::Result<(), String> {
+    if snapshot.meta.index == LogIndex(0) {
+        return Ok(());
+    }
+    machine.borrow_mut().restore(&snapshot.data)
+}
+
+impl<M: Machine, T: Transport> Shell<M, T> {
+    async fn run(mut self) {
+        loop {
+            if let Some(report) = self.next_report().await {
+                self.take_report(report);
+                while let Ok(report) = self.reports.try_recv() {
+                    self.take_report(report);
+                }
+            }
+            self.step();
+            let shared = self.shared.borrow();
+            if shared.is_stopping || shared.failure.is_some() {
+                break;
+            }
+        }
+        let mut shared = self.shared.borrow_mut();
+        shared.give_up(|_| true);
+        shared.fail_reads();
+        shared.publish();
+        drop(shared);
+        self.writer.finish();
+    }
+
+    /// Waits until there is something to do. Returns the report that came, if that is it.
+    async fn next_report(&mut self) -> Option<writer::Report> {
+        let due = {
+            let shared = self.shared.borrow();
+            let latest_ms = shared.now_ms() + MAX_SLEEP_MS;
+            let due_ms = shared.core.next_tick_ms().min(latest_ms);
+            shared.epoch + Duration::from_millis(due_ms)
+        };
+        tokio::select! {
+            report = self.reports.recv() => report,
+            () = self.wake.notified() => None,
+            () = tokio::time::sleep_until(due) => None,
+        }
+    }
+
+    fn take_report(&mut self, report: writer::Report) {
+        let mut shared = self.shared.borrow_mut();
+        let now_ms = shared.now_ms();
+        match report {
+            writer::Report::Synced(write) => shared.core.synced(now_ms, write),
+            writer::Report::SnapshotSaved(snapshot) => {
+                shared.core.snapshot_saved(now_ms, snapshot);
+            }
+            writer::Report::Failed(error) => {
+                metrics::counter!("storage_failures_total").increment(1);
+                log::error!("{}: the voter stops: {error:?}", shared.core.id());
+                shared.failure = Some(error.current_context().to_string());
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        let actions = {
+            let mut shared = self.shared.borrow_mut();
+            if shared.failure.is_some() {
+                return;
+            }
+            let now_ms = shared.now_ms();
+            if now_ms >= shared.core.next_tick_ms() {
+                shared.core.tick(now_ms);
+            }
+            VecDeque::from(shared.core.take_actions(now_ms))
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.shared.borrow_mut().publish();
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Persist { write, records } => {
+                self.writer.submit(Job::Append { write, records });
+            }
+            Action::Install { write, snapshot, hard } => self.install(write, snapshot, hard),
+            Action::Send(message) => {
+                // Messages hold only types that postcard can write.
+                let bytes = postcard::to_stdvec(&message).unwrap_or_default();
+                self.transport.send(&message.to.daemon, bytes);
+            }
+            Action::Apply(entries) => self.apply(entries),
+            Action::TakeSnapshot(meta) => self.take_snapshot(meta),
+            Action::ReadReady(ticket) => self.answer_read(ticket, Ok(())),
+            Action::ReadFailed(ticket) => {
+                self.answer_read(ticket, Err(Report::new(Error::NotLeader(None))));
+            }
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            let outcome = match &entry.payload {
+                Payload::Command(command) => self.machine.borrow_mut().apply(entry.index, command),
+                Payload::Blank | Payload::Membership(_) => Vec::new(),
+            };
+            let waiting = self.shared.borrow_mut().waiting.remove(&entry.index);
+            let Some(Waiting { term, answer }) = waiting else { continue };
+            let is_own = term == entry.term;
+            let replaced = || Error::Unavailable("another leader replaced the entry".to_owned());
+            let _ = answer.send(if is_own { Ok(outcome) } else { Err(Report::new(replaced())) });
+        }
+    }
+
+    fn take_snapshot(&mut self, meta: SnapshotMeta) {
+        let data = self.machine.borrow().snapshot().into();
+        self.writer.submit(Job::SaveSnapshot(Snapshot { meta, data }));
+    }
+
+    fn install(&mut self, write: u64, snapshot: Snapshot, hard: HardState) {
+        if let Err(reason) = restore(&self.machine, &snapshot) {
+            let mut shared = self.shared.borrow_mut();
+            log::error!("{}: the leader's snapshot cannot be read: {reason}", shared.core.id());
+            shared.failure = Some(reason);
+            return;
+        }
+        self.writer.submit(Job::Install { write, snapshot, hard });
+    }
+
+    fn answer_read(&mut self, ticket: u64, result: Result<()>) {
+        if let Some(read) = self.shared.borrow_mut().reads.remove(&ticket) {
+            let _ = read.send(result);
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/timing.rs
@@ -0,0 +1,58 @@
+//! Times of the protocol and the rules between them.
+
+use error_stack::{Report, ensure};
+
+/// Largest difference in speed between the clocks of two voters, in percent. Leases are sound
+/// only while clocks keep to it; only lengths of time matter, never the time of day.
+pub const CLOCK_DRIFT_PERCENT: u64 = 10;
+
+/// Times that cannot work together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// The rule that is broken.
+    pub rule: &'static str,
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "consensus times: {}", self.rule)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Times of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// How often the leader sends to each peer at least.
+    pub heartbeat_ms: u64,
+    /// How long a voter that heard from a leader refuses to help another to power.
+    pub election_ms: u64,
+    /// An election starts up to this long after `election_ms`, at random.
+    pub election_jitter_ms: u64,
+    /// How long after a broadcast that a majority answered the leader may serve reads alone.
+    pub lease_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self { heartbeat_ms: 700, election_ms: 1600, election_jitter_ms: 600, lease_ms: 1400 }
+    }
+}
+
+impl Timing {
+    /// Checks the rules between the times.
+    ///
+    /// # Errors
+    /// The rule that is broken.
+    pub fn check(&self) -> Result<(), Report<Error>> {
+        let rule = "the heartbeat must be above zero and at most half the election time";
+        ensure!(self.heartbeat_ms > 0 && self.heartbeat_ms * 2 <= self.election_ms, Error { rule });
+        let rule = "the election jitter must be above zero";
+        ensure!(self.election_jitter_ms > 0, Error { rule });
+        let longest_ms = self.election_ms * (100 - CLOCK_DRIFT_PERCENT) / 100;
+        let rule = "the lease must be at most nine tenths of the election time (clock drift)";
+        ensure!(self.lease_ms <= longest_ms, Error { rule });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/storage/frame.rs
@@ -0,0 +1,87 @@
+//! Frames: a payload with its length and checksum.
+
+/// Begins every frame.
+const MAGIC: u32 = 0xfe5c_0bae;
+/// Magic number, length and checksum, each 4 bytes.
+pub const HEADER_BYTES: usize = 12;
+
+/// What is found at an offset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next<'a> {
+    /// A whole frame.
+    Frame {
+        /// Its payload.
+        payload: &'a [u8],
+        /// Where the next frame begins.
+        end: usize,
+    },
+    /// The end of the file.
+    End,
+    /// Something else.
+    Bad,
+}
+
+/// Adds a frame around `payload` to `out`.
+pub fn write(payload: &[u8], out: &mut Vec<u8>) {
+    let length = payload.len() as u32;
+    out.extend_from_slice(&MAGIC.to_le_bytes());
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&checksum(length, payload).to_le_bytes());
+    out.extend_from_slice(payload);
+}
+
+/// Reads what begins at `offset`.
+pub fn read(bytes: &[u8], offset: usize) -> Next<'_> {
+    let rest = &bytes[offset.min(bytes.len())..];
+    if rest.is_empty() {
+        return Next::End;
+    }
+    match whole_frame(rest) {
+        Some(payload) => Next::Frame { payload, end: offset + HEADER_BYTES + payload.len() },
+        None => Next::Bad,
+    }
+}
+
+/// Whether a whole frame begins anywhere after `offset`.
+pub fn is_followed(bytes: &[u8], offset: usize) -> bool {
+    let magic = MAGIC.to_le_bytes();
+    let starts = offset + 1..bytes.len();
+    starts
+        .into_iter()
+        .any(|at| bytes[at..].starts_with(&magic) && whole_frame(&bytes[at..]).is_some())
+}
+
+fn checksum(length: u32, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+fn whole_frame(rest: &[u8]) -> Option<&[u8]> {
+    let (header, rest) = rest.split_at_checked(HEADER_BYTES)?;
+    let number = |at: usize| u32::from_le_bytes([0, 1, 2, 3].map(|byte| header[at + byte]));
+    let payload = rest.get(..number(4) as usize)?;
+    (number(0) == MAGIC && number(8) == checksum(number(4), payload)).then_some(payload)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn any_flipped_bit_is_noticed() {
+        let mut bytes = Vec::new();
+        write(b"entry", &mut bytes);
+        write(b"next", &mut bytes);
+        let first = HEADER_BYTES + 5;
+        for bit in 0..first * 8 {
+            let mut damaged = bytes.clone();
+            damaged[bit / 8] ^= 1 << (bit % 8);
+            assert_eq!(read(&damaged, 0), Next::Bad, "bit {bit}");
+            assert!(is_followed(&damaged, 0), "bit {bit}");
+        }
+        assert_eq!(read(&bytes, 0), Next::Frame { payload: b"entry", end: first });
+        assert!(!is_followed(&bytes, first));
+    }
+}
--- /dev/null
+++ b/src/storage/store.rs
@@ -0,0 +1,456 @@
+//! Segments, snapshots and identity in a folder.
+
+use std::io;
+
+use error_stack::{Report, bail, ensure};
+
+use super::disk::Disk;
+use super::frame;
+use super::record::{Batch, Record};
+use super::{Error, Result};
+use crate::consensus::core::Stored;
+use crate::consensus::entry::{Entry, HardState, Snapshot, VoterId};
+use crate::ids::{DaemonId, GroupId, Incarnation, LogIndex};
+
+/// The newest format of the folder that this program reads and the one it writes.
+pub const FORMAT: u32 = 1;
+/// A segment beyond this size is followed by a new one.
+const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
+
+const META_FILE: &str = "meta";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const SEGMENT_PREFIX: &str = "log-";
+/// Files that were being written; they are removed at the next start.
+const UNFINISHED_SUFFIX: &str = ".new";
+
+/// Whose folder it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The name of the cluster.
+    pub cluster: String,
+    /// The group.
+    pub group: GroupId,
+    /// The daemon.
+    pub daemon: DaemonId,
+}
+
+#[derive(serde::Serialize, serde::Deserialize)]
+struct Meta {
+    cluster: String,
+    group: GroupId,
+    daemon: DaemonId,
+    incarnation: Incarnation,
+}
+
+/// A segment that is no longer written to.
+struct Segment {
+    name: String,
+    /// The highest entry in it.
+    end: LogIndex,
+}
+
+/// The open folder of one voter.
+pub struct Store<D> {
+    disk: D,
+    group: GroupId,
+    incarnation: Incarnation,
+    hard: HardState,
+    /// Earlier segments, oldest first.
+    closed: Vec<Segment>,
+    current: Segment,
+    current_sequence: u64,
+    current_bytes: u64,
+    is_stopped: bool,
+}
+
+impl<D: Disk> Store<D> {
+    /// Opens the folder and reads what it holds. An empty folder becomes that of `owner`, with
+    /// `new_incarnation`.
+    ///
+    /// # Errors
+    /// The folder is of another owner or a newer format, is damaged, or the system refuses.
+    pub fn open(
+        mut disk: D,
+        owner: &Owner,
+        new_incarnation: Incarnation,
+    ) -> Result<(Self, Stored)> {
+        let names = list(&mut disk)?;
+        let incarnation = match names.iter().any(|name| name == META_FILE) {
+            true => read_meta(&disk, owner)?,
+            false => create_meta(&mut disk, owner, new_incarnation, &names)?,
+        };
+        let snapshot = read_snapshot(&disk, &names)?;
+        let segments = numbered(&names, SEGMENT_PREFIX);
+        let mut replay = Replay::new(&snapshot, owner.group);
+        let mut closed = Vec::new();
+        for (at, (_, name)) in segments.iter().enumerate() {
+            let is_last = at + 1 == segments.len();
+            replay.segment(&mut disk, name, is_last)?;
+            closed.push(Segment { name: name.clone(), end: replay.segment_end });
+        }
+        let next = segments.last().map_or(1, |(sequence, _)| sequence + 1);
+        let stored = replay.finish(snapshot)?;
+        let mut store = Self {
+            disk,
+            group: owner.group,
+            incarnation,
+            hard: stored.hard.clone(),
+            closed,
+            current: Segment { name: String::new(), end: LogIndex(0) },
+            current_sequence: next - 1,
+            current_bytes: 0,
+            is_stopped: false,
+        };
+        store.start_segment(&[])?;
+        Ok((store, stored))
+    }
+
+    /// The life of this folder, chosen when it was made.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Writes and syncs records as one frame.
+    ///
+    /// # Errors
+    /// The write or the sync failed, now or earlier. Nothing of it counts as durable.
+    pub fn append(&mut self, records: &[Record]) -> Result<()> {
+        self.guard(|store| {
+            if store.current_bytes > SEGMENT_BYTES {
+                store.rotate(&[])?;
+            }
+            store.write_frame(records)
+        })
+    }
+
+    /// Saves a snapshot of the applied state and drops the segments that it covers.
+    ///
+    /// # Errors
+    /// As for [`Store::append`].
+    pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
+        self.guard(|store| {
+            store.write_snapshot(snapshot)?;
+            store.rotate(&[])?;
+            store.remove_covered(snapshot.meta.index)
+        })
+    }
+
+    /// Saves a snapshot from the leader, after which the log begins anew.
+    ///
+    /// # Errors
+    /// As for [`Store::append`].
+    pub fn install(&mut self, snapshot: &Snapshot, hard: &HardState) -> Result<()> {
+        self.guard(|store| {
+            store.write_snapshot(snapshot)?;
+            store.hard = hard.clone();
+            let meta = &snapshot.meta;
+            store.rotate(&[Record::Reset { index: meta.index, term: meta.term }])?;
+            // The synced reset makes every earlier entry void.
+            store.closed.iter_mut().for_each(|segment| segment.end = LogIndex(0));
+            store.remove_covered(meta.index)
+        })
+    }
+
+    /// After a failed write or sync it is unknown what is durable, so nothing more is accepted.
+    fn guard(&mut self, work: impl FnOnce(&mut Self) -> Result<()>) -> Result<()> {
+        ensure!(!self.is_stopped, Error::Stopped);
+        let result = work(self);
+        self.is_stopped = result.is_err();
+        result
+    }
+
+    fn write_frame(&mut self, records: &[Record]) -> Result<()> {
+        for record in records {
+            match record {
+                Record::Hard(hard) => self.hard = hard.clone(),
+                Record::Entry(entry) => self.current.end = self.current.end.max(entry.index),
+                Record::Reset { .. } => {}
+            }
+        }
+        let batch = Batch { group: self.group, records: records.to_vec() };
+        let bytes = framed(&batch);
+        let name = &self.current.name;
+        self.disk.append(name, &bytes).map_err(|error| io_error("write", name, &error))?;
+        self.disk.sync(name).map_err(|error| io_error("sync", name, &error))?;
+        self.current_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn rotate(&mut self, records: &[Record]) -> Result<()> {
+        let end = self.current.end;
+        let name = std::mem::take(&mut self.current.name);
+        self.closed.push(Segment { name, end });
+        self.start_segment(records)
+    }
+
+    /// Begins a segment with term and vote, so that earlier ones can be removed.
+    fn start_segment(&mut self, records: &[Record]) -> Result<()> {
+        self.current_sequence += 1;
+        let name = format!("{SEGMENT_PREFIX}{:020}", self.current_sequence);
+        self.disk.create(&name).map_err(|error| io_error("create", &name, &error))?;
+        self.current = Segment { name, end: LogIndex(0) };
+        self.current_bytes = 0;
+        let mut first = vec![Record::Hard(self.hard.clone())];
+        first.extend_from_slice(records);
+        self.write_frame(&first)?;
+        self.sync_folder()
+    }
+
+    fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
+        let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.meta.index.0);
+        write_whole(&mut self.disk, &name, snapshot)
+    }
+
+    /// Removes older snapshots, and segments from the oldest on that hold nothing after `index`.
+    fn remove_covered(&mut self, index: LogIndex) -> Result<()> {
+        let names = list(&mut self.disk)?;
+        let snapshots = numbered(&names, SNAPSHOT_PREFIX);
+        let old = snapshots.into_iter().filter(|(at, _)| *at < index.0).map(|(_, name)| name);
+        let covered = self.closed.iter().take_while(|segment| segment.end <= index).count();
+        let segments = self.closed.drain(..covered).map(|segment| segment.name);
+        for name in segments.chain(old) {
+            // Not synced: a file that a power loss brings back is void at the next start, and the
+            // sync after a removal is slow on disks that discard blocks at once.
+            self.disk.remove(&name).map_err(|error| io_error("remove", &name, &error))?;
+        }
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> Result<()> {
+        self.disk.sync_folder().map_err(|error| io_error("sync", "the folder", &error))
+    }
+}
+
+/// Rebuilds the log from its segments.
+struct Replay {
+    group: GroupId,
+    snapshot: LogIndex,
+    hard: HardState,
+    entries: Vec<Entry>,
+    segment_end: LogIndex,
+    /// Entries that are missing, unless a reset makes them void.
+    gap: Option<Error>,
+}
+
+impl Replay {
+    fn new(snapshot: &Snapshot, group: GroupId) -> Self {
+        Self {
+            group,
+            snapshot: snapshot.meta.index,
+            hard: HardState::default(),
+            entries: Vec::new(),
+            segment_end: LogIndex(0),
+            gap: None,
+        }
+    }
+
+    fn segment(&mut self, disk: &mut impl Disk, name: &str, is_last: bool) -> Result<()> {
+        let bytes = read(disk, name)?;
+        self.segment_end = LogIndex(0);
+        let mut offset = 0;
+        loop {
+            match frame::read(&bytes, offset) {
+                frame::Next::End => return Ok(()),
+                frame::Next::Frame { payload, end } => {
+                    self.batch(name, offset, payload)?;
+                    offset = end;
+                }
+                frame::Next::Bad if is_last && !frame::is_followed(&bytes, offset) => {
+                    return cut(disk, name, offset as u64);
+                }
+                frame::Next::Bad => bail!(damaged(name, offset, "the checksum does not match")),
+            }
+        }
+    }
+
+    fn batch(&mut self, name: &str, offset: usize, payload: &[u8]) -> Result<()> {
+        let Ok(batch) = postcard::from_bytes::<Batch>(payload) else {
+            bail!(damaged(name, offset, "the records cannot be read"))
+        };
+        ensure!(batch.group == self.group, damaged(name, offset, "a record of another group"));
+        for record in batch.records {
+            match record {
+                Record::Hard(hard) => self.hard = hard,
+                Record::Reset { .. } => self.reset(),
+                Record::Entry(entry) => self.entry(name, offset, entry),
+            }
+        }
+        Ok(())
+    }
+
+    fn reset(&mut self) {
+        self.entries.clear();
+        self.gap = None;
+    }
+
+    fn entry(&mut self, name: &str, offset: usize, entry: Entry) {
+        self.segment_end = self.segment_end.max(entry.index);
+        if let (Some(first), Some(last)) = (self.entries.first(), self.entries.last()) {
+            let is_before = entry.index < first.index;
+            let is_gap = entry.index > last.index.next();
+            if is_before || is_gap {
+                self.entries.clear();
+                // Removed segments may come back in part after a power loss; then the snapshot
+                // covers what lies between, or a reset follows.
+                if entry.index > self.snapshot.next() {
+                    let reason = "entries are missing before this one";
+                    self.gap = Some(damaged(name, offset, reason));
+                }
+            } else {
+                self.entries.truncate((entry.index.0 - first.index.0) as usize);
+            }
+        }
+        self.entries.push(entry);
+    }
+
+    /// Joins the entries to the snapshot.
+    fn finish(mut self, snapshot: Snapshot) -> Result<Stored> {
+        if let Some(gap) = self.gap {
+            bail!(gap)
+        }
+        let meta = &snapshot.meta;
+        let at_snapshot = self.entries.iter().find(|entry| entry.index == meta.index);
+        let is_other = at_snapshot.is_some_and(|entry| entry.term != meta.term);
+        if is_other {
+            // A snapshot from the leader replaced a log that conflicts with it.
+            self.entries.clear();
+        }
+        self.entries.retain(|entry| entry.index > meta.index);
+        if let Some(first) = self.entries.first() {
+            let reason = "entries are missing after the snapshot";
+            ensure!(first.index == meta.index.next(), damaged("the log", 0, reason));
+        }
+        Ok(Stored { hard: self.hard, snapshot, entries: self.entries })
+    }
+}
+
+fn cut(disk: &mut impl Disk, name: &str, length_bytes: u64) -> Result<()> {
+    log::warn!("{name}: the last write was torn and is cut off at byte {length_bytes}");
+    disk.truncate(name, length_bytes).map_err(|error| io_error("cut", name, &error))?;
+    disk.sync(name).map_err(|error| io_error("sync", name, &error))
+}
+
+fn io_error(step: &'static str, file: &str, error: &io::Error) -> Report<Error> {
+    Report::new(Error::Io { step, file: file.to_owned(), reason: error.to_string() })
+}
+
+fn damaged(file: &str, offset: usize, reason: &'static str) -> Error {
+    Error::Damaged { file: file.to_owned(), offset: offset as u64, reason }
+}
+
+fn framed(value: &impl serde::Serialize) -> Vec<u8> {
+    // Records hold only types that postcard can write.
+    let payload = postcard::to_stdvec(value).unwrap_or_default();
+    let mut bytes = Vec::with_capacity(payload.len() + frame::HEADER_BYTES);
+    frame::write(&payload, &mut bytes);
+    bytes
+}
+
+fn read(disk: &impl Disk, name: &str) -> Result<Vec<u8>> {
+    disk.read(name).map_err(|error| io_error("read", name, &error))
+}
+
+/// The names in the folder, without those that were being written.
+fn list(disk: &mut impl Disk) -> Result<Vec<String>> {
+    let names = disk.list().map_err(|error| io_error("list", "the folder", &error))?;
+    let is_unfinished = |name: &String| name.ends_with(UNFINISHED_SUFFIX);
+    let (unfinished, names): (Vec<_>, Vec<_>) = names.into_iter().partition(is_unfinished);
+    for name in unfinished {
+        disk.remove(&name).map_err(|error| io_error("remove", &name, &error))?;
+    }
+    Ok(names)
+}
+
+/// The files `prefix-NUMBER`, by rising number.
+fn numbered(names: &[String], prefix: &str) -> Vec<(u64, String)> {
+    let number = |name: &String| name.strip_prefix(prefix)?.parse().ok();
+    let mut found: Vec<(u64, String)> =
+        names.iter().filter_map(|name| Some((number(name)?, name.clone()))).collect();
+    found.sort();
+    found
+}
+
+/// Writes a file that is there whole or not at all.
+fn write_whole(disk: &mut impl Disk, name: &str, value: &impl serde::Serialize) -> Result<()> {
+    let unfinished = format!("{name}{UNFINISHED_SUFFIX}");
+    let bytes = framed(value);
+    disk.create(&unfinished).map_err(|error| io_error("create", &unfinished, &error))?;
+    disk.append(&unfinished, &bytes).map_err(|error| io_error("write", &unfinished, &error))?;
+    disk.sync(&unfinished).map_err(|error| io_error("sync", &unfinished, &error))?;
+    disk.rename(&unfinished, name).map_err(|error| io_error("rename", &unfinished, &error))?;
+    disk.sync_folder().map_err(|error| io_error("sync", "the folder", &error))
+}
+
+/// Reads a file that holds one frame.
+fn read_whole<T: serde::de::DeserializeOwned>(bytes: &[u8], name: &str) -> Result<T> {
+    let frame::Next::Frame { payload, .. } = frame::read(bytes, 0) else {
+        bail!(damaged(name, 0, "the checksum does not match"))
+    };
+    match postcard::from_bytes(payload) {
+        Ok(value) => Ok(value),
+        Err(_) => bail!(damaged(name, 0, "the content cannot be read")),
+    }
+}
+
+/// Checks that the folder is of `owner`. The format stands before the frame, so that it can be
+/// read whatever follows it.
+fn read_meta(disk: &impl Disk, owner: &Owner) -> Result<Incarnation> {
+    let bytes = read(disk, META_FILE)?;
+    let Some((format, rest)) = bytes.split_first_chunk::<4>() else {
+        bail!(damaged(META_FILE, 0, "it is too short"))
+    };
+    let found = u32::from_le_bytes(*format);
+    ensure!(found <= FORMAT, Error::NewerFormat { found, known: FORMAT });
+    let meta: Meta = read_whole(rest, META_FILE)?;
+    let checks = [
+        ("cluster", &owner.cluster, meta.cluster),
+        ("group", &owner.group.to_string(), meta.group.to_string()),
+        ("daemon", &owner.daemon.to_string(), meta.daemon.to_string()),
+    ];
+    for (what, expected, found) in checks {
+        ensure!(*expected == found, Error::Foreign { what, expected: expected.clone(), found });
+    }
+    Ok(meta.incarnation)
+}
+
+fn create_meta(
+    disk: &mut impl Disk,
+    owner: &Owner,
+    incarnation: Incarnation,
+    names: &[String],
+) -> Result<Incarnation> {
+    let is_used = |prefix| !numbered(names, prefix).is_empty();
+    if is_used(SEGMENT_PREFIX) || is_used(SNAPSHOT_PREFIX) {
+        bail!(damaged(META_FILE, 0, "it is missing beside other files"))
+    }
+    let meta = Meta {
+        cluster: owner.cluster.clone(),
+        group: owner.group,
+        daemon: owner.daemon.clone(),
+        incarnation,
+    };
+    let mut bytes = FORMAT.to_le_bytes().to_vec();
+    bytes.extend(framed(&meta));
+    let unfinished = format!("{META_FILE}{UNFINISHED_SUFFIX}");
+    disk.create(&unfinished).map_err(|error| io_error("create", &unfinished, &error))?;
+    disk.append(&unfinished, &bytes).map_err(|error| io_error("write", &unfinished, &error))?;
+    disk.sync(&unfinished).map_err(|error| io_error("sync", &unfinished, &error))?;
+    disk.rename(&unfinished, META_FILE).map_err(|error| io_error("rename", META_FILE, &error))?;
+    disk.sync_folder().map_err(|error| io_error("sync", "the folder", &error))?;
+    Ok(incarnation)
+}
+
+/// The newest snapshot; names appear only once their content is durable.
+fn read_snapshot(disk: &impl Disk, names: &[String]) -> Result<Snapshot> {
+    match numbered(names, SNAPSHOT_PREFIX).last() {
+        Some((_, name)) => read_whole(&read(disk, name)?, name),
+        None => Ok(Snapshot::default()),
+    }
+}
+
+impl<D> Store<D> {
+    /// The id of the voter that this folder belongs to.
+    pub fn voter_id(&self, daemon: &DaemonId) -> VoterId {
+        VoterId { daemon: daemon.clone(), incarnation: self.incarnation }
+    }
+}
