Targets: an announcement without news needs only its number

Cause: a home daemon that gets every announcement of its targets whole would need several KB a second. Change: Registry takes Alive(target, incarnation, sequence), and asks for the whole state if it does not know that life. Conclusion: a daemon that relays an announcement sends a few bytes unless something changed.

--- a/src/membership/targets.rs
+++ b/src/membership/targets.rs
@@ -33,6 +33,8 @@
 pub enum Event {
     /// A target announced itself.
     Announced(order::State),
+    /// A target announced itself with nothing new but the number of its announcement.
+    Alive(TargetId, Incarnation, u64),
     /// A target said that it is gone.
     Left(TargetId, Incarnation),
     /// Time went on.
@@ -50,11 +52,14 @@
 
 /// What the daemon answers to an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Taken {
     /// It is the newest of this target.
     New,
     /// It is late, repeated or of an earlier life: nothing changed.
     Stale,
+    /// This life of the target is not known here: its whole state is needed.
+    Unknown,
 }
 
 #[derive(Clone, Debug)]
@@ -136,6 +141,7 @@
     pub fn on(&mut self, now_ms: u64, event: Event) -> (Taken, Vec<Report>) {
         match event {
             Event::Announced(state) => self.announced(now_ms, state),
+            Event::Alive(target, life, sequence) => self.alive(now_ms, &target, life, sequence),
             Event::Left(target, incarnation) => self.left(&target, incarnation),
             Event::Tick => (Taken::New, self.tick(now_ms)),
         }
@@ -202,6 +208,23 @@
         (Taken::New, vec![watched.report()])
     }
 
+    fn alive(
+        &mut self,
+        now_ms: u64,
+        target: &TargetId,
+        life: Incarnation,
+        sequence: u64,
+    ) -> (Taken, Vec<Report>) {
+        let place = self.place(target);
+        let Ok(at) = place else { return (Taken::Unknown, Vec::new()) };
+        let known = &self.watched[at];
+        if known.is_gone || life > known.state.incarnation {
+            return (Taken::Unknown, Vec::new());
+        }
+        let state = order::State { incarnation: life, sequence, ..known.state.clone() };
+        self.announced(now_ms, state)
+    }
+
     fn left(&mut self, target: &TargetId, incarnation: Incarnation) -> (Taken, Vec<Report>) {
         let Ok(at) = self.place(target) else { return (Taken::Stale, Vec::new()) };
         let watched = &mut self.watched[at];
