--- /dev/null
+++ b/src/control/commands.rs
@@ -0,0 +1,57 @@
+//! Commands: all that changes the control state.
+
+use crate::control::{owner, records};
+
+/// An entry of the log. New variants of its enums go at the end: entries outlive a release.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Unix time at the leader that proposed it.
+    pub now_ms: u64,
+    /// What to do.
+    pub command: Command,
+}
+
+impl Entry {
+    /// The entry as it stands in the log.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("an entry holds nothing that postcard refuses")
+    }
+}
+
+/// A change of the control state.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Command {
+    /// Lets time pass. The leader proposes one a second while anything waits for time.
+    Tick,
+    /// A life of a daemon is over: what it owned is settled or handed to others.
+    DaemonGone(owner::Owner),
+    /// Replaces the limits of the state.
+    SetLimits(Box<Limits>),
+    /// Idempotency records.
+    Records(records::Command),
+}
+
+/// What a command led to.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Outcome {
+    /// Done; there is nothing to tell.
+    Done,
+    /// The entry could not be read. Nothing was done.
+    Rejected(String),
+    /// Idempotency records.
+    Records(records::Outcome),
+}
+
+impl Outcome {
+    /// Reads an outcome that the machine encoded.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
+
+/// Limits of the state: part of the state, so that all voters decide alike.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Limits {
+    /// Idempotency records.
+    pub records: records::Limits,
+}
--- /dev/null
+++ b/src/control/machine.rs
@@ -0,0 +1,136 @@
+//! The state machine that the voters of a control group replicate.
+
+use crate::consensus;
+use crate::control::commands::{Command, Entry, Limits, Outcome};
+use crate::control::{owner, queries, records};
+use crate::ids::LogIndex;
+
+/// The format of snapshots; raised when an older release could not read them.
+const FORMAT: u32 = 1;
+
+/// What every command is applied with.
+#[derive(Clone, Copy, Debug)]
+pub struct Context<'a> {
+    /// The time that the state has reached. It never falls.
+    pub now_ms: u64,
+    /// Lives of daemons that are over.
+    pub gone: &'a owner::Gone,
+}
+
+/// The control state. A clone shares its large parts, and costs little.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct State {
+    now_ms: u64,
+    gone: owner::Gone,
+    /// Idempotency records.
+    pub records: records::State,
+}
+
+impl State {
+    /// The time that the state has reached, in Unix time.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// What queries are answered with.
+    pub fn context(&self) -> Context<'_> {
+        Context { now_ms: self.now_ms, gone: &self.gone }
+    }
+
+    /// Applies a command stamped `now_ms`.
+    pub fn apply(&mut self, now_ms: u64, command: Command) -> Outcome {
+        self.now_ms = self.now_ms.max(now_ms);
+        let context = Context { now_ms: self.now_ms, gone: &self.gone };
+        match command {
+            Command::Tick => self.tick(),
+            Command::DaemonGone(owner) => self.daemon_gone(&owner),
+            Command::SetLimits(limits) => self.set_limits(*limits),
+            Command::Records(command) => Outcome::Records(self.records.apply(&context, command)),
+        }
+    }
+
+    fn tick(&mut self) -> Outcome {
+        let context = Context { now_ms: self.now_ms, gone: &self.gone };
+        self.records.tick(&context);
+        self.gone.forget(self.now_ms.saturating_sub(self.records.limits().longest_ms()));
+        Outcome::Done
+    }
+
+    fn daemon_gone(&mut self, owner: &owner::Owner) -> Outcome {
+        self.gone.note(owner, self.now_ms);
+        Outcome::Done
+    }
+
+    fn set_limits(&mut self, limits: Limits) -> Outcome {
+        self.records.set_limits(limits.records);
+        Outcome::Done
+    }
+}
+
+/// A picture of the state at one moment, to be encoded on any thread.
+#[derive(Debug)]
+pub struct Frozen(State);
+
+impl Frozen {
+    /// The snapshot's bytes. Takes time that grows with the state.
+    pub fn encode(&self) -> Vec<u8> {
+        let bytes = postcard::to_stdvec(&FORMAT).expect("a number can be encoded");
+        postcard::to_extend(&self.0, bytes).expect("the state holds nothing that postcard refuses")
+    }
+}
+
+/// The replicated state machine.
+#[derive(Debug, Default)]
+pub struct Machine {
+    state: State,
+}
+
+impl Machine {
+    /// The state, for queries.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Answers a query.
+    pub fn query(&self, query: &queries::Query) -> queries::Answer {
+        queries::answer(&self.state, query)
+    }
+
+    /// Applies a command without encoding it.
+    pub fn execute(&mut self, entry: Entry) -> Outcome {
+        self.state.apply(entry.now_ms, entry.command)
+    }
+
+    /// Takes a picture of the state in a time that hardly grows with it.
+    ///
+    /// The state goes on to change meanwhile: parts that change are copied first.
+    pub fn freeze(&self) -> Frozen {
+        Frozen(self.state.clone())
+    }
+}
+
+impl consensus::Machine for Machine {
+    fn apply(&mut self, _index: LogIndex, entry: &[u8]) -> Vec<u8> {
+        let outcome = match postcard::from_bytes(entry) {
+            Ok(entry) => self.execute(entry),
+            Err(error) => Outcome::Rejected(error.to_string()),
+        };
+        postcard::to_stdvec(&outcome).expect("an outcome holds nothing that postcard refuses")
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.freeze().encode()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> std::result::Result<(), String> {
+        let (format, rest): (u32, &[u8]) =
+            postcard::take_from_bytes(snapshot).map_err(|error| error.to_string())?;
+        if format != FORMAT {
+            return Err(format!("the snapshot has format {format}, this release reads {FORMAT}"));
+        }
+        let mut state: State = postcard::from_bytes(rest).map_err(|error| error.to_string())?;
+        state.records.index();
+        self.state = state;
+        Ok(())
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,1 +1,19 @@
 //! The replicated control state, and the port that the rest of a daemon reaches it through.
+//!
+//! [`machine::Machine`] is what the voters replicate. [`commands`] change its state and
+//! [`queries`] read it. [`port::Log`] carries both to the leader; [`once`] and [`jobs::runner`]
+//! are the clients that drive it.
+
+pub mod answer;
+pub mod clock;
+pub mod commands;
+pub mod machine;
+pub mod once;
+pub mod owner;
+pub mod port;
+pub mod queries;
+pub mod records;
+pub mod shards;
+pub mod single;
+
+pub use machine::Machine;
--- /dev/null
+++ b/src/control/queries.rs
@@ -0,0 +1,26 @@
+//! Queries: answered from the state without changing it.
+
+use crate::control::{machine, records};
+
+/// A question about the control state.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Query {
+    /// Idempotency records.
+    Records(records::Query),
+}
+
+/// The answer to a query.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum Answer {
+    /// Idempotency records.
+    Records(records::View),
+}
+
+/// Answers a query from the state.
+pub fn answer(state: &machine::State, query: &Query) -> Answer {
+    match query {
+        Query::Records(query) => {
+            Answer::Records(records::answer(&state.records, &state.context(), query))
+        }
+    }
+}
