--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -1,6 +1,6 @@
 //! Commands: all that changes the control state.
 
-use crate::control::{owner, records};
+use crate::control::{jobs, owner, records};
 
 /// An entry of the log. New variants of its enums go at the end: entries outlive a release.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -29,6 +29,8 @@
     SetLimits(Box<Limits>),
     /// Idempotency records.
     Records(records::Command),
+    /// Durable jobs.
+    Jobs(jobs::Command),
 }
 
 /// What a command led to.
@@ -40,6 +42,8 @@
     Rejected(String),
     /// Idempotency records.
     Records(records::Outcome),
+    /// Durable jobs.
+    Jobs(jobs::Outcome),
 }
 
 impl Outcome {
@@ -54,4 +58,6 @@
 pub struct Limits {
     /// Idempotency records.
     pub records: records::Limits,
+    /// Durable jobs.
+    pub jobs: jobs::Limits,
 }
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -2,7 +2,7 @@
 
 use crate::consensus;
 use crate::control::commands::{Command, Entry, Limits, Outcome};
-use crate::control::{owner, queries, records};
+use crate::control::{jobs, owner, queries, records};
 use crate::ids::LogIndex;
 
 /// The format of snapshots; raised when an older release could not read them.
@@ -24,6 +24,8 @@
     gone: owner::Gone,
     /// Idempotency records.
     pub records: records::State,
+    /// Durable jobs.
+    pub jobs: jobs::State,
 }
 
 impl State {
@@ -46,23 +48,28 @@
             Command::DaemonGone(owner) => self.daemon_gone(&owner),
             Command::SetLimits(limits) => self.set_limits(*limits),
             Command::Records(command) => Outcome::Records(self.records.apply(&context, command)),
+            Command::Jobs(command) => Outcome::Jobs(self.jobs.apply(&context, command)),
         }
     }
 
     fn tick(&mut self) -> Outcome {
         let context = Context { now_ms: self.now_ms, gone: &self.gone };
         self.records.tick(&context);
+        self.jobs.tick(&context);
         self.gone.forget(self.now_ms.saturating_sub(self.records.limits().longest_ms()));
         Outcome::Done
     }
 
     fn daemon_gone(&mut self, owner: &owner::Owner) -> Outcome {
         self.gone.note(owner, self.now_ms);
+        let context = Context { now_ms: self.now_ms, gone: &self.gone };
+        self.jobs.daemon_gone(&context);
         Outcome::Done
     }
 
     fn set_limits(&mut self, limits: Limits) -> Outcome {
         self.records.set_limits(limits.records);
+        self.jobs.set_limits(limits.jobs);
         Outcome::Done
     }
 }
@@ -130,6 +137,7 @@
         }
         let mut state: State = postcard::from_bytes(rest).map_err(|error| error.to_string())?;
         state.records.index();
+        state.jobs.index();
         self.state = state;
         Ok(())
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod clock;
 pub mod commands;
+pub mod jobs;
 pub mod machine;
 pub mod once;
 pub mod owner;
--- a/src/control/queries.rs
+++ b/src/control/queries.rs
@@ -1,12 +1,14 @@
 //! Queries: answered from the state without changing it.
 
-use crate::control::{machine, records};
+use crate::control::{jobs, machine, records};
 
 /// A question about the control state.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Query {
     /// Idempotency records.
     Records(records::Query),
+    /// Durable jobs.
+    Jobs(jobs::Query),
 }
 
 /// The answer to a query.
@@ -14,6 +16,8 @@
 pub enum Answer {
     /// Idempotency records.
     Records(records::View),
+    /// Durable jobs.
+    Jobs(jobs::View),
 }
 
 /// Answers a query from the state.
@@ -22,5 +26,6 @@
         Query::Records(query) => {
             Answer::Records(records::answer(&state.records, &state.context(), query))
         }
+        Query::Jobs(query) => Answer::Jobs(jobs::answer(&state.jobs, query)),
     }
 }
--- a/src/control/shards.rs
+++ b/src/control/shards.rs
@@ -22,6 +22,9 @@
 pub struct Key([u8; 16]);
 
 impl Key {
+    /// The lowest key.
+    pub const MIN: Key = Key([0; 16]);
+
     /// The key of what `parts` name.
     pub fn of(parts: &[&[u8]]) -> Self {
         let digest = Digest::of(parts);
