--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -1,6 +1,6 @@
 //! Commands: all that changes the control state.
 
-use crate::control::{jobs, owner, records};
+use crate::control::{jobs, outcomes, owner, poison, records};
 
 /// An entry of the log. New variants of its enums go at the end: entries outlive a release.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -31,6 +31,10 @@
     Records(records::Command),
     /// Durable jobs.
     Jobs(jobs::Command),
+    /// Poison requests.
+    Poison(poison::Command),
+    /// The ledger of outcomes.
+    Outcomes(Box<outcomes::Command>),
 }
 
 /// What a command led to.
@@ -44,6 +48,10 @@
     Records(records::Outcome),
     /// Durable jobs.
     Jobs(jobs::Outcome),
+    /// Poison requests.
+    Poison(poison::Outcome),
+    /// The ledger of outcomes.
+    Outcomes(outcomes::Outcome),
 }
 
 impl Outcome {
@@ -60,4 +68,6 @@
     pub records: records::Limits,
     /// Durable jobs.
     pub jobs: jobs::Limits,
+    /// Poison requests.
+    pub poison: poison::Limits,
 }
--- a/src/control/jobs/shell.rs
+++ b/src/control/jobs/shell.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task;
 
 use crate::control::answer::Answer;
@@ -96,7 +96,7 @@
                 let wait =
                     Duration::from_millis(until_ms.saturating_sub(now_ms).min(runner::POLL_MS));
                 tokio::select! {
-                    Some(ended) = shell.runs.join_next() => shell.ended(ended),
+                    Some(ended) = shell.runs.join_next_with_id() => shell.ended(ended),
                     () = tokio::time::sleep(wait) => {}
                     Ok(()) = leaving.changed() => {}
                 }
@@ -106,11 +106,18 @@
     }
 }
 
+/// A run that was started.
+struct Started {
+    id: JobId,
+    lease: u32,
+    handle: task::AbortHandle,
+}
+
 struct Shell {
     parts: Arc<Parts>,
     runner: runner::Runner,
-    runs: task::JoinSet<(JobId, u32)>,
-    handles: Vec<(JobId, task::AbortHandle)>,
+    runs: task::JoinSet<()>,
+    handles: Vec<Started>,
 }
 
 impl Shell {
@@ -140,11 +147,10 @@
     }
 
     fn start(&mut self, grant: Grant) {
-        let id = grant.submission.id.clone();
+        let (id, lease) = (grant.submission.id.clone(), grant.lease);
         let parts = Arc::clone(&self.parts);
         let handle = self.runs.spawn(parts.drive(grant));
-        self.handles.retain(|(_, handle)| !handle.is_finished());
-        self.handles.push((id, handle));
+        self.handles.push(Started { id, lease, handle });
     }
 
     async fn renew(&mut self, leases: Vec<(JobId, u32)>) {
@@ -155,14 +161,16 @@
         };
         let answers: Vec<((JobId, u32), Renewal)> = leases.into_iter().zip(renewals).collect();
         for over in self.runner.renewed((self.parts.clock)(), &answers) {
-            let runs = self.handles.iter().filter(|(id, _)| *id == over);
-            runs.for_each(|(_, handle)| handle.abort());
+            let runs = self.handles.iter().filter(|started| started.id == over);
+            runs.for_each(|started| started.handle.abort());
         }
     }
 
-    fn ended(&mut self, ended: Result<(JobId, u32), task::JoinError>) {
-        if let Ok((id, lease)) = ended {
-            self.runner.ended(&id, lease);
+    fn ended(&mut self, ended: Result<(task::Id, ()), task::JoinError>) {
+        let task = ended.map_or_else(|error| error.id(), |(task, ())| task);
+        if let Some(at) = self.handles.iter().position(|started| started.handle.id() == task) {
+            let started = self.handles.swap_remove(at);
+            self.runner.ended(&started.id, started.lease);
         }
     }
 }
@@ -176,7 +184,7 @@
     }
 
     /// Runs a job and commits how the run ended.
-    async fn drive(self: Arc<Self>, grant: Grant) -> (JobId, u32) {
+    async fn drive(self: Arc<Self>, grant: Grant) {
         let (id, lease) = (grant.submission.id.clone(), grant.lease);
         let run = if grant.submission.work.is_idempotent {
             // A panic ends the run like a lost target, not the shell.
@@ -189,7 +197,6 @@
             tokio::time::sleep(HAND_BACK_DELAY).await;
         }
         self.commit_end(end_command(&id, lease, run)).await;
-        (id, lease)
     }
 
     /// Runs work that must not run again, under an idempotency record of the job's own.
@@ -201,8 +208,19 @@
         };
         let execute = Arc::clone(&self.execute);
         let nonce = Nonce((self.random)());
-        let dispatch = move || async move { written(execute.execute(grant).await) };
-        ended(self.once.run(request, nonce, dispatch).await)
+        let (refused, refusal) = oneshot::channel();
+        let dispatch = move || async move {
+            let run = execute.execute(grant).await;
+            if let Run::Refused { ran: Ran::No, .. } = &run {
+                // The receiver waits for as long as this call is driven.
+                let _ = refused.send(run.clone());
+            }
+            written(run)
+        };
+        match self.once.run(request, nonce, dispatch).await {
+            once::Ended::Released => refusal.await.unwrap_or(Run::NotRun),
+            other => ended(other),
+        }
     }
 
     async fn commit_end(&self, command: Command) {
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -2,7 +2,7 @@
 
 use crate::consensus;
 use crate::control::commands::{Command, Entry, Limits, Outcome};
-use crate::control::{jobs, owner, queries, records};
+use crate::control::{jobs, outcomes, owner, poison, queries, records};
 use crate::ids::LogIndex;
 
 /// The format of snapshots; raised when an older release could not read them.
@@ -26,6 +26,10 @@
     pub records: records::State,
     /// Durable jobs.
     pub jobs: jobs::State,
+    /// Poison requests.
+    pub poison: poison::State,
+    /// The ledger of outcomes.
+    pub outcomes: outcomes::State,
 }
 
 impl State {
@@ -43,23 +47,40 @@
     pub fn apply(&mut self, now_ms: u64, command: Command) -> Outcome {
         self.now_ms = self.now_ms.max(now_ms);
         let context = Context { now_ms: self.now_ms, gone: &self.gone };
-        match command {
+        let outcome = match command {
             Command::Tick => self.tick(),
             Command::DaemonGone(owner) => self.daemon_gone(&owner),
             Command::SetLimits(limits) => self.set_limits(*limits),
             Command::Records(command) => Outcome::Records(self.records.apply(&context, command)),
             Command::Jobs(command) => Outcome::Jobs(self.jobs.apply(&context, command)),
-        }
+            Command::Poison(command) => Outcome::Poison(self.poison.apply(&context, command)),
+            Command::Outcomes(command) => {
+                Outcome::Outcomes(self.outcomes.apply(&context, *command))
+            }
+        };
+        self.count();
+        outcome
     }
 
     fn tick(&mut self) -> Outcome {
         let context = Context { now_ms: self.now_ms, gone: &self.gone };
         self.records.tick(&context);
         self.jobs.tick(&context);
+        self.poison.tick(&context);
+        self.outcomes.tick(&context);
         self.gone.forget(self.now_ms.saturating_sub(self.records.limits().longest_ms()));
         Outcome::Done
     }
 
+    /// Takes into the ledger what the command before has told of the promises.
+    fn count(&mut self) {
+        let refused = self.jobs.take_refused();
+        let checks = self.records.take_checks();
+        let context = Context { now_ms: self.now_ms, gone: &self.gone };
+        self.outcomes.refuse(&context, &refused);
+        self.outcomes.check(&context, outcomes::Promise::AtMostOnce, checks);
+    }
+
     fn daemon_gone(&mut self, owner: &owner::Owner) -> Outcome {
         self.gone.note(owner, self.now_ms);
         let context = Context { now_ms: self.now_ms, gone: &self.gone };
@@ -70,6 +91,7 @@
     fn set_limits(&mut self, limits: Limits) -> Outcome {
         self.records.set_limits(limits.records);
         self.jobs.set_limits(limits.jobs);
+        self.poison.set_limits(limits.poison);
         Outcome::Done
     }
 }
--- /dev/null
+++ b/src/control/outcomes/mod.rs
@@ -0,0 +1,13 @@
+//! The ledger of outcomes: what held, what did not, and why, hour by hour.
+//!
+//! Daemons collect counts and commit them in batches; the ledger survives restarts and is small.
+
+mod batch;
+mod collector;
+mod promise;
+mod state;
+
+pub use batch::{Batch, Breach, Count, Refused, Tally, Waited};
+pub use collector::Collector;
+pub use promise::Promise;
+pub use state::{Command, Hour, Outcome, Query, State, answer};
--- /dev/null
+++ b/src/control/poison/limits.rs
@@ -0,0 +1,30 @@
+//! Limits on the list of suspects and closed digests.
+
+const MINUTE_MS: u64 = 60_000;
+
+/// Limits on the list of suspects and closed digests.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Limits {
+    /// Digests in the list. When it is full, the suspect that would leave it first goes.
+    pub max_digests: usize,
+    /// Deaths that close a digest.
+    pub max_deaths: usize,
+    /// How long a digest stays a suspect after a death.
+    pub suspect_ms: u64,
+    /// How long a digest stays closed.
+    pub closed_ms: u64,
+    /// How long a trial may last.
+    pub trial_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_digests: 10_000,
+            max_deaths: 2,
+            suspect_ms: 30 * MINUTE_MS,
+            closed_ms: 24 * 60 * MINUTE_MS,
+            trial_ms: 10 * MINUTE_MS,
+        }
+    }
+}
--- a/src/control/queries.rs
+++ b/src/control/queries.rs
@@ -1,6 +1,6 @@
 //! Queries: answered from the state without changing it.
 
-use crate::control::{jobs, machine, records};
+use crate::control::{jobs, machine, outcomes, poison, records};
 
 /// A question about the control state.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -9,6 +9,10 @@
     Records(records::Query),
     /// Durable jobs.
     Jobs(jobs::Query),
+    /// Poison requests.
+    Poison(poison::Query),
+    /// The ledger of outcomes.
+    Outcomes(outcomes::Query),
 }
 
 /// The answer to a query.
@@ -18,6 +22,10 @@
     Records(records::View),
     /// Durable jobs.
     Jobs(jobs::View),
+    /// Poison requests.
+    Poison(poison::Answer),
+    /// Hours of the ledger, in order.
+    Outcomes(Vec<outcomes::Hour>),
 }
 
 /// Answers a query from the state.
@@ -27,5 +35,7 @@
             Answer::Records(records::answer(&state.records, &state.context(), query))
         }
         Query::Jobs(query) => Answer::Jobs(jobs::answer(&state.jobs, query)),
+        Query::Poison(query) => Answer::Poison(poison::answer(&state.poison, *query)),
+        Query::Outcomes(query) => Answer::Outcomes(outcomes::answer(&state.outcomes, *query)),
     }
 }
--- a/src/control/records/state.rs
+++ b/src/control/records/state.rs
@@ -32,6 +32,8 @@
     tenants: Vec<Usage>,
     #[serde(skip)]
     answers_bytes: u64,
+    #[serde(skip)]
+    checks: Vec<std::result::Result<(), String>>,
 }
 
 impl State {
@@ -55,6 +57,11 @@
         self.records.is_empty()
     }
 
+    /// Takes the checks of "runs at most once" made since the last call, with reasons of breaches.
+    pub fn take_checks(&mut self) -> Vec<std::result::Result<(), String>> {
+        std::mem::take(&mut self.checks)
+    }
+
     pub(super) fn records(&self) -> &shards::Table<Record> {
         &self.records
     }
@@ -160,8 +167,11 @@
             }
             Status::Answered(answered) if answered.0 == nonce => return Finished::Already,
             Status::Released(first) if *first == nonce => return Finished::Already,
-            _ => return Finished::Stale,
+            _ => return self.contradicted(&tenant, &end),
         };
+        if let End::Answered(_) = end {
+            self.checks.push(Ok(()));
+        }
         let mut record = record.clone();
         record.status = match end {
             End::Answered(answer) => Status::Answered(Arc::new((nonce, self.bounded(answer)))),
@@ -173,6 +183,15 @@
         Finished::Recorded
     }
 
+    /// Notes an answer that comes for a key that another attempt has since taken over.
+    fn contradicted(&mut self, tenant: &TenantId, end: &End) -> Finished {
+        if let End::Answered(_) = end {
+            let reason = format!("a call of {tenant} was settled as not run, then answered");
+            self.checks.push(Err(reason));
+        }
+        Finished::Stale
+    }
+
     /// Notes a release that came before its attempt, so that the attempt finds it.
     fn finish_unrecorded(
         &mut self,
