--- /dev/null
+++ b/src/placement/catalogue.rs
@@ -0,0 +1,90 @@
+//! What can be loaded, and what a load of it costs.
+
+use crate::ids::{ModelRef, Version};
+use crate::placement::policy;
+use crate::target::order;
+use crate::units::Bytes;
+
+/// Weights that a target can hold: a model or adapter in one version.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Weights {
+    /// The model or adapter.
+    pub model: ModelRef,
+    /// The version of its weights.
+    pub version: Version,
+}
+
+impl From<&order::Held> for Weights {
+    fn from(held: &order::Held) -> Self {
+        Self { model: held.model.clone(), version: held.version.clone() }
+    }
+}
+
+/// Where a load reads the weights from, the fastest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// A copy in the memory of the target's VM.
+    Memory,
+    /// A copy on the disk of the target's VM.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+impl From<Option<order::Tier>> for Source {
+    fn from(tier: Option<order::Tier>) -> Self {
+        match tier {
+            Some(order::Tier::Memory) => Source::Memory,
+            Some(order::Tier::Disk) => Source::Disk,
+            None => Source::Store,
+        }
+    }
+}
+
+/// How long a load takes at full speed, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadTimes {
+    /// From the memory of the target's VM.
+    pub memory_ms: u64,
+    /// From the disk of the target's VM.
+    pub disk_ms: u64,
+    /// From the weight store.
+    pub store_ms: u64,
+}
+
+impl LoadTimes {
+    /// The time from `source`, in milliseconds.
+    pub fn from_source(&self, source: Source) -> u64 {
+        match source {
+            Source::Memory => self.memory_ms,
+            Source::Disk => self.disk_ms,
+            Source::Store => self.store_ms,
+        }
+    }
+}
+
+/// A model or adapter that may be asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Model {
+    /// Its name.
+    pub model: ModelRef,
+    /// The version that takes new work. Replicas of another version are replaced by it.
+    pub version: Version,
+    /// Accelerator memory of one replica, without KV cache.
+    pub memory_bytes: Bytes,
+    /// How long a load takes.
+    pub load: LoadTimes,
+    /// Time that a request takes on a replica, in milliseconds.
+    pub service_ms: u64,
+    /// Requests that one replica runs at once.
+    pub slots: u32,
+    /// What operators ask for it.
+    pub policy: policy::Policy,
+}
+
+impl Model {
+    /// The weights of its current version.
+    pub fn weights(&self) -> Weights {
+        Weights { model: self.model.clone(), version: self.version.clone() }
+    }
+}
--- /dev/null
+++ b/src/placement/choose.rs
@@ -0,0 +1,207 @@
+//! Which target gets a replica, and what has to leave it for that.
+
+use crate::ids::{TargetId, Zone};
+use crate::placement::{catalogue, ledger};
+use crate::units::Bytes;
+
+/// Cost of each replica of the model that the availability zone has already, in milliseconds. It
+/// is longer than any load, so that replicas share a zone only where no other has room.
+const SHARED_ZONE_MS: u64 = 3_600_000;
+/// Time that a target takes to free memory, in milliseconds.
+const UNLOAD_MS: u64 = 200;
+/// Time until a target that owes an answer gives it, in milliseconds.
+const ANSWER_MS: u64 = 10;
+/// Time until an order whose answer was lost is settled, in milliseconds.
+const SETTLE_MS: u64 = 3_000;
+
+/// What the eviction of a replica costs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Eviction {
+    /// It is in use or held by operators.
+    No,
+    /// It may be evicted; the expected cold start that this causes, in milliseconds.
+    Costs(u64),
+}
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The model or adapter.
+    pub model: &'a catalogue::Model,
+    /// Its weights in the current version.
+    pub weights: &'a catalogue::Weights,
+    /// Zones that have replicas of it, with their count.
+    pub zones: &'a [(Zone, u32)],
+    /// Time until the weight store lets a load start, in milliseconds.
+    pub store_delay_ms: u64,
+    /// How many times longer than at full speed the weight store takes.
+    pub store_slowness: f64,
+    /// Whether idle replicas may be evicted for it.
+    pub may_evict: bool,
+    /// Unix time.
+    pub now_ms: u64,
+}
+
+/// Memory that was promised earlier in the same round, by target.
+#[derive(Clone, Debug, Default)]
+pub struct Claims(Vec<(TargetId, u64)>);
+
+impl Claims {
+    /// Promises `memory` of `target`.
+    pub fn add(&mut self, target: &TargetId, memory: Bytes) {
+        match self.0.binary_search_by(|(claimed, _)| claimed.cmp(target)) {
+            Ok(at) => self.0[at].1 += memory.0,
+            Err(at) => self.0.insert(at, (target.clone(), memory.0)),
+        }
+    }
+
+    fn of(&self, target: &TargetId) -> u64 {
+        match self.0.binary_search_by(|(claimed, _)| claimed.cmp(target)) {
+            Ok(at) => self.0[at].1,
+            Err(_) => 0,
+        }
+    }
+}
+
+/// What to do on the chosen target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Order the load.
+    Load,
+    /// Evict these replicas; the load follows when their memory is free.
+    Evict(Vec<catalogue::Weights>),
+    /// Wait for memory, for an answer or for the weight store.
+    Wait,
+}
+
+/// The target that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetId,
+    /// Where the weights are read from.
+    pub source: catalogue::Source,
+    /// Time that the load takes, in milliseconds.
+    pub load_ms: u64,
+    /// Time until the replica is ready, in milliseconds.
+    pub ready_in_ms: u64,
+    /// What to do now.
+    pub step: Step,
+}
+
+/// Chooses among `accounts` the target with the least time until the replica is ready, spread over
+/// availability zones; among equals the one that is left with the least free memory, so that
+/// larger models still fit elsewhere. `None` if there is no room.
+pub fn choose<'a>(
+    request: &Request<'_>,
+    accounts: impl Iterator<Item = &'a ledger::Account>,
+    claims: &Claims,
+    eviction: impl Fn(&ledger::Account, &ledger::Entry) -> Eviction,
+) -> Option<Choice> {
+    let mut best: Option<((u64, u64), Choice)> = None;
+    for account in accounts {
+        let limit = best.as_ref().map_or(u64::MAX, |((cost_ms, _), _)| *cost_ms);
+        let Some((rank, choice)) = consider(request, account, claims, &eviction, limit) else {
+            continue;
+        };
+        if best.as_ref().is_none_or(|(best_rank, _)| rank < *best_rank) {
+            best = Some((rank, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+/// The rank of one target and what is to be done there, unless it costs more than `limit_ms`.
+fn consider(
+    request: &Request<'_>,
+    account: &ledger::Account,
+    claims: &Claims,
+    eviction: &impl Fn(&ledger::Account, &ledger::Entry) -> Eviction,
+    limit_ms: u64,
+) -> Option<((u64, u64), Choice)> {
+    let model = request.model;
+    let need = model.memory_bytes.0;
+    if need > account.capacity_bytes.0 {
+        return None;
+    }
+    let source = account.source(request.weights);
+    let is_from_store = source == catalogue::Source::Store && !model.model.is_adapter();
+    let slowness = if is_from_store { request.store_slowness } else { 1.0 };
+    let load_ms = (model.load.from_source(source) as f64 * slowness) as u64;
+    let delay_ms = if is_from_store { request.store_delay_ms } else { 0 };
+    let shared = request.zones.iter().find(|(zone, _)| *zone == account.availability_zone);
+    let shared_ms = shared.map_or(0, |(_, count)| u64::from(*count) * SHARED_ZONE_MS);
+    let answer_ms = time_to_answer(account);
+    let mut ready_in_ms = load_ms + delay_ms.max(answer_ms);
+    if shared_ms + ready_in_ms > limit_ms {
+        return None;
+    }
+    let taken = account.used_bytes().0 + claims.of(&account.target);
+    let free = account.capacity_bytes.0.saturating_sub(taken);
+    let may_start = delay_ms == 0 && answer_ms == 0;
+    let mut loss_ms = 0;
+    let step = if free >= need {
+        if may_start { Step::Load } else { Step::Wait }
+    } else if taken - account.unloading_bytes().0.min(taken) + need <= account.capacity_bytes.0 {
+        ready_in_ms += UNLOAD_MS;
+        Step::Wait
+    } else if request.may_evict {
+        let short =
+            taken - account.unloading_bytes().0.min(taken) + need - account.capacity_bytes.0;
+        let victims = victims(account, short, eviction)?;
+        ready_in_ms += UNLOAD_MS;
+        loss_ms = victims.loss_ms;
+        if may_start { Step::Evict(victims.weights) } else { Step::Wait }
+    } else {
+        return None;
+    };
+    let leftover = free.saturating_sub(need);
+    let rank = (shared_ms + ready_in_ms + loss_ms, leftover);
+    let target = account.target.clone();
+    Some((rank, Choice { target, source, load_ms, ready_in_ms, step }))
+}
+
+/// Time until the target may get an order, in milliseconds.
+fn time_to_answer(account: &ledger::Account) -> u64 {
+    match &account.pending {
+        Some(pending) if pending.is_lost => SETTLE_MS,
+        _ if account.standing == ledger::Standing::Unread => SETTLE_MS,
+        Some(_) => ANSWER_MS,
+        None if account.question.is_some() => ANSWER_MS,
+        None => 0,
+    }
+}
+
+struct Victims {
+    weights: Vec<catalogue::Weights>,
+    loss_ms: u64,
+}
+
+/// The cheapest replicas whose eviction frees `short` bytes.
+fn victims(
+    account: &ledger::Account,
+    short: u64,
+    eviction: &impl Fn(&ledger::Account, &ledger::Entry) -> Eviction,
+) -> Option<Victims> {
+    let mut evictable: Vec<(u64, &ledger::Entry)> = Vec::new();
+    for entry in account.entries() {
+        if entry.stage != ledger::Stage::Loaded {
+            continue;
+        }
+        if let Eviction::Costs(loss_ms) = eviction(account, entry) {
+            evictable.push((loss_ms, entry));
+        }
+    }
+    evictable.sort_by_key(|(loss_ms, _)| *loss_ms);
+    let mut victims = Victims { weights: Vec::new(), loss_ms: 0 };
+    let mut freed = 0;
+    for (loss_ms, entry) in evictable {
+        if freed >= short {
+            break;
+        }
+        freed += entry.memory_bytes.0;
+        victims.loss_ms += loss_ms;
+        victims.weights.push(entry.weights.clone());
+    }
+    (freed >= short).then_some(victims)
+}
--- /dev/null
+++ b/src/placement/demand.rs
@@ -0,0 +1,213 @@
+//! Demand for one model, merged over daemons.
+
+use crate::ids::{DaemonId, ModelRef};
+use crate::placement::gaps;
+
+/// Time in which a past arrival loses most of its weight in the arrival rate.
+const RATE_WINDOW_MS: f64 = 10_000.0;
+
+/// Demand as one daemon tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Models whose demand changed. What was reported of others stays in force until it is stale.
+    pub entries: Vec<Entry>,
+}
+
+/// Demand for one model at one daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The model or adapter that is asked for.
+    pub model: ModelRef,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub in_flight: u32,
+    /// Requests that arrived since the daemon's last report.
+    pub arrivals: u32,
+    /// Unix time at which the first of the waiting requests ends unserved.
+    pub earliest_deadline_ms: Option<u64>,
+    /// The highest weight among the classes of the waiting requests.
+    pub class_weight: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Source {
+    daemon: DaemonId,
+    /// The adapter that was asked for, where this counts towards its base.
+    asked: ModelRef,
+    waiting: u32,
+    in_flight: u32,
+    deadline_ms: u64,
+    class_weight: u32,
+    heard_ms: u64,
+}
+
+/// Demand for one model over all daemons.
+#[derive(Clone, Debug, Default)]
+pub struct Merged {
+    sources: Vec<Source>,
+    waiting: u32,
+    in_flight: u32,
+    rate_per_s: f64,
+    rate_ms: u64,
+    last_arrival_ms: Option<u64>,
+    last_sign_ms: Option<u64>,
+    gaps: gaps::Histogram,
+}
+
+impl Merged {
+    /// Takes in what `daemon` tells. Returns the gap since the last arrival if one arrived.
+    pub fn apply(&mut self, now_ms: u64, daemon: &DaemonId, entry: &Entry) -> Option<u64> {
+        self.last_sign_ms = Some(now_ms);
+        let key = (daemon, &entry.model);
+        let place = self.sources.binary_search_by(|s| (&s.daemon, &s.asked).cmp(&key));
+        if let Ok(at) = place {
+            self.remove(at);
+        }
+        if entry.waiting + entry.in_flight > 0 {
+            let at = place.unwrap_or_else(|at| at);
+            self.waiting += entry.waiting;
+            self.in_flight += entry.in_flight;
+            self.sources.insert(
+                at,
+                Source {
+                    daemon: daemon.clone(),
+                    asked: entry.model.clone(),
+                    waiting: entry.waiting,
+                    in_flight: entry.in_flight,
+                    deadline_ms: entry.earliest_deadline_ms.unwrap_or(u64::MAX),
+                    class_weight: entry.class_weight,
+                    heard_ms: now_ms,
+                },
+            );
+        }
+        self.arrive(now_ms, entry.arrivals)
+    }
+
+    fn arrive(&mut self, now_ms: u64, arrivals: u32) -> Option<u64> {
+        if arrivals == 0 {
+            return None;
+        }
+        self.rate_per_s = self.rate_per_s(now_ms) + f64::from(arrivals) * 1000.0 / RATE_WINDOW_MS;
+        self.rate_ms = now_ms;
+        let gap_ms = self.last_arrival_ms.map(|last_ms| now_ms.saturating_sub(last_ms));
+        if let Some(gap_ms) = gap_ms {
+            self.gaps.record(gap_ms);
+        }
+        self.last_arrival_ms = Some(now_ms);
+        gap_ms
+    }
+
+    fn remove(&mut self, at: usize) {
+        let source = self.sources.remove(at);
+        self.waiting -= source.waiting;
+        self.in_flight -= source.in_flight;
+    }
+
+    /// Forgets what `daemon` told. Returns whether it had told anything.
+    pub fn forget_daemon(&mut self, daemon: &DaemonId) -> bool {
+        self.retain(|source| source.daemon != *daemon)
+    }
+
+    /// Forgets reports made before `before_ms`. Returns whether there were any.
+    pub fn forget_stale(&mut self, before_ms: u64) -> bool {
+        self.retain(|source| source.heard_ms >= before_ms)
+    }
+
+    fn retain(&mut self, is_kept: impl Fn(&Source) -> bool) -> bool {
+        let before = self.sources.len();
+        self.sources.retain(is_kept);
+        self.waiting = self.sources.iter().map(|s| s.waiting).sum();
+        self.in_flight = self.sources.iter().map(|s| s.in_flight).sum();
+        self.sources.len() < before
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
+    /// Requests that run.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Whether nothing waits and nothing runs.
+    pub fn is_idle(&self) -> bool {
+        self.waiting + self.in_flight == 0
+    }
+
+    /// The time at which the first waiting request ends unserved.
+    pub fn earliest_deadline_ms(&self) -> u64 {
+        let waiting = self.sources.iter().filter(|s| s.waiting > 0);
+        waiting.map(|s| s.deadline_ms).min().unwrap_or(u64::MAX)
+    }
+
+    /// The highest class weight among waiting requests.
+    pub fn class_weight(&self) -> u32 {
+        let waiting = self.sources.iter().filter(|s| s.waiting > 0);
+        waiting.map(|s| s.class_weight).max().unwrap_or(0)
+    }
+
+    /// Arrivals a second, the latest weighing most.
+    pub fn rate_per_s(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.rate_ms) as f64;
+        self.rate_per_s * (-age_ms / RATE_WINDOW_MS).exp()
+    }
+
+    /// Requests a second of holding an idle replica; see [`gaps::Histogram::hazard_per_s`].
+    pub fn hazard_per_s(&self, now_ms: u64, fleet: &gaps::Histogram) -> f32 {
+        match self.last_arrival_ms {
+            Some(last_ms) => self.gaps.hazard_per_s(fleet, now_ms.saturating_sub(last_ms)),
+            None => 0.0,
+        }
+    }
+
+    /// When the last report came, idle or not.
+    pub fn idle_since_ms(&self) -> Option<u64> {
+        self.last_sign_ms
+    }
+
+    /// Gaps between requests that were seen lately.
+    pub fn gaps(&self) -> u32 {
+        self.gaps.total()
+    }
+
+    /// When the last request arrived.
+    pub fn last_arrival_ms(&self) -> Option<u64> {
+        self.last_arrival_ms
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(model: &str, waiting: u32, deadline_ms: u64) -> Entry {
+        Entry {
+            model: model.parse().unwrap(),
+            waiting,
+            in_flight: 0,
+            arrivals: waiting,
+            earliest_deadline_ms: Some(deadline_ms),
+            class_weight: waiting,
+        }
+    }
+
+    #[test]
+    fn reports_of_daemons_add_up_and_replace_their_own() {
+        let (a, b) = ("a".parse().unwrap(), "b".parse().unwrap());
+        let mut merged = Merged::default();
+        merged.apply(0, &a, &entry("quill", 2, 900));
+        merged.apply(1, &b, &entry("quill", 3, 700));
+        merged.apply(2, &b, &entry("quill:tower", 4, 800));
+        assert_eq!((merged.waiting(), merged.earliest_deadline_ms()), (9, 700));
+        merged.apply(3, &b, &entry("quill", 0, 0));
+        assert_eq!((merged.waiting(), merged.class_weight()), (6, 4));
+        merged.forget_daemon(&a);
+        merged.forget_stale(3);
+        assert!(merged.is_idle());
+    }
+}
--- /dev/null
+++ b/src/placement/driver.rs
@@ -0,0 +1,130 @@
+//! Carries the planner's orders and questions to targets, and their answers back.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use crate::ids::TargetId;
+use crate::placement::planner::{Action, Event, Planner};
+use crate::target;
+use crate::target::order;
+
+/// Finds the port to a target.
+pub type Lookup = Rc<dyn Fn(&TargetId) -> Option<Arc<dyn target::Target>>>;
+
+/// Takes what the planner decides beside orders: counts, expected times, models given up.
+pub type Sink = Box<dyn FnMut(&Action)>;
+
+/// Takes the states that targets tell when they are asked.
+pub type StateSink = Rc<dyn Fn(&order::State)>;
+
+/// What a driver needs of the daemon.
+pub struct Ports {
+    /// Finds the port to a target.
+    pub lookup: Lookup,
+    /// Gets every action that is not an order or a question.
+    pub sink: Sink,
+    /// Gets every state that was read, before the planner does.
+    pub states: StateSink,
+    /// The Unix time in milliseconds.
+    pub now_ms: Rc<dyn Fn() -> u64>,
+    /// The time after which an order or a question is taken for lost.
+    pub limit: Duration,
+}
+
+/// Drives one planner on the control thread. It has to run inside a `LocalSet`.
+pub struct Driver {
+    planner: Rc<RefCell<Planner>>,
+    ports: Ports,
+    events: mpsc::UnboundedReceiver<Event>,
+    sender: mpsc::UnboundedSender<Event>,
+}
+
+impl Driver {
+    /// A driver, and the channel that takes events for its planner.
+    ///
+    /// The planner is shared so that reports can look at it; only the driver gives it events.
+    pub fn new(
+        planner: Rc<RefCell<Planner>>,
+        ports: Ports,
+    ) -> (Self, mpsc::UnboundedSender<Event>) {
+        let (sender, events) = mpsc::unbounded_channel();
+        (Self { planner, ports, events, sender: sender.clone() }, sender)
+    }
+
+    /// Runs until its future is dropped, as it must be when leadership ends. Orders that are on
+    /// their way then still reach their targets before they expire, or never.
+    pub async fn run(mut self) {
+        let mut event = Event::Tick;
+        loop {
+            let now_ms = (self.ports.now_ms)();
+            let actions = self.planner.borrow_mut().on(now_ms, event);
+            for action in actions {
+                self.carry(action);
+            }
+            event = self.next_event().await;
+        }
+    }
+
+    async fn next_event(&mut self) -> Event {
+        let wake_ms = self.planner.borrow().wake_ms();
+        let Some(wake_ms) = wake_ms else {
+            return self.events.recv().await.unwrap_or(Event::Tick);
+        };
+        let wait_ms = wake_ms.saturating_sub((self.ports.now_ms)());
+        let event = tokio::time::timeout(Duration::from_millis(wait_ms), self.events.recv());
+        event.await.ok().flatten().unwrap_or(Event::Tick)
+    }
+
+    fn carry(&mut self, action: Action) {
+        match action {
+            Action::Send { target, order } => self.send(target, order),
+            Action::AskState { target, fencing } => self.ask(target, fencing),
+            Action::Decided { .. } | Action::Expect { .. } | Action::GaveUp { .. } => {
+                (self.ports.sink)(&action);
+            }
+        }
+    }
+
+    fn send(&self, target: TargetId, order: order::Order) {
+        let port = (self.ports.lookup)(&target);
+        let limit = self.ports.limit;
+        let sender = self.sender.clone();
+        tokio::task::spawn_local(async move {
+            let order_id = order.order_id.clone();
+            let event = match in_time(limit, port.as_ref().map(|port| port.order(order))).await {
+                Some(reply) => Event::OrderAnswered { target, order_id, reply },
+                None => Event::OrderLost { target, order_id },
+            };
+            let _ = sender.send(event);
+        });
+    }
+
+    fn ask(&self, target: TargetId, fencing: order::Fencing) {
+        let port = (self.ports.lookup)(&target);
+        let limit = self.ports.limit;
+        let sender = self.sender.clone();
+        let states = self.ports.states.clone();
+        tokio::task::spawn_local(async move {
+            let event = match in_time(limit, port.as_ref().map(|port| port.state(fencing))).await {
+                Some(state) => {
+                    states(&state);
+                    Event::StateRead { fencing, state }
+                }
+                None => Event::AskLost { target, fencing },
+            };
+            let _ = sender.send(event);
+        });
+    }
+}
+
+/// The answer, unless there is no port, it fails or it takes longer than `limit`.
+async fn in_time<T>(
+    limit: Duration,
+    call: Option<impl Future<Output = order::Result<T>>>,
+) -> Option<T> {
+    tokio::time::timeout(limit, call?).await.ok()?.ok()
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,1 +1,20 @@
 //! What is loaded where: replicas, loads, memory and orders.
+//!
+//! [`planner::Planner`] decides and [`driver::Driver`] carries its orders to targets. The other
+//! modules hold what the planner decides with.
+
+pub mod catalogue;
+pub mod choose;
+pub mod demand;
+pub mod driver;
+pub mod gaps;
+pub mod ledger;
+pub mod planner;
+pub mod policy;
+pub mod prefix;
+pub mod replicas;
+pub mod schedule;
+pub mod settings;
+
+pub use planner::{Action, Event, Planner};
+pub use settings::Settings;
--- /dev/null
+++ b/src/placement/planner/mod.rs
@@ -0,0 +1,267 @@
+//! The leader's state machine of placement.
+//!
+//! [`Planner::on`] takes the time and an event, and returns what to do. One leader drives one
+//! planner from its control thread for as long as its term lasts.
+
+mod models;
+mod orders;
+mod round;
+mod targets;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{DaemonId, Incarnation, ModelRef, OrderId, TargetId, Term};
+use crate::placement::{catalogue, demand, gaps, ledger, policy, schedule, settings};
+use crate::target::order;
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A target announced itself, perhaps some time ago.
+    TargetState(order::State),
+    /// A target answered [`Action::AskState`].
+    StateRead {
+        /// The fencing number that the question carried.
+        fencing: order::Fencing,
+        /// The target's state.
+        state: order::State,
+    },
+    /// [`Action::AskState`] had no answer.
+    AskLost {
+        /// The target that was asked.
+        target: TargetId,
+        /// The fencing number that the question carried.
+        fencing: order::Fencing,
+    },
+    /// A target is gone, with all that it held.
+    TargetGone {
+        /// The target.
+        target: TargetId,
+        /// The life of the target that ended.
+        incarnation: Incarnation,
+    },
+    /// A daemon tells the demand for some models.
+    Demand(demand::Report),
+    /// A daemon is gone, with its demand.
+    DaemonGone(DaemonId),
+    /// A model or adapter is new or differs.
+    Model(Box<catalogue::Model>),
+    /// A model or adapter is no longer served.
+    ModelGone(ModelRef),
+    /// What operators ask for the fleet.
+    Fleet(policy::Fleet),
+    /// A target answered an order.
+    OrderAnswered {
+        /// The target.
+        target: TargetId,
+        /// The order.
+        order_id: OrderId,
+        /// The answer.
+        reply: order::Reply,
+    },
+    /// An order had no answer: what became of it is not known.
+    OrderLost {
+        /// The target.
+        target: TargetId,
+        /// The order.
+        order_id: OrderId,
+    },
+    /// Time went on; due at [`Planner::wake_ms`].
+    Tick,
+}
+
+/// Why a model that is asked for is not loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// All memory is taken by replicas in use.
+    NoRoom,
+    /// No target may hold it: zones or targets are forbidden, it is too large, or none is there.
+    NoTarget,
+    /// A load took too long and was given up; another is tried.
+    Hung,
+    /// A target does not know the weights.
+    Unknown,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the order and report its answer or its loss.
+    Send {
+        /// The target.
+        target: TargetId,
+        /// The order.
+        order: order::Order,
+    },
+    /// Read the target's state and report it or its loss.
+    AskState {
+        /// The target.
+        target: TargetId,
+        /// The fencing number to ask with.
+        fencing: order::Fencing,
+    },
+    /// No more replicas than `count` are to be loading or loaded from now on. A rise comes before
+    /// the order that it allows; a fall comes after the target confirmed it.
+    Decided {
+        /// What is held.
+        weights: catalogue::Weights,
+        /// How many replicas.
+        count: u32,
+    },
+    /// Requests that wait for the model can be served from about this Unix time.
+    Expect {
+        /// The model or adapter.
+        model: ModelRef,
+        /// The time.
+        ready_at_ms: u64,
+    },
+    /// The model can't be loaded now.
+    GaveUp {
+        /// The model or adapter.
+        model: ModelRef,
+        /// Why not.
+        reason: Reason,
+    },
+}
+
+/// A model as placement sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Summary {
+    /// The model or adapter.
+    pub model: ModelRef,
+    /// Replicas wanted.
+    pub wanted: u32,
+    /// Replicas that may be loading or loaded, in all versions.
+    pub decided: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub in_flight: u32,
+    /// Why it isn't loaded, if it is wanted and can't be.
+    pub reason: Option<Reason>,
+}
+
+/// Decides what is loaded where.
+#[derive(Debug)]
+pub struct Planner {
+    term: Term,
+    settings: settings::Settings,
+    fleet: policy::Fleet,
+    now_ms: u64,
+    started_ms: Option<u64>,
+    is_acting: bool,
+    sequence: u64,
+    ledger: ledger::Ledger,
+    limits: schedule::Limits,
+    fleet_gaps: gaps::Histogram,
+    // Maps, because tens of thousands of adapters wake up and fall idle.
+    models: BTreeMap<ModelRef, models::Model>,
+    due: BTreeSet<(u64, ModelRef)>,
+    short: BTreeSet<ModelRef>,
+    timers: BTreeSet<(u64, TargetId)>,
+    place_ms: Option<u64>,
+    placed_ms: u64,
+    actions: Vec<Action>,
+}
+
+impl Planner {
+    /// The planner of the leader of `term`.
+    pub fn new(term: Term, settings: settings::Settings) -> Self {
+        let limits = schedule::Limits::new(&settings, 0);
+        Self {
+            term,
+            settings,
+            fleet: policy::Fleet::default(),
+            now_ms: 0,
+            started_ms: None,
+            is_acting: false,
+            sequence: 0,
+            ledger: ledger::Ledger::default(),
+            limits,
+            fleet_gaps: gaps::Histogram::default(),
+            models: BTreeMap::new(),
+            due: BTreeSet::new(),
+            short: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            place_ms: None,
+            placed_ms: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event at the Unix time `now_ms` and returns what to do, in order.
+    ///
+    /// Time that goes back is taken to stand still.
+    pub fn on(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        self.now_ms = self.now_ms.max(now_ms);
+        if self.started_ms.is_none() {
+            self.start();
+        }
+        self.take(event);
+        self.run_timers();
+        self.run_due();
+        self.run_placement();
+        std::mem::take(&mut self.actions)
+    }
+
+    fn start(&mut self) {
+        self.started_ms = Some(self.now_ms);
+        self.limits = schedule::Limits::new(&self.settings, self.now_ms);
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::TargetState(state) => self.on_announcement(state),
+            Event::StateRead { fencing, state } => self.on_state(fencing, state),
+            Event::AskLost { target, fencing } => self.on_ask_lost(&target, fencing),
+            Event::TargetGone { target, incarnation } => self.on_gone(&target, incarnation),
+            Event::Demand(report) => self.on_demand(&report),
+            Event::DaemonGone(daemon) => self.on_daemon_gone(&daemon),
+            Event::Model(model) => self.on_model(*model),
+            Event::ModelGone(model) => self.on_model_gone(&model),
+            Event::Fleet(fleet) => self.on_fleet(fleet),
+            Event::OrderAnswered { target, order_id, reply } => {
+                self.on_answer(&target, &order_id, reply);
+            }
+            Event::OrderLost { target, order_id } => self.on_lost(&target, &order_id),
+            Event::Tick => {}
+        }
+    }
+
+    /// The Unix time at which [`Event::Tick`] is due, if any.
+    pub fn wake_ms(&self) -> Option<u64> {
+        let due_ms = self.due.first().map(|(due_ms, _)| *due_ms);
+        let timer_ms = self.timers.first().map(|(timer_ms, _)| *timer_ms);
+        [due_ms, timer_ms, self.place_ms].into_iter().flatten().min()
+    }
+
+    /// Whether it gives orders: every target that it has heard of was read, or can't be.
+    pub fn is_acting(&self) -> bool {
+        self.is_acting
+    }
+
+    /// The memory of each target.
+    pub fn ledger(&self) -> &ledger::Ledger {
+        &self.ledger
+    }
+
+    /// The limits on loads.
+    pub fn limits(&self) -> &schedule::Limits {
+        &self.limits
+    }
+
+    /// Models that are wanted, held or asked for.
+    pub fn models(&self) -> impl Iterator<Item = Summary> + '_ {
+        let is_active = |model: &models::Model| {
+            model.wanted.count() > 0 || !model.sites.is_empty() || !model.demand.is_idle()
+        };
+        self.models.iter().filter(move |(_, model)| is_active(model)).map(|(name, model)| Summary {
+            model: name.clone(),
+            wanted: model.wanted.count(),
+            decided: model.decided.iter().map(|(_, count)| count).sum(),
+            waiting: model.demand.waiting(),
+            in_flight: model.demand.in_flight(),
+            reason: model.reason,
+        })
+    }
+}
--- /dev/null
+++ b/src/placement/planner/orders.rs
@@ -0,0 +1,300 @@
+//! Orders: how they are given, and what follows from their answer or its loss.
+
+use crate::ids::{ModelRef, OrderId, TargetId};
+use crate::placement::planner::{Action, Planner, Reason};
+use crate::placement::{catalogue, choose, ledger};
+use crate::target::order;
+use crate::units::Bytes;
+
+/// Time that a target takes to free memory, in milliseconds.
+const UNLOAD_MS: u64 = 20;
+/// The hang bound grows with the store's slowness up to this.
+const MAX_HANG_SLOWNESS: f64 = 4.0;
+
+impl Planner {
+    pub(super) fn next_fencing(&mut self) -> order::Fencing {
+        self.sequence += 1;
+        order::Fencing { term: self.term, sequence: self.sequence }
+    }
+
+    /// Gives an order about a replica whose entry was set already.
+    fn send(
+        &mut self,
+        target: &TargetId,
+        weights: &catalogue::Weights,
+        action: order::Action,
+        memory_bytes: Bytes,
+    ) {
+        let fencing = self.next_fencing();
+        let text = format!("o-{}-{}", fencing.term, fencing.sequence);
+        let order_id: OrderId = text.parse().expect("an order id has only allowed characters");
+        let expires_ms = self.now_ms + self.settings.order_limit_ms;
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        account.pending = Some(ledger::Pending {
+            order_id: order_id.clone(),
+            action,
+            weights: weights.clone(),
+            expires_ms,
+            is_lost: false,
+        });
+        let order = order::Order {
+            fencing,
+            order_id,
+            action,
+            model: weights.model.clone(),
+            version: weights.version.clone(),
+            memory_bytes,
+            expires_ms,
+        };
+        self.actions.push(Action::Send { target: target.clone(), order });
+        self.arm(target);
+    }
+
+    /// Reserves memory and orders a load.
+    pub(super) fn load(
+        &mut self,
+        choice: &choose::Choice,
+        spec: &catalogue::Model,
+        purpose: ledger::Purpose,
+    ) {
+        let now_ms = self.now_ms;
+        let weights = spec.weights();
+        if choice.source == catalogue::Source::Store && !spec.model.is_adapter() {
+            self.limits.count_start(now_ms);
+        }
+        metrics::counter!("placement_loads").increment(1);
+        let entry = ledger::Entry {
+            weights: weights.clone(),
+            memory_bytes: spec.memory_bytes,
+            stage: ledger::Stage::Reserved,
+            purpose,
+            source: choice.source,
+            since_ms: now_ms,
+            ready_ms: now_ms + choice.load_ms,
+            ask_ms: now_ms + choice.load_ms,
+        };
+        self.put(&choice.target, entry);
+        self.send(&choice.target, &weights, order::Action::Load, spec.memory_bytes);
+    }
+
+    /// Takes a replica away: cancels its load, or marks it so that it is unloaded.
+    pub(super) fn retire(&mut self, target: &TargetId, weights: &catalogue::Weights) {
+        let Some(account) = self.ledger.find(target) else { return };
+        let Some(entry) = account.find(weights) else { return };
+        match entry.stage {
+            ledger::Stage::Loading if account.is_ready() => self.cancel(target, weights),
+            ledger::Stage::Loaded => {
+                self.set_stage(target, weights, ledger::Stage::Retiring);
+                self.retire_adapters(target, &weights.model);
+                self.unload_next(target);
+            }
+            _ => {}
+        }
+    }
+
+    /// Adapters go with the last replica of their base on the target.
+    fn retire_adapters(&mut self, target: &TargetId, base: &ModelRef) {
+        let Some(account) = self.ledger.find(target) else { return };
+        let stays = account.of_model(base).iter().any(ledger::Entry::is_serving);
+        if base.is_adapter() || stays {
+            return;
+        }
+        let is_loaded = |entry: &&ledger::Entry| entry.stage == ledger::Stage::Loaded;
+        let adapters = account.of_base(base).iter().filter(is_loaded);
+        let adapters: Vec<_> = adapters.map(|entry| entry.weights.clone()).collect();
+        for adapter in adapters {
+            self.set_stage(target, &adapter, ledger::Stage::Retiring);
+            self.set_due(&adapter.model, self.now_ms);
+        }
+    }
+
+    fn cancel(&mut self, target: &TargetId, weights: &catalogue::Weights) {
+        metrics::counter!("placement_loads_cancelled").increment(1);
+        self.set_stage(target, weights, ledger::Stage::Cancelling);
+        let memory_bytes = self.memory_of(target, weights);
+        self.send(target, weights, order::Action::CancelLoad, memory_bytes);
+    }
+
+    /// Orders the next unload on the target, adapters before their base.
+    fn unload_next(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find(target) else { return };
+        if !account.is_ready() || !self.is_acting {
+            return;
+        }
+        let is_retiring = |entry: &&ledger::Entry| entry.stage == ledger::Stage::Retiring;
+        let is_free = |entry: &ledger::Entry| {
+            entry.weights.model.is_adapter()
+                || {
+                    let others = account.of_base(&entry.weights.model);
+                    others.iter().all(|other| {
+                        !other.weights.model.is_adapter() || other.stage == ledger::Stage::Unloading
+                    })
+                }
+                || self.has_other_version(account, entry)
+        };
+        let mut retiring = account.entries().iter().filter(is_retiring);
+        let Some(entry) = retiring.find(|entry| is_free(entry)) else { return };
+        let (weights, memory_bytes) = (entry.weights.clone(), entry.memory_bytes);
+        metrics::counter!("placement_unloads").increment(1);
+        self.set_stage(target, &weights, ledger::Stage::Releasing);
+        self.send(target, &weights, order::Action::Unload, memory_bytes);
+    }
+
+    fn has_other_version(&self, account: &ledger::Account, entry: &ledger::Entry) -> bool {
+        account.of_model(&entry.weights.model).iter().any(ledger::Entry::is_serving)
+    }
+
+    fn memory_of(&self, target: &TargetId, weights: &catalogue::Weights) -> Bytes {
+        let entry = self.ledger.find(target).and_then(|account| account.find(weights));
+        entry.map_or(Bytes(0), |entry| entry.memory_bytes)
+    }
+
+    /// Moves a replica to another stage.
+    fn set_stage(&mut self, target: &TargetId, weights: &catalogue::Weights, stage: ledger::Stage) {
+        let Some(account) = self.ledger.find(target) else { return };
+        let Some(mut entry) = account.find(weights).cloned() else { return };
+        if entry.stage == ledger::Stage::Reserved && stage == ledger::Stage::Loading {
+            // The time that the load takes is counted from its order.
+        } else {
+            entry.since_ms = self.now_ms;
+            entry.ask_ms = self.now_ms + UNLOAD_MS;
+        }
+        entry.stage = stage;
+        self.put(target, entry);
+    }
+
+    pub(super) fn on_answer(&mut self, target: &TargetId, order_id: &OrderId, reply: order::Reply) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        let is_pending = account.pending.as_ref().is_some_and(|p| p.order_id == *order_id);
+        if !is_pending {
+            return;
+        }
+        let Some(pending) = account.pending.take() else { return };
+        let weights = &pending.weights;
+        match (pending.action, reply) {
+            (order::Action::Load, order::Reply::Accepted) => {
+                self.set_stage(target, weights, ledger::Stage::Loading);
+            }
+            (order::Action::Load, _) => self.on_load_refused(target, weights, reply),
+            (order::Action::CancelLoad, order::Reply::Accepted) => {}
+            (order::Action::CancelLoad, _) => {
+                self.set_stage(target, weights, ledger::Stage::Loading);
+                self.read_soon(target);
+            }
+            (order::Action::Unload, order::Reply::Accepted) => {
+                self.set_stage(target, weights, ledger::Stage::Unloading);
+            }
+            (order::Action::Unload, _) => {
+                self.set_stage(target, weights, ledger::Stage::Loaded);
+                self.read_soon(target);
+            }
+        }
+        self.after_answer(target);
+        self.arm(target);
+    }
+
+    fn on_load_refused(
+        &mut self,
+        target: &TargetId,
+        weights: &catalogue::Weights,
+        reply: order::Reply,
+    ) {
+        metrics::counter!("placement_loads_refused").increment(1);
+        self.avoid(target, weights);
+        self.remove(target, weights);
+        match reply {
+            order::Reply::Unknown => self.set_reason(&weights.model, Some(Reason::Unknown)),
+            _ => self.read_soon(target),
+        }
+    }
+
+    fn read_soon(&mut self, target: &TargetId) {
+        let now_ms = self.now_ms;
+        if let Some(account) = self.ledger.find_mut(target) {
+            account.read_ms = Some(now_ms);
+        }
+    }
+
+    pub(super) fn on_lost(&mut self, target: &TargetId, order_id: &OrderId) {
+        let Some(account) = self.ledger.find(target) else { return };
+        if account.pending.as_ref().is_some_and(|pending| pending.order_id == *order_id) {
+            self.lose_pending(target);
+        }
+    }
+
+    /// From now on only the target's state tells what became of the order.
+    pub(super) fn lose_pending(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        if let Some(pending) = &mut account.pending {
+            metrics::counter!("placement_orders_lost").increment(1);
+            pending.is_lost = true;
+        }
+        self.arm(target);
+    }
+
+    /// The target may get its next order.
+    pub(super) fn after_answer(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find(target) else { return };
+        if !account.is_ready() || !self.is_acting {
+            return;
+        }
+        if let Some(weights) = self.hung_load(account) {
+            self.give_up_load(target, &weights);
+            return;
+        }
+        self.relieve(target);
+        self.unload_next(target);
+        self.set_due_on(target);
+        self.place_soon();
+    }
+
+    fn hung_load(&self, account: &ledger::Account) -> Option<catalogue::Weights> {
+        let is_hung = |entry: &&ledger::Entry| {
+            let bound_ms = self.hang_bound_ms(entry);
+            entry.stage == ledger::Stage::Loading && self.now_ms >= entry.since_ms + bound_ms
+        };
+        account.entries().iter().find(is_hung).map(|entry| entry.weights.clone())
+    }
+
+    fn hang_bound_ms(&self, entry: &ledger::Entry) -> u64 {
+        let spec = self.models.get(&entry.weights.model).and_then(|model| model.spec.as_ref());
+        let full_speed_ms = spec.map_or(0, |spec| spec.load.from_source(entry.source));
+        let slowness = match entry.source {
+            catalogue::Source::Store => self.limits.slowness().min(MAX_HANG_SLOWNESS),
+            catalogue::Source::Disk | catalogue::Source::Memory => 1.0,
+        };
+        let factor = self.settings.hang_factor as f64 * slowness;
+        ((full_speed_ms as f64 * factor) as u64).max(self.settings.hang_floor_ms)
+    }
+
+    fn give_up_load(&mut self, target: &TargetId, weights: &catalogue::Weights) {
+        let Some(entry) = self.ledger.find(target).and_then(|a| a.find(weights)) else { return };
+        let is_from_store = entry.source == catalogue::Source::Store;
+        if is_from_store && !weights.model.is_adapter() {
+            self.limits.learn_hang();
+        }
+        metrics::counter!("placement_loads_hung").increment(1);
+        self.avoid(target, weights);
+        self.cancel(target, weights);
+        self.set_reason(&weights.model, Some(Reason::Hung));
+        self.set_due(&weights.model, self.now_ms);
+    }
+
+    /// Unloads what a target holds beyond its capacity.
+    fn relieve(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find(target) else { return };
+        let used = account.used_bytes().0 - account.unloading_bytes().0;
+        if used <= account.capacity_bytes.0 {
+            return;
+        }
+        let is_loaded = |entry: &&ledger::Entry| entry.stage == ledger::Stage::Loaded;
+        let loaded = account.entries().iter().filter(is_loaded);
+        let cheapest = loaded.min_by_key(|entry| {
+            let model = self.models.get(&entry.weights.model);
+            model.map_or((false, 0), |model| (!model.demand.is_idle(), model.loss_ms))
+        });
+        if let Some(weights) = cheapest.map(|entry| entry.weights.clone()) {
+            self.retire(target, &weights);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/planner/round.rs
@@ -0,0 +1,379 @@
+//! A placement round: loads for the models that are short of replicas, and the replicas that go.
+
+use std::cmp::Reverse;
+
+use crate::ids::{ModelRef, TargetId, Zone};
+use crate::placement::planner::models::Census;
+use crate::placement::planner::{Planner, Reason};
+use crate::placement::{catalogue, choose, ledger, schedule};
+
+/// Shortest time between two rounds, in milliseconds, without and for each eighth model.
+const MIN_GAP_MS: u64 = 2;
+const MODELS_PER_MS: u64 = 8;
+/// Time between two looks at whether the targets were read, in milliseconds.
+const TAKEOVER_CHECK_MS: u64 = 20;
+/// Deadlines are compared in steps of this, so that class weights decide between near ones.
+const DEADLINE_STEP_MS: u64 = 1_000;
+/// Models that one round tries to place.
+const MAX_CANDIDATES: usize = 256;
+/// Loss of a replica in use that is not the model's only one, in milliseconds.
+const BUSY_LOSS_MS: u64 = 60_000;
+/// Time between two tries to place a model that has no room, in milliseconds.
+const RETRY_MS: u64 = 250;
+
+/// The order in which models are placed: the least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Priority {
+    is_preload: bool,
+    has_replica: bool,
+    is_too_late: bool,
+    start_step: u64,
+    class_weight: Reverse<u32>,
+    waiting: Reverse<u32>,
+    loss_ms: Reverse<u64>,
+}
+
+/// What a round has promised so far.
+#[derive(Debug, Default)]
+struct Promises {
+    claims: choose::Claims,
+    /// Loads that wait for the weight store ahead of the next one.
+    queued: u64,
+    /// Whether work waits for memory, for a target or for the weight store.
+    has_waiting_work: bool,
+    /// When a round may find more.
+    again_ms: Option<u64>,
+}
+
+impl Promises {
+    fn again(&mut self, at_ms: u64) {
+        self.again_ms = Some(self.again_ms.map_or(at_ms, |old_ms| old_ms.min(at_ms)));
+    }
+}
+
+impl Planner {
+    /// Runs a round soon: rounds are spaced out as they get longer.
+    pub(super) fn place_soon(&mut self) {
+        let gap_ms = MIN_GAP_MS + self.short.len() as u64 / MODELS_PER_MS;
+        self.place_by((self.placed_ms + gap_ms).max(self.now_ms));
+    }
+
+    fn place_by(&mut self, at_ms: u64) {
+        self.place_ms = Some(self.place_ms.map_or(at_ms, |old_ms| old_ms.min(at_ms)));
+    }
+
+    pub(super) fn run_placement(&mut self) {
+        if self.place_ms.is_none_or(|at_ms| at_ms > self.now_ms) && self.is_acting {
+            return;
+        }
+        if !self.is_acting && !self.take_over() {
+            self.place_ms = Some(self.now_ms + TAKEOVER_CHECK_MS);
+            return;
+        }
+        self.place_ms = None;
+        self.placed_ms = self.now_ms;
+        let mut promises = Promises::default();
+        for name in self.candidates() {
+            self.place(&name, &mut promises);
+        }
+        if let Some(at_ms) = promises.again_ms {
+            self.place_by(at_ms.max(self.placed_ms + MIN_GAP_MS));
+        }
+    }
+
+    /// Begins to give orders once all targets were heard of and read. A target that can't be read
+    /// holds this up only until every order of a former leader has expired.
+    fn take_over(&mut self) -> bool {
+        let started_ms = self.started_ms.unwrap_or(self.now_ms);
+        if self.now_ms < started_ms + self.settings.takeover_ms {
+            return false;
+        }
+        let settings = &self.settings;
+        let patience_ms = settings.lease_ms + 3 * settings.order_limit_ms + settings.clock_skew_ms;
+        let is_patient = self.now_ms < started_ms + patience_ms;
+        let is_unread = |a: &ledger::Account| a.standing == ledger::Standing::Unread;
+        if is_patient && self.ledger.accounts().iter().any(is_unread) {
+            return false;
+        }
+        self.is_acting = true;
+        log::info!("placement of term {} begins to give orders", self.term);
+        let names: Vec<ModelRef> = self.models.keys().cloned().collect();
+        for name in names {
+            self.set_due(&name, self.now_ms);
+        }
+        self.run_due();
+        true
+    }
+
+    /// Models that are short of replicas, the most urgent first.
+    fn candidates(&self) -> Vec<ModelRef> {
+        let ranked = self.short.iter().map(|name| (self.priority(name), name));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable();
+        ranked.truncate(MAX_CANDIDATES);
+        ranked.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    fn priority(&self, name: &ModelRef) -> Priority {
+        let model = &self.models[name];
+        let load_ms = model.spec.as_ref().map_or(0, |spec| spec.load.store_ms);
+        let deadline_ms = model.demand.earliest_deadline_ms();
+        let start_ms = deadline_ms.saturating_sub(load_ms);
+        Priority {
+            is_preload: model.purpose() == ledger::Purpose::Preload,
+            has_replica: !model.sites.is_empty(),
+            is_too_late: start_ms < self.now_ms,
+            start_step: start_ms / DEADLINE_STEP_MS,
+            class_weight: Reverse(model.demand.class_weight()),
+            waiting: Reverse(model.demand.waiting()),
+            loss_ms: Reverse(model.loss_ms),
+        }
+    }
+
+    fn place(&mut self, name: &ModelRef, promises: &mut Promises) {
+        let Some(model) = self.models.get(name) else { return };
+        let Some(spec) = model.spec.clone() else { return };
+        let purpose = model.purpose();
+        let wanted = model.wanted.count() as usize;
+        let census = self.census(name);
+        if census.serving.len() >= wanted {
+            self.short.remove(name);
+            return;
+        }
+        let is_preload = purpose == ledger::Purpose::Preload;
+        if is_preload && !self.may_preload(&spec, promises) {
+            promises.again(self.now_ms + RETRY_MS);
+            return;
+        }
+        if spec.model.is_adapter() && self.limits.adapter_start() != schedule::Start::Now {
+            promises.has_waiting_work = true;
+            return;
+        }
+        let choice = self.choose(&spec, &census, promises, is_preload);
+        match choice {
+            None => self.on_no_choice(name, &spec, promises),
+            Some(choice) => self.follow(&choice, &spec, purpose, promises),
+        }
+    }
+
+    /// Preloading takes only what waiting work leaves, and never the store's last place.
+    fn may_preload(&self, spec: &catalogue::Model, promises: &Promises) -> bool {
+        let has_place = spec.model.is_adapter()
+            || self.limits.store_in_transit() + 1 < self.limits.store_limit();
+        !promises.has_waiting_work && has_place
+    }
+
+    fn choose(
+        &self,
+        spec: &catalogue::Model,
+        census: &Census,
+        promises: &Promises,
+        is_preload: bool,
+    ) -> Option<choose::Choice> {
+        let zones = self.zones(census);
+        let weights = spec.weights();
+        let request = choose::Request {
+            model: spec,
+            weights: &weights,
+            zones: &zones,
+            store_delay_ms: self.store_delay_ms(spec, promises.queued),
+            store_slowness: self.limits.slowness(),
+            may_evict: !is_preload,
+            now_ms: self.now_ms,
+        };
+        let has_replica = !census.serving.is_empty();
+        let eviction = |_: &ledger::Account, entry: &ledger::Entry| {
+            self.eviction(&spec.model, entry, has_replica)
+        };
+        let is_usable = |account: &&ledger::Account| self.is_usable(account, spec, &weights);
+        if spec.model.is_adapter() {
+            let sites = self.models.get(&spec.model.base()).map(|base| base.sites.as_slice());
+            let accounts = sites.unwrap_or_default().iter().filter_map(|t| self.ledger.find(t));
+            let warm = accounts.filter(|account| has_warm_base(account, &spec.model));
+            choose::choose(&request, warm.filter(is_usable), &promises.claims, eviction)
+        } else {
+            let accounts = self.ledger.accounts().iter();
+            choose::choose(&request, accounts.filter(is_usable), &promises.claims, eviction)
+        }
+    }
+
+    fn zones(&self, census: &Census) -> Vec<(Zone, u32)> {
+        let mut zones: Vec<(Zone, u32)> = Vec::new();
+        for account in census.serving.iter().filter_map(|target| self.ledger.find(target)) {
+            let zone = &account.availability_zone;
+            match zones.iter_mut().find(|(counted, _)| counted == zone) {
+                Some((_, count)) => *count += 1,
+                None => zones.push((zone.clone(), 1)),
+            }
+        }
+        zones
+    }
+
+    /// Whether a replica of the model could be on the target, now or soon.
+    fn is_usable(
+        &self,
+        account: &ledger::Account,
+        spec: &catalogue::Model,
+        weights: &catalogue::Weights,
+    ) -> bool {
+        account.is_there()
+            && !self.is_emptied(account)
+            && account.find(weights).is_none()
+            && spec.policy.allows(&account.target, &account.availability_zone)
+            && !account.is_avoided(weights, self.now_ms)
+    }
+
+    /// Time until the weight store lets the next load start, in milliseconds.
+    fn store_delay_ms(&self, spec: &catalogue::Model, queued: u64) -> u64 {
+        let load_ms = self.limits.expected_ms(&spec.load, catalogue::Source::Store);
+        let turn_ms = load_ms / u64::from(self.limits.store_limit());
+        let first_ms = match self.limits.store_start(self.now_ms) {
+            schedule::Start::Now => 0,
+            schedule::Start::At(at_ms) => at_ms - self.now_ms,
+            schedule::Start::AfterAnother => turn_ms,
+        };
+        first_ms + queued * turn_ms
+    }
+
+    /// Whether `entry` may be evicted for a replica of `asker`.
+    fn eviction(
+        &self,
+        asker: &ModelRef,
+        entry: &ledger::Entry,
+        has_replica: bool,
+    ) -> choose::Eviction {
+        let name = &entry.weights.model;
+        let Some(model) = self.models.get(name) else { return choose::Eviction::Costs(0) };
+        if name == asker || *name == asker.base() || model.has_floor {
+            return choose::Eviction::No;
+        }
+        if model.spec.is_none() || model.wanted.count() == 0 {
+            return choose::Eviction::Costs(0);
+        }
+        if model.demand.is_idle() {
+            return choose::Eviction::Costs(model.loss_ms);
+        }
+        if model.sites.len() > 1 && !has_replica {
+            return choose::Eviction::Costs(BUSY_LOSS_MS + model.loss_ms);
+        }
+        choose::Eviction::No
+    }
+
+    fn follow(
+        &mut self,
+        choice: &choose::Choice,
+        spec: &catalogue::Model,
+        purpose: ledger::Purpose,
+        promises: &mut Promises,
+    ) {
+        let is_preload = purpose == ledger::Purpose::Preload;
+        self.set_reason(&spec.model, None);
+        self.expect(&spec.model, self.now_ms + choice.ready_in_ms);
+        if choice.step == choose::Step::Load {
+            self.load(choice, spec, purpose);
+            // More replicas of the same model may be missing.
+            promises.again(self.now_ms);
+            return;
+        }
+        if is_preload {
+            promises.again(self.now_ms + RETRY_MS);
+            return;
+        }
+        promises.claims.add(&choice.target, spec.memory_bytes);
+        promises.has_waiting_work = true;
+        if choice.source == catalogue::Source::Store && !spec.model.is_adapter() {
+            promises.queued += 1;
+        }
+        if let schedule::Start::At(at_ms) = self.limits.store_start(self.now_ms) {
+            promises.again(at_ms);
+        }
+        if let choose::Step::Evict(victims) = &choice.step {
+            for victim in victims {
+                self.retire(&choice.target, victim);
+                self.set_due(&victim.model, self.now_ms);
+            }
+        }
+    }
+
+    fn on_no_choice(&mut self, name: &ModelRef, spec: &catalogue::Model, promises: &mut Promises) {
+        promises.has_waiting_work |= !self.models[name].demand.is_idle();
+        promises.again(self.now_ms + RETRY_MS);
+        if spec.model.is_adapter() && !self.has_warm_site(&spec.model) {
+            // Its base is on its way, or is told to have no room itself.
+            let base = self.models.get(&spec.model.base());
+            if let Some(ready_ms) = base.and_then(|base| base.expect_ms) {
+                self.expect(name, ready_ms + spec.load.from_source(catalogue::Source::Store));
+            }
+            return;
+        }
+        let weights = spec.weights();
+        let accounts = self.ledger.accounts().iter();
+        let could_hold = accounts.filter(|account| {
+            let is_large_enough = account.capacity_bytes >= spec.memory_bytes;
+            is_large_enough && self.is_usable(account, spec, &weights)
+        });
+        let is_anywhere = could_hold.count() > 0;
+        let reason = if is_anywhere { Reason::NoRoom } else { Reason::NoTarget };
+        self.set_reason(name, Some(reason));
+    }
+
+    fn has_warm_site(&self, adapter: &ModelRef) -> bool {
+        let Some(base) = self.models.get(&adapter.base()) else { return false };
+        let mut accounts = base.sites.iter().filter_map(|target| self.ledger.find(target));
+        accounts.any(|account| has_warm_base(account, adapter))
+    }
+
+    /// Takes replicas away beyond those wanted: loads first, then where the zone has most.
+    pub(super) fn trim(&mut self, name: &ModelRef, census: &Census) {
+        let Some(model) = self.models.get(name) else { return };
+        let surplus = census.serving.len().saturating_sub(model.wanted.count() as usize);
+        if surplus == 0 {
+            return;
+        }
+        let zones = self.zones(census);
+        let mut ranked = Vec::new();
+        for target in &census.serving {
+            let Some(account) = self.ledger.find(target) else { continue };
+            let zone = zones.iter().find(|(zone, _)| *zone == account.availability_zone);
+            let in_zone = zone.map_or(0, |(_, count)| *count);
+            let adapters = account.of_base(name).len();
+            for entry in account.of_model(name).iter().filter(|entry| entry.is_serving()) {
+                let is_ready = entry.stage == ledger::Stage::Loaded;
+                ranked.push((is_ready, Reverse(in_zone), adapters, target, &entry.weights));
+            }
+        }
+        ranked.sort_unstable();
+        let surplus = ranked.into_iter().take(surplus);
+        let surplus: Vec<(TargetId, catalogue::Weights)> =
+            surplus.map(|(.., target, weights)| (target.clone(), weights.clone())).collect();
+        for (target, weights) in surplus {
+            self.retire(&target, &weights);
+        }
+    }
+
+    /// Takes replicas of old versions and on emptied targets away once others have replaced them,
+    /// or if there is no room for others.
+    pub(super) fn release_outgoing(&mut self, name: &ModelRef, census: &Census) {
+        let Some(model) = self.models.get(name) else { return };
+        let is_replaced = census.ready >= model.wanted.count();
+        let has_no_room = matches!(model.reason, Some(Reason::NoRoom | Reason::NoTarget));
+        // The only replica of a model in use stays until there is room for its successor.
+        let may_go = has_no_room && (model.demand.is_idle() || census.outgoing.len() > 1);
+        if !is_replaced && !may_go {
+            return;
+        }
+        let count = if is_replaced { census.outgoing.len() } else { 1 };
+        for (target, weights) in census.outgoing.iter().take(count) {
+            let is_leaving = self.ledger.find(target).is_none_or(|a| a.is_leaving);
+            if !is_leaving {
+                self.retire(target, weights);
+            }
+        }
+    }
+}
+
+/// Whether the target holds the base of `adapter`, ready for work.
+fn has_warm_base(account: &ledger::Account, adapter: &ModelRef) -> bool {
+    let base = account.of_model(&adapter.base());
+    base.iter().any(|entry| entry.stage == ledger::Stage::Loaded)
+}
--- /dev/null
+++ b/src/placement/planner/targets.rs
@@ -0,0 +1,471 @@
+//! Targets: what they announce, what they tell when asked, and when they are asked.
+
+use crate::ids::{Incarnation, ModelRef, TargetId};
+use crate::placement::planner::{Action, Planner};
+use crate::placement::{catalogue, ledger};
+use crate::target::order;
+use crate::units::Bytes;
+
+/// What a target that is gone held is forgotten after this time, in milliseconds.
+const FORGET_MS: u64 = 600_000;
+/// Shortest time between two questions about a replica that changes, in milliseconds.
+const MIN_ASK_MS: u64 = 5;
+/// Longest time between two questions about a replica that changes, in milliseconds.
+const MAX_ASK_MS: u64 = 1_000;
+/// Time before a question that failed is asked again, in milliseconds; it doubles.
+const RETRY_MS: u64 = 100;
+/// Longest time before a question that failed is asked again, in milliseconds.
+const MAX_RETRY_MS: u64 = 5_000;
+/// Weights that failed to load on a target are not tried there again for this time, in
+/// milliseconds.
+pub(super) const AVOID_MS: u64 = 5_000;
+
+/// What a timer of an account is for.
+enum Due {
+    Nothing(Option<u64>),
+    Ask,
+    OrderLost,
+    AskLost(order::Fencing),
+    Forget,
+}
+
+impl Planner {
+    pub(super) fn on_announcement(&mut self, state: order::State) {
+        let target = state.target.clone();
+        let Some(account) = self.ledger.find_mut(&target) else {
+            if state.kind == order::Kind::Assistant {
+                self.open_account(&state);
+            }
+            return;
+        };
+        let is_old = state.incarnation < account.incarnation
+            || state.incarnation == account.incarnation && state.sequence <= account.sequence;
+        if is_old {
+            return;
+        }
+        let is_new_life = state.incarnation > account.incarnation;
+        if !is_new_life && state.address != account.address {
+            // Two processes under one id and incarnation: the first one known is believed.
+            metrics::counter!("placement_conflicting_announcements").increment(1);
+            return;
+        }
+        if is_new_life || !account.is_there() {
+            self.reopen_account(&target);
+        }
+        self.describe(&state);
+        self.promote(&state);
+        self.arm(&target);
+    }
+
+    fn open_account(&mut self, state: &order::State) {
+        let mut account = ledger::Account::new(state, Bytes(0));
+        account.quiet_ms = self.takeover_quiet_ms();
+        self.ledger.insert(account);
+        self.describe(state);
+        self.arm(&state.target);
+    }
+
+    /// When the last order of a former leader has expired.
+    fn takeover_quiet_ms(&self) -> u64 {
+        let settings = &self.settings;
+        let bound_ms = settings.lease_ms + settings.order_limit_ms + settings.clock_skew_ms;
+        self.started_ms.unwrap_or(self.now_ms) + bound_ms
+    }
+
+    /// What was known of the target has to be read again.
+    fn reopen_account(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        if !account.is_there() {
+            for entry in account.entries().iter().filter(|entry| entry.is_in_transit()) {
+                self.limits.begin(entry.weights.model.is_adapter(), entry.source);
+            }
+        }
+        account.standing = ledger::Standing::Unread;
+        account.retry_ms = 0;
+        account.failures = 0;
+        self.set_due_on(target);
+    }
+
+    /// Takes what a state says of the target itself.
+    fn describe(&mut self, state: &order::State) {
+        let capacity_bytes = self.settings.weights_share(state.memory_bytes);
+        let Some(account) = self.ledger.find_mut(&state.target) else { return };
+        let is_assistant = state.kind == order::Kind::Assistant;
+        let is_leaving = state.leaving || !is_assistant;
+        let has_left = is_leaving != account.is_leaving;
+        account.incarnation = state.incarnation;
+        account.sequence = state.sequence;
+        account.address = state.address;
+        account.availability_zone = state.availability_zone.clone();
+        account.capacity_bytes = capacity_bytes;
+        account.accelerators = state.accelerators.max(1);
+        account.checks_fencing = state.checks_fencing;
+        account.is_leaving = is_leaving;
+        let copy = |cached: &order::Cached| {
+            let (model, version) = (cached.model.clone(), cached.version.clone());
+            (catalogue::Weights { model, version }, cached.tier)
+        };
+        account.cached = state.cached.iter().map(copy).collect();
+        account.cached.sort();
+        account.cached.dedup_by(|b, a| a.0 == b.0);
+        if has_left {
+            self.set_due_on(&state.target);
+        }
+    }
+
+    /// Takes what an announcement says of loads that are done. All else has to be read.
+    fn promote(&mut self, state: &order::State) {
+        let Some(account) = self.ledger.find(&state.target) else { return };
+        let mut done = Vec::new();
+        let mut is_unclear = false;
+        for held in &state.holds {
+            let weights = catalogue::Weights::from(held);
+            match (account.find(&weights).map(|entry| entry.stage), held.phase) {
+                (Some(ledger::Stage::Loading), order::Phase::Loaded) => done.push(weights),
+                (Some(_), _) => {}
+                (None, _) => is_unclear = true,
+            }
+        }
+        let is_told = |entry: &ledger::Entry| {
+            state.holds.iter().any(|held| catalogue::Weights::from(held) == entry.weights)
+        };
+        let is_settled = |entry: &ledger::Entry| entry.stage != ledger::Stage::Reserved;
+        is_unclear |= account.entries().iter().any(|entry| is_settled(entry) && !is_told(entry));
+        for weights in done {
+            self.finish_load(&state.target, &weights);
+        }
+        if is_unclear && let Some(account) = self.ledger.find_mut(&state.target) {
+            account.read_ms = Some(self.now_ms);
+        }
+    }
+
+    fn finish_load(&mut self, target: &TargetId, weights: &catalogue::Weights) {
+        let Some(account) = self.ledger.find(target) else { return };
+        let Some(entry) = account.find(weights) else { return };
+        let mut entry = entry.clone();
+        entry.stage = ledger::Stage::Loaded;
+        self.put(target, entry);
+        self.set_due(&weights.model, self.now_ms);
+    }
+
+    pub(super) fn on_state(&mut self, fencing: order::Fencing, state: order::State) {
+        let target = state.target.clone();
+        let Some(account) = self.ledger.find_mut(&target) else { return };
+        let is_answer = account.question.is_some_and(|question| question.fencing == fencing);
+        if !is_answer || !account.is_there() {
+            return;
+        }
+        account.question = None;
+        let is_old = state.incarnation < account.incarnation
+            || state.incarnation == account.incarnation && state.sequence < account.sequence;
+        if is_old {
+            self.on_failed_question(&target);
+            return;
+        }
+        account.standing = ledger::Standing::Known;
+        account.failures = 0;
+        account.retry_ms = 0;
+        account.read_ms = None;
+        let lost = account.pending.take();
+        self.describe(&state);
+        self.reconcile(&state, lost);
+        self.after_answer(&target);
+        self.arm(&target);
+    }
+
+    /// Makes the entries of the account those that the target's own state tells.
+    fn reconcile(&mut self, state: &order::State, lost: Option<ledger::Pending>) {
+        let target = &state.target;
+        let Some(account) = self.ledger.find(target) else { return };
+        let is_told = |weights: &catalogue::Weights| {
+            state.holds.iter().any(|held| catalogue::Weights::from(held) == *weights)
+        };
+        let entries = account.entries().iter();
+        let freed: Vec<_> = entries.filter(|entry| !is_told(&entry.weights)).cloned().collect();
+        for entry in freed {
+            let has_failed =
+                matches!(entry.stage, ledger::Stage::Reserved | ledger::Stage::Loading);
+            if has_failed {
+                self.avoid(target, &entry.weights);
+            }
+            self.remove(target, &entry.weights);
+        }
+        for held in &state.holds {
+            self.reconcile_held(target, held, lost.as_ref());
+        }
+    }
+
+    fn reconcile_held(
+        &mut self,
+        target: &TargetId,
+        held: &order::Held,
+        lost: Option<&ledger::Pending>,
+    ) {
+        let now_ms = self.now_ms;
+        let weights = catalogue::Weights::from(held);
+        let Some(account) = self.ledger.find(target) else { return };
+        let old = account.find(&weights).cloned();
+        let is_lost = lost.is_some_and(|lost| lost.weights == weights);
+        let stage = match (held.phase, old.as_ref().map(|entry| entry.stage)) {
+            // An order that was lost had no effect if the state doesn't show it.
+            (order::Phase::Loading, Some(ledger::Stage::Cancelling)) if !is_lost => {
+                ledger::Stage::Cancelling
+            }
+            (order::Phase::Loading, _) => ledger::Stage::Loading,
+            (order::Phase::Loaded, Some(ledger::Stage::Retiring)) => ledger::Stage::Retiring,
+            (order::Phase::Loaded, _) => ledger::Stage::Loaded,
+            (order::Phase::Unloading, _) => ledger::Stage::Unloading,
+        };
+        let source = old.as_ref().map_or_else(|| account.source(&weights), |entry| entry.source);
+        let fresh = || self.found_entry(&weights, source);
+        let mut entry = old.clone().unwrap_or_else(fresh);
+        entry.memory_bytes = entry.memory_bytes.max(held.memory_bytes);
+        let was_loading = matches!(entry.stage, ledger::Stage::Reserved | ledger::Stage::Loading);
+        let has_changed = old.as_ref().is_none_or(|old| old.stage != stage);
+        let goes_on = was_loading && stage == ledger::Stage::Loading;
+        if has_changed && !goes_on && !(was_loading && stage == ledger::Stage::Loaded) {
+            entry.since_ms = now_ms;
+        }
+        entry.stage = stage;
+        let elapsed_ms = now_ms.saturating_sub(entry.since_ms);
+        entry.ask_ms = now_ms + (elapsed_ms / 8).clamp(MIN_ASK_MS, MAX_ASK_MS);
+        if stage == ledger::Stage::Loading && entry.ready_ms > now_ms {
+            entry.ask_ms = entry.ready_ms;
+        } else if stage == ledger::Stage::Loading {
+            entry.ready_ms = now_ms + elapsed_ms / 4;
+            self.expect(&weights.model, entry.ready_ms);
+        }
+        self.put(target, entry);
+        self.set_due(&weights.model, now_ms);
+    }
+
+    /// The entry of a replica that this leader did not order.
+    fn found_entry(
+        &self,
+        weights: &catalogue::Weights,
+        source: catalogue::Source,
+    ) -> ledger::Entry {
+        let spec = self.models.get(&weights.model).and_then(|model| model.spec.as_ref());
+        let load_ms = spec.map_or(0, |spec| self.limits.expected_ms(&spec.load, source));
+        ledger::Entry {
+            weights: weights.clone(),
+            memory_bytes: spec.map_or(Bytes(0), |spec| spec.memory_bytes),
+            stage: ledger::Stage::Unloading,
+            purpose: ledger::Purpose::Work,
+            source,
+            since_ms: self.now_ms,
+            ready_ms: self.now_ms + load_ms,
+            ask_ms: self.now_ms,
+        }
+    }
+
+    pub(super) fn on_ask_lost(&mut self, target: &TargetId, fencing: order::Fencing) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        if account.question.is_some_and(|question| question.fencing == fencing) {
+            account.question = None;
+            self.on_failed_question(target);
+        }
+    }
+
+    fn on_failed_question(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        let wait_ms = (RETRY_MS << account.failures.min(6)).min(MAX_RETRY_MS);
+        account.failures += 1;
+        account.retry_ms = self.now_ms + wait_ms;
+        account.read_ms = Some(self.now_ms);
+        self.arm(target);
+    }
+
+    pub(super) fn on_gone(&mut self, target: &TargetId, incarnation: Incarnation) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        if incarnation < account.incarnation || !account.is_there() {
+            return;
+        }
+        account.standing = ledger::Standing::Gone { since_ms: self.now_ms };
+        account.question = None;
+        if let Some(pending) = account.pending.take() {
+            // The order may still reach the next life of the target.
+            let quiet_ms = pending.expires_ms + self.settings.clock_skew_ms;
+            account.quiet_ms = account.quiet_ms.max(quiet_ms);
+        }
+        for entry in account.entries().iter().filter(|entry| entry.is_in_transit()) {
+            self.limits.end(entry.weights.model.is_adapter(), entry.source);
+        }
+        self.set_due_on(target);
+        self.place_soon();
+        self.arm(target);
+    }
+
+    /// Evaluates every model that the target holds.
+    pub(super) fn set_due_on(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find(target) else { return };
+        let entries = account.entries().iter();
+        let names: Vec<ModelRef> = entries.map(|entry| entry.weights.model.clone()).collect();
+        for name in names {
+            self.set_due(&name, self.now_ms);
+        }
+    }
+
+    /// Adds or replaces an entry, and counts what follows from it.
+    pub(super) fn put(&mut self, target: &TargetId, entry: ledger::Entry) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        let name = entry.weights.model.clone();
+        let is_adapter = name.is_adapter();
+        let (is_in_transit, source) = (entry.is_in_transit(), entry.source);
+        let is_loaded = entry.stage == ledger::Stage::Loaded;
+        let (since_ms, weights) = (entry.since_ms, entry.weights.clone());
+        let old = account.put(entry);
+        if is_in_transit {
+            self.limits.begin(is_adapter, source);
+        }
+        if let Some(old) = old.filter(|old| old.is_in_transit()) {
+            self.limits.end(is_adapter, old.source);
+            let is_from_store = !is_adapter && source == catalogue::Source::Store;
+            if is_loaded && is_from_store {
+                self.learn(&weights, self.now_ms.saturating_sub(since_ms));
+            }
+            if !is_in_transit {
+                self.place_soon();
+            }
+        }
+        let model = self.models.entry(name.clone()).or_default();
+        if let Err(at) = model.sites.binary_search(target) {
+            model.sites.insert(at, target.clone());
+        }
+        self.note_decided(&name);
+    }
+
+    fn learn(&mut self, weights: &catalogue::Weights, took_ms: u64) {
+        let spec = self.models.get(&weights.model).and_then(|model| model.spec.as_ref());
+        if let Some(spec) = spec {
+            self.limits.learn(took_ms, spec.load.store_ms);
+        }
+    }
+
+    /// Removes an entry, and counts what follows from it.
+    pub(super) fn remove(&mut self, target: &TargetId, weights: &catalogue::Weights) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        let Some(old) = account.remove(weights) else { return };
+        let has_other = !account.of_model(&weights.model).is_empty();
+        if old.is_in_transit() && account.is_there() {
+            self.limits.end(weights.model.is_adapter(), old.source);
+        }
+        if let Some(model) = self.models.get_mut(&weights.model)
+            && let Ok(at) = model.sites.binary_search(target)
+            && !has_other
+        {
+            model.sites.remove(at);
+        }
+        self.note_decided(&weights.model);
+        self.set_due(&weights.model, self.now_ms);
+        self.place_soon();
+    }
+
+    /// Does not try the weights on this target for a while.
+    pub(super) fn avoid(&mut self, target: &TargetId, weights: &catalogue::Weights) {
+        let now_ms = self.now_ms;
+        if let Some(account) = self.ledger.find_mut(target) {
+            account.avoid(weights.clone(), now_ms, now_ms + AVOID_MS);
+        }
+    }
+
+    /// Sets the timer of an account.
+    pub(super) fn arm(&mut self, target: &TargetId) {
+        let now_ms = self.now_ms;
+        let due = self.due_of(target);
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        let timer_ms = match due {
+            Due::Nothing(timer_ms) => timer_ms,
+            Due::Ask | Due::OrderLost | Due::AskLost(_) | Due::Forget => Some(now_ms),
+        };
+        if let Some(old_ms) = std::mem::replace(&mut account.timer_ms, timer_ms) {
+            self.timers.remove(&(old_ms, target.clone()));
+        }
+        if let Some(timer_ms) = timer_ms {
+            self.timers.insert((timer_ms, target.clone()));
+        }
+    }
+
+    /// What is due at an account, or when something will be.
+    fn due_of(&self, target: &TargetId) -> Due {
+        let now_ms = self.now_ms;
+        let settings = &self.settings;
+        let Some(account) = self.ledger.find(target) else { return Due::Nothing(None) };
+        let or_later = |at_ms: u64, due: Due| {
+            if at_ms <= now_ms { due } else { Due::Nothing(Some(at_ms)) }
+        };
+        if let ledger::Standing::Gone { since_ms } = account.standing {
+            return or_later(since_ms + FORGET_MS, Due::Forget);
+        }
+        if let Some(question) = account.question {
+            let lost_ms = question.asked_ms + 2 * settings.order_limit_ms;
+            return or_later(lost_ms, Due::AskLost(question.fencing));
+        }
+        let settled_ms = match &account.pending {
+            Some(pending) if !pending.is_lost => {
+                let bound_ms = settings.clock_skew_ms + settings.order_limit_ms;
+                return or_later(pending.expires_ms + bound_ms, Due::OrderLost);
+            }
+            // Until it has expired, the order may still come to a target that ignores fencing.
+            Some(pending) if !account.checks_fencing => pending.expires_ms + settings.clock_skew_ms,
+            Some(_) => now_ms,
+            None => 0,
+        };
+        let unread_ms = match account.standing {
+            ledger::Standing::Known => None,
+            _ if account.checks_fencing => Some(now_ms),
+            _ => Some(account.quiet_ms),
+        };
+        let is_changing = |entry: &&ledger::Entry| {
+            !matches!(entry.stage, ledger::Stage::Loaded | ledger::Stage::Retiring)
+        };
+        let progress = account.entries().iter().filter(is_changing).map(|entry| entry.ask_ms);
+        let pending_ms = account.pending.as_ref().map(|_| settled_ms);
+        let wishes = [account.read_ms, unread_ms, pending_ms].into_iter().flatten();
+        let Some(ask_ms) = wishes.chain(progress).min() else { return Due::Nothing(None) };
+        let ask_ms = ask_ms.max(account.retry_ms).max(settled_ms).max(unread_ms.unwrap_or(0));
+        or_later(ask_ms, Due::Ask)
+    }
+
+    /// Does what is due at accounts.
+    pub(super) fn run_timers(&mut self) {
+        while let Some((timer_ms, target)) = self.timers.first().cloned() {
+            if timer_ms > self.now_ms {
+                break;
+            }
+            self.timers.pop_first();
+            if let Some(account) = self.ledger.find_mut(&target) {
+                account.timer_ms = None;
+            }
+            self.run_timer(&target);
+        }
+    }
+
+    fn run_timer(&mut self, target: &TargetId) {
+        match self.due_of(target) {
+            Due::Nothing(_) => self.arm(target),
+            Due::Ask => self.ask(target),
+            Due::AskLost(fencing) => self.on_ask_lost(target, fencing),
+            Due::OrderLost => self.lose_pending(target),
+            Due::Forget => self.forget(target),
+        }
+    }
+
+    fn ask(&mut self, target: &TargetId) {
+        let fencing = self.next_fencing();
+        let asked_ms = self.now_ms;
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        account.question = Some(ledger::Question { fencing, asked_ms });
+        self.actions.push(Action::AskState { target: target.clone(), fencing });
+        self.arm(target);
+    }
+
+    fn forget(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find(target) else { return };
+        let held: Vec<_> = account.entries().iter().map(|entry| entry.weights.clone()).collect();
+        for weights in &held {
+            self.remove(target, weights);
+        }
+        self.ledger.remove(target);
+    }
+}
