Routing: the engine's decisions and the callers' edge, first whole version

Cause: the thin path needs the callers' listener and the seams to the configuration, placement, idempotency records and poison records.

--- /dev/null
+++ b/src/routing/choice.rs
@@ -0,0 +1,100 @@
+//! The choice of a target: the cheaper of two random candidates that have room.
+//!
+//! Two random choices ("The power of two choices in randomized load balancing", Mitzenmacher 2001)
+//! keep routers that see the same picture from sending their bursts to the same target.
+
+use rand::Rng;
+
+use crate::membership::table::Standing;
+use crate::routing::target::{Number, Target};
+
+/// A target that holds the conversation's prefix is taken while its cost is at most this many times
+/// the cost of the cheapest candidate seen.
+const PREFIX_WORTH: f64 = 2.0;
+/// Extra time of a call to another availability zone, there and back.
+const ZONE_DISTANCE_MS: f64 = 2.0;
+
+/// What a call needs of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Whether it is long work.
+    pub is_long: bool,
+    /// Share of a target's limit that long work may hold.
+    pub long_share: f64,
+    /// Expected time of the call to its first byte or token.
+    pub expected_first_ms: f64,
+    /// Place of the target that holds the prefix of the conversation.
+    pub prefix_at: Option<u32>,
+    /// Targets that already failed this request.
+    pub avoid: &'a [Number],
+}
+
+/// Picks one of `candidates`, places in `targets`; `None` if none has room.
+///
+/// `may_join` tells whether the call may run beside what is in flight at a target. A suspected
+/// target is taken only if all others are leaving.
+pub fn choose(
+    now_ms: u64,
+    targets: &[Target],
+    candidates: &[u32],
+    wish: &Wish<'_>,
+    may_join: impl Fn(&Target) -> bool,
+    rng: &mut impl Rng,
+) -> Option<u32> {
+    let is_open = |place: u32, standing: Standing| {
+        let target = &targets[place as usize];
+        target.standing == standing
+            && target.has_room(now_ms, wish.is_long, wish.long_share)
+            && !wish.avoid.contains(&target.number)
+            && may_join(target)
+    };
+    let distance = ZONE_DISTANCE_MS / (wish.expected_first_ms + 1.0);
+    let cost = |place: u32| targets[place as usize].cost(now_ms, distance);
+    let up = |place: u32| is_open(place, Standing::Up);
+    let best = match two_random(candidates, rng) {
+        Some((a, b)) if up(a) && up(b) => Some(if cost(a) <= cost(b) { a } else { b }),
+        _ => scan(candidates, up, cost, rng),
+    };
+    if best.is_none() && !any_up(targets, candidates) {
+        return scan(candidates, |place| is_open(place, Standing::Suspect), cost, rng);
+    }
+    let best = best?;
+    match wish.prefix_at.filter(|place| candidates.binary_search(place).is_ok() && up(*place)) {
+        Some(place) if cost(place) <= PREFIX_WORTH * cost(best) => Some(place),
+        _ => Some(best),
+    }
+}
+
+/// Whether any candidate is up, with room or not.
+fn any_up(targets: &[Target], candidates: &[u32]) -> bool {
+    candidates.iter().any(|place| targets[*place as usize].standing == Standing::Up)
+}
+
+fn two_random(candidates: &[u32], rng: &mut impl Rng) -> Option<(u32, u32)> {
+    if candidates.len() < 2 {
+        return None;
+    }
+    let first = rng.random_range(0..candidates.len());
+    let other = rng.random_range(0..candidates.len() - 1);
+    let second = if other >= first { other + 1 } else { other };
+    Some((candidates[first], candidates[second]))
+}
+
+/// The cheaper of the first two open candidates from a random place on.
+fn scan(
+    candidates: &[u32],
+    is_open: impl Fn(u32) -> bool,
+    cost: impl Fn(u32) -> f64,
+    rng: &mut impl Rng,
+) -> Option<u32> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let (before, after) = candidates.split_at(rng.random_range(0..candidates.len()));
+    let mut open = after.iter().chain(before).copied().filter(|place| is_open(*place));
+    let first = open.next()?;
+    match open.next() {
+        Some(second) if cost(second) < cost(first) => Some(second),
+        _ => Some(first),
+    }
+}
--- /dev/null
+++ b/src/routing/demand.rs
@@ -0,0 +1,111 @@
+//! Demand for each model, told to placement: the first wake at once, then at most once a second.
+
+use crate::ids::ModelRef;
+
+/// Shortest time between two reports of one model.
+pub const PERIOD_MS: u64 = 1000;
+/// Most models with recent demand.
+const MAX_MODELS: usize = 65_536;
+
+/// What placement is told of one model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// The model.
+    pub model: ModelRef,
+    /// Requests that wait for it here.
+    pub waiting: u32,
+    /// The earliest deadline among them, as Unix time.
+    pub earliest_deadline_ms: Option<u64>,
+    /// The sum of the class weights of those that wait.
+    pub class_weight: f64,
+    /// Requests that came since the last report.
+    pub arrived: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Recent {
+    model: ModelRef,
+    arrived: u32,
+    reported_ms: u64,
+}
+
+/// Models with recent demand, sorted.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    recent: Vec<Recent>,
+}
+
+impl Pace {
+    /// Counts an arrival. `true` if the model should be reported at once.
+    pub fn arrived(&mut self, now_ms: u64, model: &ModelRef) -> bool {
+        match self.recent.binary_search_by(|recent| recent.model.cmp(model)) {
+            Ok(at) => {
+                self.recent[at].arrived += 1;
+                now_ms.saturating_sub(self.recent[at].reported_ms) >= PERIOD_MS
+            }
+            Err(_) if self.recent.len() >= MAX_MODELS => true,
+            Err(at) => {
+                let recent = Recent { model: model.clone(), arrived: 1, reported_ms: 0 };
+                self.recent.insert(at, recent);
+                true
+            }
+        }
+    }
+
+    /// Marks a model as reported and returns the arrivals since the last report.
+    pub fn reported(&mut self, now_ms: u64, model: &ModelRef) -> u32 {
+        match self.recent.binary_search_by(|recent| recent.model.cmp(model)) {
+            Ok(at) => {
+                self.recent[at].reported_ms = now_ms;
+                std::mem::take(&mut self.recent[at].arrived)
+            }
+            Err(_) => 0,
+        }
+    }
+
+    /// Whether a report of this model may be sent now.
+    pub fn is_due(&self, now_ms: u64, model: &ModelRef) -> bool {
+        match self.recent.binary_search_by(|recent| recent.model.cmp(model)) {
+            Ok(at) => now_ms.saturating_sub(self.recent[at].reported_ms) >= PERIOD_MS,
+            Err(_) => false,
+        }
+    }
+
+    /// Models whose report is due, with arrivals since the last one.
+    pub fn due(&self, now_ms: u64) -> Vec<ModelRef> {
+        let is_due = |recent: &&Recent| {
+            recent.arrived > 0 && now_ms.saturating_sub(recent.reported_ms) >= PERIOD_MS
+        };
+        self.recent.iter().filter(is_due).map(|recent| recent.model.clone()).collect()
+    }
+
+    /// When the next report may be due; `None` if there is nothing to report.
+    pub fn next_ms(&self) -> Option<u64> {
+        let pending = self.recent.iter().filter(|recent| recent.arrived > 0);
+        pending.map(|recent| recent.reported_ms + PERIOD_MS).min()
+    }
+
+    /// Forgets models without an arrival for ten periods.
+    pub fn prune(&mut self, now_ms: u64) {
+        self.recent.retain(|recent| {
+            recent.arrived > 0 || now_ms.saturating_sub(recent.reported_ms) < 10 * PERIOD_MS
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_first_wake_is_told_at_once_and_then_each_second() {
+        let mut pace = Pace::default();
+        let model: ModelRef = "quill".parse().unwrap();
+        assert!(pace.arrived(5000, &model));
+        assert_eq!(pace.reported(5000, &model), 1);
+        assert!(!pace.arrived(5100, &model));
+        assert!(pace.due(5900).is_empty());
+        assert_eq!(pace.next_ms(), Some(6000));
+        assert_eq!(pace.due(6000), [model]);
+    }
+}
--- /dev/null
+++ b/src/routing/refusal.rs
@@ -0,0 +1,119 @@
+//! Refusals: what a caller is told when its request is not answered.
+
+use std::fmt;
+
+/// Whether a refused request was run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// No byte of it was written to a target.
+    No,
+    /// Some of it was written: it may have run, wholly or in part.
+    Maybe,
+    /// It was run.
+    Yes,
+}
+
+impl Ran {
+    /// The word in the body and in the header `Fescuebay-Ran`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Ran::No => "no",
+            Ran::Maybe => "maybe",
+            Ran::Yes => "yes",
+        }
+    }
+}
+
+macro_rules! codes {
+    ($($name:ident, $status:literal, $text:literal, $title:literal;)*) => {
+        /// Why a request was refused.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Code {
+            $(#[doc = $title] $name,)*
+        }
+
+        impl Code {
+            /// All codes.
+            pub const ALL: &[Code] = &[$(Code::$name),*];
+
+            /// The HTTP status.
+            pub fn status(self) -> u16 {
+                match self { $(Code::$name => $status,)* }
+            }
+
+            /// The code as callers read it.
+            pub fn as_str(self) -> &'static str {
+                match self { $(Code::$name => $text,)* }
+            }
+
+            /// A sentence for people.
+            pub fn title(self) -> &'static str {
+                match self { $(Code::$name => $title,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    Unauthorized, 401, "unauthorized", "The bearer token is missing or unknown.";
+    Malformed, 400, "malformed", "The request cannot be read.";
+    MalformedUtf8, 400, "malformed-utf8", "The body is not valid UTF-8.";
+    TooDeep, 400, "too-deep", "The JSON of the body is nested too deeply.";
+    BodyTooLarge, 413, "body-too-large", "The body is larger than is accepted.";
+    SlowSender, 408, "slow-sender", "The body did not arrive in time.";
+    UnknownModel, 404, "unknown-model", "No such model is configured.";
+    UnknownService, 404, "unknown-service", "No such service is known.";
+    NotFound, 404, "not-found", "No such path.";
+    KeyRequired, 400, "key-required", "This call needs an Idempotency-Key.";
+    KeyMismatch, 422, "key-mismatch", "The key was used for another request.";
+    InProgress, 409, "in-progress", "A call with this key is running.";
+    MayHaveRun, 409, "may-have-run", "An earlier call with this key may have run.";
+    KeyExpired, 410, "key-expired", "The record of this key is past its retention.";
+    NoRecords, 503, "no-records", "The idempotency record cannot be written now.";
+    ConfigurationStale, 503, "configuration-stale", "The configuration in force is unconfirmed.";
+    TooManyWaiting, 429, "too-many-waiting", "The tenant has too many requests waiting.";
+    QueueFull, 503, "queue-full", "The queue of this daemon is full.";
+    NotInTime, 503, "not-in-time", "The request is not expected to be answered by its deadline.";
+    DeadlinePassed, 504, "deadline-passed", "The deadline passed while the request waited.";
+    TargetBusy, 503, "target-busy", "The targets asked refused the request for now.";
+    TargetFailed, 502, "target-failed", "The target failed before it had answered.";
+    TargetSilent, 504, "target-silent", "The target did not answer in time.";
+    PoisonSuspect, 422, "poison-suspect", "Targets failed while running this very request.";
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A final answer of the system itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// Whether the request was run.
+    pub ran: Ran,
+    /// After how long asking again is worthwhile. 0: asking again will not help.
+    pub retry_after_ms: u64,
+}
+
+impl Refusal {
+    /// A refusal before anything was written, which asking again will not change.
+    pub fn not_run(code: Code) -> Self {
+        Self { code, ran: Ran::No, retry_after_ms: 0 }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn codes_are_distinct_and_never_a_success() {
+        for (at, code) in Code::ALL.iter().enumerate() {
+            assert!(code.status() >= 400, "{code}");
+            assert!(Code::ALL[..at].iter().all(|c| c.as_str() != code.as_str()), "{code}");
+        }
+    }
+}
--- /dev/null
+++ b/src/traffic/call.rs
@@ -0,0 +1,201 @@
+//! One request on its way: attempts, retries and hedges, until an answer begins or it is refused.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use http::{HeaderMap, Method, StatusCode, header};
+
+use crate::ids::{ClassName, RequestId, TenantId};
+use crate::routing::engine::{Arrival, Failure, Start};
+use crate::routing::refusal::{Code, Ran, Refusal};
+use crate::routing::retry;
+use crate::target::Target;
+use crate::target::call::{self, Answer, Attempt, Cause, Written};
+use crate::traffic::measure;
+use crate::traffic::seat::Seat;
+use crate::traffic::shared::Shared;
+
+/// The header by which a target names the request that it answers.
+const REQUEST_HEADER: &str = "x-request-id";
+
+/// A request that is ready to be routed.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// How the engine sees it.
+    pub arrival: Arrival,
+    /// The HTTP method at the target.
+    pub method: Method,
+    /// Path and query at the target.
+    pub path: String,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Who asks.
+    pub fn tenant(&self) -> &TenantId {
+        &self.arrival.tenant
+    }
+
+    /// The class that it counts as.
+    pub fn class(&self) -> &ClassName {
+        &self.arrival.class
+    }
+
+    fn attempt(&self, request: &RequestId, number: u32) -> Attempt {
+        Attempt {
+            request: request.clone(),
+            attempt: number,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            priority: self.arrival.rank,
+            is_stream: self.arrival.is_stream,
+        }
+    }
+}
+
+/// An answer whose head has come, and the seat that it still holds.
+pub(super) struct Begun {
+    pub(super) seat: Seat,
+    pub(super) request: RequestId,
+    pub(super) attempt: u32,
+    pub(super) target: Arc<dyn Target>,
+    pub(super) answer: Answer,
+}
+
+type Sent = BoxFuture<'static, (Start, Arc<dyn Target>, call::Result<Answer>)>;
+
+/// Routes a request until the head of an answer has come.
+pub(super) async fn begin(shared: &Arc<Shared>, call: &Call) -> Result<Begun, Refusal> {
+    let request = shared.next_request();
+    let is_model =
+        matches!(call.arrival.destination, crate::routing::engine::Destination::Model(_));
+    let arrival = call.arrival.clone();
+    let (seat, start) = Seat::take(shared, request.clone(), arrival, is_model).await?;
+    measure::waited(call, &start);
+    attempts(shared, call, request, seat, start).await
+}
+
+/// Sends attempts until one has an answer.
+pub(super) async fn attempts(
+    shared: &Arc<Shared>,
+    call: &Call,
+    request: RequestId,
+    mut seat: Seat,
+    first: Start,
+) -> Result<Begun, Refusal> {
+    let deadline = shared.clock.instant(call.arrival.deadline_ms);
+    let mut hedge_at = hedge_at(&first);
+    let mut sent: FuturesUnordered<Sent> = FuturesUnordered::new();
+    let mut open = vec![first.attempt];
+    sent.push(send(&mut seat, call, &request, first));
+    loop {
+        tokio::select! {
+            biased;
+            Some((start, target, result)) = sent.next() => {
+                open.retain(|attempt| *attempt != start.attempt);
+                let answer = match check(&request, result) {
+                    Ok(answer) => answer,
+                    Err(failure) if open.is_empty() => {
+                        let next = seat.failed(start.attempt, failure).await?;
+                        hedge_at = self::hedge_at(&next);
+                        open.push(next.attempt);
+                        sent.push(send(&mut seat, call, &request, next));
+                        continue;
+                    }
+                    Err(failure) => {
+                        seat.failed_beside(start.attempt, failure);
+                        continue;
+                    }
+                };
+                open.iter().for_each(|attempt| seat.abandon(*attempt));
+                let attempt = start.attempt;
+                return Ok(Begun { seat, request, attempt, target, answer });
+            }
+            () = sleep_until(hedge_at) => {
+                hedge_at = None;
+                if let Some(start) = seat.hedge() {
+                    open.push(start.attempt);
+                    sent.push(send(&mut seat, call, &request, start));
+                }
+            }
+            () = tokio::time::sleep_until(deadline) => {
+                return Err(silent(&mut seat, &open).await);
+            }
+        }
+    }
+}
+
+/// Gives up all attempts at the deadline.
+async fn silent(seat: &mut Seat, open: &[u32]) -> Refusal {
+    let failure = Failure::Call { cause: Cause::Silent, written: Written::Maybe };
+    let Some((last, others)) = open.split_last() else {
+        return std::future::pending().await;
+    };
+    others.iter().for_each(|attempt| seat.failed_beside(*attempt, failure));
+    match seat.failed(*last, failure).await {
+        Err(refusal) => refusal,
+        // The engine starts nothing past the deadline.
+        Ok(_) => retry::refusal(Code::TargetSilent, Ran::Maybe, 0),
+    }
+}
+
+fn hedge_at(start: &Start) -> Option<tokio::time::Instant> {
+    let delay_ms = start.hedge_after_ms?;
+    Some(tokio::time::Instant::now() + std::time::Duration::from_millis(delay_ms))
+}
+
+async fn sleep_until(at: Option<tokio::time::Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn send(seat: &mut Seat, call: &Call, request: &RequestId, start: Start) -> Sent {
+    let target = seat.open(&start);
+    let attempt = call.attempt(request, start.attempt);
+    measure::attempt(call);
+    Box::pin(async move {
+        let result = target.call(attempt).await;
+        (start, target, result)
+    })
+}
+
+/// Whether what came is an answer to this request.
+fn check(request: &RequestId, result: call::Result<Answer>) -> Result<Answer, Failure> {
+    let answer = match result {
+        Ok(answer) => answer,
+        Err(report) => {
+            let error = report.current_context();
+            return Err(Failure::Call { cause: error.cause, written: error.written });
+        }
+    };
+    if is_another(request, &answer.headers) {
+        let (cause, written) = (Cause::Malformed, Written::Maybe);
+        return Err(Failure::Call { cause, written });
+    }
+    match answer.status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Err(Failure::Busy),
+        _ => Ok(answer),
+    }
+}
+
+/// Whether an answer names another request than this one.
+pub(super) fn is_another(request: &RequestId, headers: &HeaderMap) -> bool {
+    let named = headers.get(REQUEST_HEADER);
+    named.is_some_and(|named| named.as_bytes() != request.as_str().as_bytes())
+}
+
+/// Whether an answer is a stream of events.
+pub(super) fn is_events(answer: &Answer) -> bool {
+    let content_type = answer.headers.get(header::CONTENT_TYPE);
+    let text = content_type.and_then(|value| value.to_str().ok());
+    text.is_some_and(|text| text.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/src/traffic/edge.rs
@@ -0,0 +1,238 @@
+//! Reading requests at the edge: tokens, bodies and the few fields of JSON that routing needs.
+
+use std::borrow::Cow;
+use std::hash::Hasher;
+use std::time::Duration;
+
+use axum::body::Body;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+
+use crate::ids::{ClassName, IdempotencyKey, ModelRef, TenantId};
+use crate::routing::affinity::Conversation;
+use crate::routing::refusal::{Code, Refusal};
+use crate::traffic::shared::{Limits, Shared};
+
+/// The result of reading a request.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// The header in which a caller states the class.
+pub const CLASS_HEADER: HeaderName = HeaderName::from_static("fescuebay-class");
+/// The header in which a caller states its deadline, in milliseconds from now.
+pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("fescuebay-deadline-ms");
+/// The header of the idempotency key.
+pub const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers that concern one connection, or that are not the target's business.
+const NOT_PASSED_ON: &[HeaderName] = &[
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::AUTHORIZATION,
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+
+fn refuse<T>(code: Code) -> Result<T> {
+    Err(Refusal::not_run(code))
+}
+
+/// The tenant that asks.
+pub fn caller(shared: &Shared, headers: &HeaderMap) -> Result<TenantId> {
+    let token = match headers.get(header::AUTHORIZATION) {
+        Some(value) => {
+            let text = value.to_str().ok().and_then(|text| text.split_once(' '));
+            match text {
+                Some((scheme, token)) if scheme.eq_ignore_ascii_case("bearer") => Some(token),
+                _ => return refuse(Code::Unauthorized),
+            }
+        }
+        None => None,
+    };
+    match shared.policy.caller(token.map(str::trim)) {
+        Some(tenant) => Ok(tenant),
+        None => refuse(Code::Unauthorized),
+    }
+}
+
+/// Reads a header, if it is there.
+fn read<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Result<Option<T>> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    match value.to_str().ok().and_then(|text| text.parse().ok()) {
+        Some(value) => Ok(Some(value)),
+        None => refuse(Code::Malformed),
+    }
+}
+
+/// What a caller states in headers.
+#[derive(Clone, Debug)]
+pub struct Stated {
+    /// The class.
+    pub class: Option<ClassName>,
+    /// The deadline, from now.
+    pub deadline_ms: Option<u64>,
+    /// The idempotency key.
+    pub key: Option<IdempotencyKey>,
+}
+
+/// Reads what a caller states in headers.
+pub fn stated(headers: &HeaderMap) -> Result<Stated> {
+    Ok(Stated {
+        class: read(headers, &CLASS_HEADER)?,
+        deadline_ms: read(headers, &DEADLINE_HEADER)?,
+        key: read(headers, &KEY_HEADER)?,
+    })
+}
+
+/// Headers to pass on, of a request or an answer.
+pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let is_passed = |name: &HeaderName| {
+        !NOT_PASSED_ON.contains(name) && !named.contains(name) && name != "keep-alive"
+    };
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers.iter().filter(|(name, _)| is_passed(name)) {
+        passed.append(name, value.clone());
+    }
+    passed
+}
+
+/// Reads a whole body within the limits.
+pub async fn body(limits: &Limits, body: Body) -> Result<Bytes> {
+    let limited = Limited::new(body, limits.body_bytes).collect();
+    let timeout = Duration::from_millis(limits.body_timeout_ms);
+    match tokio::time::timeout(timeout, limited).await {
+        Err(_) => refuse(Code::SlowSender),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => refuse(Code::BodyTooLarge),
+        Ok(Err(_)) => refuse(Code::Malformed),
+    }
+}
+
+/// What routing needs of the body of an inference request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Inference {
+    /// The model.
+    pub model: ModelRef,
+    /// Whether the answer is to be streamed.
+    pub is_stream: bool,
+    /// The token limit.
+    pub max_tokens: Option<u32>,
+    /// The conversation that it belongs to.
+    pub conversation: Option<Conversation>,
+}
+
+#[derive(serde::Deserialize)]
+struct Fields<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    stream: Option<bool>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(borrow, default)]
+    messages: Vec<Message<'a>>,
+}
+
+#[derive(serde::Deserialize)]
+struct Message<'a> {
+    #[serde(borrow)]
+    role: Cow<'a, str>,
+    #[serde(borrow, default)]
+    content: Option<Content<'a>>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(untagged)]
+enum Content<'a> {
+    #[serde(borrow)]
+    Text(Cow<'a, str>),
+    Other(serde::de::IgnoredAny),
+}
+
+/// Reads an inference request.
+pub fn inference(limits: &Limits, tenant: &TenantId, body: &[u8]) -> Result<Inference> {
+    let Ok(text) = std::str::from_utf8(body) else { return refuse(Code::MalformedUtf8) };
+    if depth(body) > limits.json_depth {
+        return refuse(Code::TooDeep);
+    }
+    let Ok(fields) = serde_json::from_str::<Fields<'_>>(text) else {
+        return refuse(Code::Malformed);
+    };
+    let Ok(model) = fields.model.parse::<ModelRef>() else { return refuse(Code::UnknownModel) };
+    Ok(Inference {
+        conversation: conversation(tenant, &fields),
+        model,
+        is_stream: fields.stream.unwrap_or(false),
+        max_tokens: fields.max_tokens.or(fields.max_completion_tokens),
+    })
+}
+
+/// A hash of all up to the first message of the user, which later turns repeat.
+fn conversation(tenant: &TenantId, fields: &Fields<'_>) -> Option<Conversation> {
+    let first = fields.messages.iter().position(|message| message.role == "user")?;
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    hasher.write(tenant.as_str().as_bytes());
+    hasher.write(fields.model.as_bytes());
+    for message in &fields.messages[..=first] {
+        if let Some(Content::Text(text)) = &message.content {
+            hasher.write(text.as_bytes());
+        }
+        hasher.write_u8(0xff);
+    }
+    Some(Conversation(hasher.finish()))
+}
+
+/// The deepest nesting of arrays and objects.
+fn depth(json: &[u8]) -> u32 {
+    let (mut depth, mut deepest) = (0_u32, 0);
+    let (mut is_text, mut is_escaped) = (false, false);
+    for byte in json {
+        match byte {
+            _ if is_escaped => is_escaped = false,
+            b'\\' if is_text => is_escaped = true,
+            b'"' => is_text = !is_text,
+            b'[' | b'{' if !is_text => {
+                depth += 1;
+                deepest = deepest.max(depth);
+            }
+            b']' | b'}' if !is_text => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    deepest
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn later_turns_belong_to_the_same_conversation() {
+        let tenant = "santuario".parse().unwrap();
+        let read = |body: &str| inference(&Limits::default(), &tenant, body.as_bytes()).unwrap();
+        let first = read(r#"{"model":"m:a","messages":[{"role":"user","content":"hola"}]}"#);
+        let later = read(
+            r#"{"model":"m:a","stream":true,"messages":[{"role":"user","content":"hola"},
+            {"role":"assistant","content":"x"},{"role":"user","content":["y"]}]}"#,
+        );
+        assert_eq!(first.conversation, later.conversation);
+        assert!(later.is_stream && !first.is_stream);
+    }
+
+    #[test]
+    fn depth_ignores_brackets_in_text() {
+        assert_eq!(depth(br#"{"a":"[[[\"[[","b":[1,[2]]}"#), 3);
+    }
+}
--- /dev/null
+++ b/src/traffic/measure.rs
@@ -0,0 +1,61 @@
+//! Counters and histograms of traffic.
+
+use crate::routing::engine::Start;
+use crate::routing::refusal::Refusal;
+use crate::traffic::call::Call;
+
+fn labels(call: &Call) -> [(&'static str, String); 2] {
+    [("tenant", call.tenant().to_string()), ("class", call.class().to_string())]
+}
+
+fn seconds(ms: u64) -> f64 {
+    ms as f64 / 1000.0
+}
+
+/// Records how long a request waited before its first attempt, beside the prediction.
+pub(super) fn waited(call: &Call, start: &Start) {
+    let labels = labels(call);
+    metrics::histogram!("fescuebay_queue_wait_seconds", &labels).record(seconds(start.waited_ms));
+    if let Some(predicted_ms) = start.predicted_ms {
+        let error = seconds(start.waited_ms) - seconds(predicted_ms);
+        metrics::histogram!("fescuebay_queue_wait_error_seconds", &labels).record(error);
+    }
+}
+
+/// Counts an attempt.
+pub(super) fn attempt(call: &Call) {
+    metrics::counter!("fescuebay_attempts_total", &labels(call)).increment(1);
+}
+
+/// Records the time to the first byte or token.
+pub(super) fn first(call: &Call, elapsed_ms: u64) {
+    let labels = labels(call);
+    metrics::histogram!("fescuebay_first_token_seconds", &labels).record(seconds(elapsed_ms));
+}
+
+/// Records the time to the end of an answer.
+pub(super) fn whole(call: &Call, elapsed_ms: u64) {
+    let labels = labels(call);
+    metrics::histogram!("fescuebay_answer_seconds", &labels).record(seconds(elapsed_ms));
+    metrics::counter!("fescuebay_answers_total", &labels).increment(1);
+}
+
+/// Counts a refusal of a request that had a tenant and a class.
+pub(super) fn refused(call: &Call, refusal: &Refusal) {
+    let [tenant, class] = labels(call);
+    let labels = [tenant, class, ("code", refusal.code.to_string())];
+    metrics::counter!("fescuebay_refusals_total", &labels).increment(1);
+}
+
+/// Counts a refusal at the edge.
+pub(super) fn refused_at_edge(refusal: &Refusal) {
+    let labels = [("code", refusal.code.to_string())];
+    metrics::counter!("fescuebay_edge_refusals_total", &labels).increment(1);
+}
+
+/// Counts streams that were resumed, broken off, or left by their callers.
+pub(super) fn stream(call: &Call, event: &'static str) {
+    let [tenant, class] = labels(call);
+    let labels = [tenant, class, ("event", event.to_owned())];
+    metrics::counter!("fescuebay_stream_events_total", &labels).increment(1);
+}
--- /dev/null
+++ b/src/traffic/seat.rs
@@ -0,0 +1,164 @@
+//! A request's hold on the engine, given back however its handling ends.
+
+use std::sync::Arc;
+
+use crate::ids::RequestId;
+use crate::routing::engine::{Arrival, Failure, Start, Ticket};
+use crate::routing::refusal::Refusal;
+use crate::target::Target;
+use crate::target::order::Load;
+use crate::traffic::shared::{Next, Shared, Verdict};
+
+/// An attempt that was sent and has not ended.
+struct Open {
+    attempt: u32,
+    target: Arc<dyn Target>,
+}
+
+/// One request in the engine. Dropping it is the caller's leaving: the engine is told, and targets
+/// that still work on it are told to stop.
+pub(super) struct Seat {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    request: RequestId,
+    is_cancelled_at_target: bool,
+    has_ended: bool,
+    open: Vec<Open>,
+}
+
+impl Seat {
+    /// Brings a request to the engine and waits for its first attempt or its refusal.
+    ///
+    /// Targets are asked to cancel only if `is_cancelled_at_target`: plain services cannot.
+    pub(super) async fn take(
+        shared: &Arc<Shared>,
+        request: RequestId,
+        arrival: Arrival,
+        is_cancelled_at_target: bool,
+    ) -> Result<(Seat, Start), Refusal> {
+        let ready_at = |model: &_| shared.placement.ready_at_ms(model);
+        let (ticket, next) = shared.step_for(|engine, cx| engine.arrive(cx, arrival, ready_at));
+        let mut seat = Seat {
+            shared: shared.clone(),
+            ticket,
+            request,
+            is_cancelled_at_target,
+            has_ended: false,
+            open: Vec::new(),
+        };
+        let start = seat.decided(next).await?;
+        Ok((seat, start))
+    }
+
+    async fn decided(&mut self, next: Next) -> Result<Start, Refusal> {
+        let verdict = match next {
+            Next::Now(verdict) => Some(verdict),
+            Next::Wait(receiver) => receiver.await.ok(),
+        };
+        match verdict {
+            Some(Verdict::Start(start)) => Ok(start),
+            Some(Verdict::Refuse(refusal)) => {
+                self.has_ended = true;
+                Err(refusal)
+            }
+            // The engine drops a mailbox only with the whole daemon.
+            None => std::future::pending().await,
+        }
+    }
+
+    /// The target of an attempt; the attempt counts as open from now on.
+    pub(super) fn open(&mut self, start: &Start) -> Arc<dyn Target> {
+        let target = (self.shared.targets)(start.table.entry(start.place));
+        self.open.push(Open { attempt: start.attempt, target: target.clone() });
+        target
+    }
+
+    /// The first byte or token of an attempt came.
+    pub(super) fn first_byte(&self, attempt: u32, load: Option<Load>) {
+        self.shared.step(|engine, cx| engine.first_byte(cx, self.ticket, attempt, load));
+    }
+
+    /// A part of the answer goes to the caller.
+    pub(super) fn delivering(&self) {
+        self.shared.step(|engine, _| engine.delivering(self.ticket));
+    }
+
+    /// An attempt failed: waits for the next one or for the refusal.
+    pub(super) async fn failed(
+        &mut self,
+        attempt: u32,
+        failure: Failure,
+    ) -> Result<Start, Refusal> {
+        self.close(attempt);
+        let ticket = self.ticket;
+        let (_, next) = self.shared.step_for(|engine, cx| {
+            engine.failed(cx, ticket, attempt, failure);
+            ticket
+        });
+        self.decided(next).await
+    }
+
+    /// An attempt failed while another one of the request runs on.
+    pub(super) fn failed_beside(&mut self, attempt: u32, failure: Failure) {
+        self.close(attempt);
+        self.shared.step(|engine, cx| engine.failed(cx, self.ticket, attempt, failure));
+    }
+
+    /// Asks for a hedge.
+    pub(super) fn hedge(&self) -> Option<Start> {
+        let ticket = self.ticket;
+        let (_, next) = self.shared.step_for(|engine, cx| {
+            engine.hedge(cx, ticket);
+            ticket
+        });
+        match next {
+            Next::Now(Verdict::Start(start)) => Some(start),
+            _ => None,
+        }
+    }
+
+    /// Gives an attempt up in favour of another one.
+    pub(super) fn abandon(&mut self, attempt: u32) {
+        let target = self.close(attempt);
+        self.shared.step(|engine, cx| engine.abandon(cx, self.ticket, attempt));
+        if let Some(target) = target {
+            self.cancel(target);
+        }
+    }
+
+    /// The whole answer of an attempt came.
+    pub(super) fn complete(mut self, attempt: u32) {
+        self.close(attempt);
+        self.has_ended = true;
+        self.shared.step(|engine, cx| engine.complete(cx, self.ticket, attempt));
+    }
+
+    fn close(&mut self, attempt: u32) -> Option<Arc<dyn Target>> {
+        let at = self.open.iter().position(|open| open.attempt == attempt)?;
+        Some(self.open.swap_remove(at).target)
+    }
+
+    fn cancel(&self, target: Arc<dyn Target>) {
+        if !self.is_cancelled_at_target {
+            return;
+        }
+        let request = self.request.clone();
+        // A failed cancel costs the engine a slot until the stream ends there.
+        let active = self.shared.active();
+        tokio::spawn(async move {
+            let _ = target.cancel(&request).await;
+            drop(active);
+        });
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.shared.step(|engine, cx| engine.leave(cx, self.ticket));
+        }
+        for open in std::mem::take(&mut self.open) {
+            self.cancel(open.target);
+        }
+    }
+}
--- /dev/null
+++ b/src/traffic/server.rs
@@ -0,0 +1,115 @@
+//! The caller-facing listener: accepting, and stopping without cutting anything off.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::routing::{any, get, post};
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::traffic::handle;
+use crate::traffic::shared::Shared;
+
+/// Pause after an error of `accept`, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// All routes for callers.
+pub fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(handle::inference))
+        .route("/v1/completions", post(handle::inference))
+        .route("/v1/models", get(handle::models))
+        .route("/services/{service}", any(handle::service))
+        .route("/services/{service}/", any(handle::service))
+        .route("/services/{service}/{*path}", any(handle::service))
+        .route("/healthz", get(handle::healthz))
+        .route("/readyz", get(handle::readyz))
+        .route("/metrics", get(handle::metrics))
+        .fallback(handle::not_found)
+        .with_state(shared.clone())
+        .merge(shared.extra_routes.clone())
+}
+
+/// Serves callers until `shutdown`, then stops gracefully: readiness goes off, connections are
+/// accepted until the balancer has seen it, and every request in flight is finished.
+///
+/// # Errors
+///
+/// Never for a single connection; only if the listener's address cannot be read.
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    shutdown: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    listener.local_addr()?;
+    let driver = tokio::spawn({
+        let shared = shared.clone();
+        async move { shared.drive().await }
+    });
+    let graceful = GracefulShutdown::new();
+    let service = TowerToHyperService::new(router(shared.clone()));
+    let places = Arc::new(Semaphore::new(shared.limits.connections));
+    let accept = accept_all(&listener, &shared, &graceful, &service, &places);
+    let notice = async {
+        shutdown.await;
+        shared.start_draining();
+        tokio::time::sleep(Duration::from_millis(shared.balancer_notice_ms)).await;
+    };
+    tokio::select! {
+        () = accept => {}
+        () = notice => {}
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    shared.until_idle().await;
+    driver.abort();
+    Ok(())
+}
+
+async fn accept_all(
+    listener: &TcpListener,
+    shared: &Shared,
+    graceful: &GracefulShutdown,
+    service: &TowerToHyperService<Router>,
+    places: &Arc<Semaphore>,
+) {
+    loop {
+        // The semaphore is never closed.
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = connection(shared, graceful, service, stream);
+                tokio::spawn(async move {
+                    connection.await;
+                    drop(place);
+                });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Serves one connection. What goes wrong on it is the caller's to see.
+fn connection(
+    shared: &Shared,
+    graceful: &GracefulShutdown,
+    service: &TowerToHyperService<Router>,
+    stream: TcpStream,
+) -> impl Future<Output = ()> + use<> {
+    let _ = stream.set_nodelay(true);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(shared.limits.head_timeout_ms))
+        .max_buf_size(shared.limits.head_bytes)
+        .serve_connection(TokioIo::new(stream), service.clone());
+    let watched = graceful.watch(connection);
+    async move {
+        let _ = watched.await;
+    }
+}
