--- a/src/ids.rs
+++ b/src/ids.rs
@@ -126,6 +126,12 @@
 name_type!(
     /// One caller's request, the same over all its attempts.
     RequestId, "request id");
+name_type!(
+    /// A cluster of daemons that know each other.
+    ClusterId, "cluster id");
+name_type!(
+    /// An operator, found by the operator's bearer token.
+    OperatorName, "operator name");
 name_type!(
     /// One order to a target, the same when the order is sent again.
     OrderId, "order id");
@@ -177,6 +183,9 @@
 number_type!(
     /// A revision of the configuration. Revisions only rise.
     Revision, "revision");
+number_type!(
+    /// An exception to the fleet defaults.
+    ExceptionId, "exception id");
 number_type!(
     /// The place of a change in the feed of route table changes.
     Sequence, "sequence number");
