--- /dev/null
+++ b/src/target/http.rs
@@ -0,0 +1,309 @@
+//! The HTTP adapter to a target.
+//!
+//! Each target has a pool of connections. A pool whose connections may have gone silent is
+//! replaced as a whole: calls that run keep their connections, new calls get new ones.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use error_stack::Report;
+use eventsource_stream::Eventsource;
+use futures::future::BoxFuture;
+use futures::stream::{self, BoxStream, StreamExt};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use crate::ids::{RequestId, TargetId};
+use crate::target::{self, call, order};
+
+/// Names the request towards a target; the target names the stream by it.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Priority at the engine: a lower number goes first.
+pub const PRIORITY: &str = "x-priority";
+/// The data of the event that ends a whole stream.
+pub const END_OF_STREAM: &str = "[DONE]";
+/// Headers by which a target tells its load with an answer: running, waiting, slots.
+pub const LOAD: [&str; 3] = ["x-load-running", "x-load-waiting", "x-load-slots"];
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest answer to an order or a question about the state.
+const MAX_STATE_BYTES: usize = 8 << 20;
+
+type Client = legacy::Client<HttpConnector, Full<Bytes>>;
+
+/// Calls one target over HTTP.
+pub struct Http {
+    target: TargetId,
+    base: String,
+    token: String,
+    own_ip: IpAddr,
+    client: ArcSwap<Client>,
+}
+
+impl Http {
+    /// An adapter to the target at `address`, with connections from `own_ip`.
+    ///
+    /// `token` authenticates orders where the target checks them.
+    pub fn new(
+        target: TargetId,
+        address: std::net::SocketAddr,
+        own_ip: IpAddr,
+        token: String,
+    ) -> Self {
+        let client = ArcSwap::from_pointee(new_client(own_ip));
+        Self { target, base: format!("http://{address}"), token, own_ip, client }
+    }
+
+    /// Leaves all pooled connections to their calls and starts a new pool.
+    fn replace_pool(&self) {
+        self.client.store(Arc::new(new_client(self.own_ip)));
+    }
+
+    fn order_error(&self, step: &'static str) -> order::Error {
+        order::Error { target: self.target.clone(), step }
+    }
+
+    fn call_error(&self, cause: call::Cause, written: call::Written) -> call::Error {
+        call::Error { target: self.target.clone(), cause, written }
+    }
+
+    /// Sends a small request of the order interface and reads its JSON answer.
+    async fn ask<T: serde::de::DeserializeOwned>(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> order::Result<T> {
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+            .header(http::header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| Report::new(e).change_context(self.order_error("build request")))?;
+        let client = self.client.load_full();
+        let response = client
+            .request(request)
+            .await
+            .map_err(|e| Report::new(e).change_context(self.order_error("send")))?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(Report::new(self.order_error("status")).attach(status));
+        }
+        let body = http_body_util::Limited::new(response.into_body(), MAX_STATE_BYTES);
+        let bytes = body
+            .collect()
+            .await
+            .map_err(|e| Report::new(self.order_error("read answer")).attach(e.to_string()))?
+            .to_bytes();
+        serde_json::from_slice(&bytes)
+            .map_err(|e| Report::new(e).change_context(self.order_error("decode answer")))
+    }
+
+    async fn send(
+        &self,
+        request: http::Request<Full<Bytes>>,
+    ) -> call::Result<http::Response<hyper::body::Incoming>> {
+        let client = self.client.load_full();
+        client.request(request).await.map_err(|error| {
+            let (cause, written) = match error.is_connect() {
+                true => (call::Cause::Connect, call::Written::No),
+                false => (call::Cause::Broken, call::Written::Maybe),
+            };
+            Report::new(error).change_context(self.call_error(cause, written))
+        })
+    }
+
+    fn answer(
+        &self,
+        response: http::Response<hyper::body::Incoming>,
+        is_head_request: bool,
+        first_offset: u64,
+    ) -> call::Answer {
+        let (mut head, body) = response.into_parts();
+        let load = read_load(&head.headers);
+        let is_delimited = is_head_request || is_delimited(&head);
+        let is_events = is_event_stream(&head.headers);
+        remove_hop_headers(&mut head.headers);
+        let target = self.target.clone();
+        let body = match is_events {
+            true => events(target, body, first_offset),
+            false => plain(target, body, is_delimited),
+        };
+        call::Answer { status: head.status, headers: head.headers, load, body }
+    }
+}
+
+impl target::Target for Http {
+    fn order(&self, order: order::Order) -> BoxFuture<'_, order::Result<order::Reply>> {
+        Box::pin(async move {
+            let body = serde_json::to_vec(&order)
+                .map_err(|e| Report::new(e).change_context(self.order_error("encode order")))?;
+            self.ask(http::Method::POST, "/orders", body).await
+        })
+    }
+
+    fn state(&self, fencing: order::Fencing) -> BoxFuture<'_, order::Result<order::State>> {
+        let path = format!("/state?term={}&sequence={}", fencing.term, fencing.sequence);
+        Box::pin(async move { self.ask(http::Method::GET, &path, Vec::new()).await })
+    }
+
+    fn call(&self, attempt: call::Attempt) -> BoxFuture<'_, call::Result<call::Answer>> {
+        Box::pin(async move {
+            let is_head_request = attempt.method == http::Method::HEAD;
+            let not_sent = self.call_error(call::Cause::Malformed, call::Written::No);
+            let mut request = http::Request::builder()
+                .method(attempt.method)
+                .uri(format!("{}{}", self.base, attempt.path))
+                .body(Full::new(attempt.body))
+                .map_err(|error| Report::new(error).change_context(not_sent.clone()))?;
+            *request.headers_mut() = attempt.headers;
+            let id = http::HeaderValue::from_str(attempt.request.as_str())
+                .map_err(|error| Report::new(error).change_context(not_sent))?;
+            request.headers_mut().insert(REQUEST_ID, id);
+            request.headers_mut().insert(PRIORITY, u16::from(attempt.priority).into());
+            let response = self.send(request).await?;
+            Ok(self.answer(response, is_head_request, 0))
+        })
+    }
+
+    fn resume(&self, attempt: call::Resume) -> BoxFuture<'_, call::Result<call::Answer>> {
+        self.replace_pool();
+        Box::pin(async move {
+            let (id, offset) = (attempt.request, attempt.offset);
+            let error = self.call_error(call::Cause::Malformed, call::Written::No);
+            let request = http::Request::get(format!("{}/streams/{id}?offset={offset}", self.base))
+                .body(Full::default())
+                .map_err(|e| Report::new(e).change_context(error))?;
+            let response = self.send(request).await?;
+            if response.status() == http::StatusCode::NOT_FOUND {
+                let written = call::Written::Maybe;
+                return Err(Report::new(self.call_error(call::Cause::UnknownStream, written)));
+            }
+            Ok(self.answer(response, false, offset))
+        })
+    }
+
+    fn cancel(&self, request: &RequestId) -> BoxFuture<'_, call::Result<()>> {
+        let uri = format!("{}/streams/{request}", self.base);
+        Box::pin(async move {
+            let error = self.call_error(call::Cause::Malformed, call::Written::No);
+            let request = http::Request::delete(uri)
+                .body(Full::default())
+                .map_err(|e| Report::new(e).change_context(error))?;
+            self.send(request).await.map(drop)
+        })
+    }
+}
+
+fn new_client(own_ip: IpAddr) -> Client {
+    let mut connector = HttpConnector::new();
+    connector.set_local_address(Some(own_ip));
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    legacy::Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .build(connector)
+}
+
+/// Whether the end of the body can be told from a broken connection.
+fn is_delimited(head: &http::response::Parts) -> bool {
+    let has_no_body = head.status == http::StatusCode::NO_CONTENT
+        || head.status == http::StatusCode::NOT_MODIFIED;
+    has_no_body
+        || head.headers.contains_key(http::header::CONTENT_LENGTH)
+        || head.headers.contains_key(http::header::TRANSFER_ENCODING)
+}
+
+fn is_event_stream(headers: &http::HeaderMap) -> bool {
+    let kind = headers.get(http::header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+fn remove_hop_headers(headers: &mut http::HeaderMap) {
+    let hop = ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"];
+    for name in hop.iter().chain(&LOAD) {
+        headers.remove(*name);
+    }
+}
+
+fn read_load(headers: &http::HeaderMap) -> Option<order::Load> {
+    let number = |name: &str| headers.get(name)?.to_str().ok()?.parse().ok();
+    let [running, waiting, slots] = LOAD;
+    Some(order::Load {
+        running: number(running)?,
+        waiting: number(waiting)?,
+        slots: number(slots)?,
+    })
+}
+
+/// The events of a stream, each with its offset, up to the end marker.
+fn events(
+    target: TargetId,
+    body: hyper::body::Incoming,
+    first_offset: u64,
+) -> BoxStream<'static, call::Result<call::Part>> {
+    let mut next_offset = first_offset;
+    let mut is_ended = false;
+    let source = body.into_data_stream().eventsource();
+    let end = stream::once(async { None });
+    let parts = source.map(Some).chain(end).filter_map(move |event| {
+        let part = match event {
+            _ if is_ended => None,
+            Some(Ok(event)) if event.data == END_OF_STREAM => {
+                is_ended = true;
+                Some(Ok(call::Part::End))
+            }
+            Some(Ok(event)) => {
+                let offset = event.id.parse().unwrap_or(next_offset);
+                next_offset = offset + 1;
+                Some(Ok(call::Part::Event { offset, data: event.data.into() }))
+            }
+            Some(Err(_)) => {
+                is_ended = true;
+                Some(Err(failed(&target, call::Cause::Broken)))
+            }
+            None => Some(Err(failed(&target, call::Cause::Truncated))),
+        };
+        std::future::ready(part)
+    });
+    parts.boxed()
+}
+
+/// The bytes of a plain body, and its end where the body tells it.
+fn plain(
+    target: TargetId,
+    body: hyper::body::Incoming,
+    is_delimited: bool,
+) -> BoxStream<'static, call::Result<call::Part>> {
+    let cut = target.clone();
+    let end = stream::once(async move {
+        match is_delimited {
+            true => Ok(call::Part::End),
+            false => Err(failed(&cut, call::Cause::Truncated)),
+        }
+    });
+    let bytes = body.into_data_stream().map(move |data| match data {
+        Ok(data) => Ok(call::Part::Bytes(data)),
+        Err(_) => Err(failed(&target, call::Cause::Broken)),
+    });
+    // Nothing follows an error, so that an end is only told after a whole body.
+    let mut has_failed = false;
+    let parts = bytes.chain(end).take_while(move |part| {
+        let is_wanted = !has_failed;
+        has_failed |= part.is_err();
+        std::future::ready(is_wanted)
+    });
+    parts.boxed()
+}
+
+fn failed(target: &TargetId, cause: call::Cause) -> Report<call::Error> {
+    Report::new(call::Error { target: target.clone(), cause, written: call::Written::Maybe })
+}
