Daemon: control thread, bridge, leader, news for followers, targets' announcements

Cause: the parts stood side by side and no request could pass through them. Change: one control thread joins log, membership and placement; daemons ask their leader for news and answer each other by typed messages; traffic reaches placement, records and the poison list over a bridge; routers report what is in flight beside what waits, so that a replica in use is not taken for idle.

--- a/src/admin/view.rs
+++ b/src/admin/view.rs
@@ -204,16 +204,16 @@
 pub struct Record {
     /// The tenant that used the key.
     pub tenant: TenantId,
-    /// The key.
-    pub key: IdempotencyKey,
-    /// `recorded`, `dispatched`, `answered` or `unknown`.
+    /// The key, kept only while the call is under way or may have run.
+    pub key: Option<IdempotencyKey>,
+    /// `pending`, `answered`, `unknown`, `released` or `settled`.
     pub state: String,
-    /// The service or model that was called.
-    pub called: String,
-    /// The target that it was sent to.
-    pub target: Option<TargetId>,
+    /// The daemon that had the call, kept as long as the key.
+    pub daemon: Option<DaemonId>,
     /// Unix time of the first request.
     pub created_ms: u64,
+    /// Unix time until which it is kept.
+    pub expires_ms: u64,
 }
 
 /// How an operator settles a call that may have run.
--- a/src/consensus/core/changes.rs
+++ b/src/consensus/core/changes.rs
@@ -2,6 +2,7 @@
 
 use super::{Core, Proposed, Refusal, Role};
 use crate::consensus::entry::{Membership, Payload, VoterId};
+use crate::ids::LogIndex;
 
 /// A change of membership.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +16,15 @@
 }
 
 impl Core {
+    /// The last entry that a member durably holds, as far as this leader knows.
+    pub fn matched(&self, id: &VoterId) -> Option<LogIndex> {
+        let Role::Leader(leader) = &self.role else { return None };
+        if *id == self.config.id {
+            return Some(self.durable);
+        }
+        leader.peer(id).map(|peer| peer.matched)
+    }
+
     /// Starts a change of membership, which is in force at each voter from the moment that it
     /// holds the entry.
     ///
--- a/src/consensus/node/handle.rs
+++ b/src/consensus/node/handle.rs
@@ -11,7 +11,7 @@
 use crate::consensus::core::{Change, Core, Proposed, Refusal};
 use crate::consensus::entry::VoterId;
 use crate::consensus::message::Message;
-use crate::ids::DaemonId;
+use crate::ids::{DaemonId, LogIndex};
 
 /// How often a learner is looked at while it catches up, in milliseconds.
 const CATCH_UP_POLL_MS: u64 = 50;
@@ -147,6 +147,12 @@
         Ok(shared.core_mut()?.is_caught_up(id).map_err(Error::from)?)
     }
 
+    /// The last entry that a member durably holds, as far as this leader knows. `None` if this
+    /// voter does not lead, or does not know the member.
+    pub fn matched(&self, id: &VoterId) -> Option<LogIndex> {
+        self.shared.borrow_mut().core_mut().ok()?.matched(id)
+    }
+
     /// Starts to hand leadership to another voter; [`Handle::subscribe`] tells when it is done.
     ///
     /// # Errors
--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -1,5 +1,6 @@
 //! Commands: all that changes the control state.
 
+use crate::config;
 use crate::control::{jobs, outcomes, owner, poison, records};
 
 /// An entry of the log. New variants of its enums go at the end: entries outlive a release.
@@ -35,6 +36,8 @@
     Poison(poison::Command),
     /// The ledger of outcomes.
     Outcomes(Box<outcomes::Command>),
+    /// The configuration.
+    Config(Box<config::Command>),
 }
 
 /// What a command led to.
@@ -52,6 +55,8 @@
     Poison(poison::Outcome),
     /// The ledger of outcomes.
     Outcomes(outcomes::Outcome),
+    /// The configuration.
+    Config(Box<config::Outcome>),
 }
 
 impl Outcome {
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -1,5 +1,8 @@
 //! The state machine that the voters of a control group replicate.
 
+use std::sync::Arc;
+
+use crate::config;
 use crate::consensus;
 use crate::control::commands::{Command, Entry, Limits, Outcome};
 use crate::control::{jobs, outcomes, owner, poison, queries, records};
@@ -30,6 +33,8 @@
     pub poison: poison::State,
     /// The ledger of outcomes.
     pub outcomes: outcomes::State,
+    /// The configuration, shared with pictures of the state.
+    pub config: Arc<config::State>,
 }
 
 impl State {
@@ -57,6 +62,10 @@
             Command::Outcomes(command) => {
                 Outcome::Outcomes(self.outcomes.apply(&context, *command))
             }
+            Command::Config(command) => {
+                let config = Arc::make_mut(&mut self.config);
+                Outcome::Config(Box::new(config.apply(*command, context.now_ms)))
+            }
         };
         self.count();
         outcome
--- a/src/control/poison/feed.rs
+++ b/src/control/poison/feed.rs
@@ -132,6 +132,15 @@
         Self { revision: feed.revision, standings }
     }
 
+    /// Digests that are refused at `now_ms`.
+    pub fn closed(&self, now_ms: u64) -> usize {
+        let is_closed = |standing: &Standing| match standing {
+            Standing::Closed { until_ms } => *until_ms > now_ms,
+            Standing::Clear | Standing::Suspect => false,
+        };
+        self.standings.iter().filter(|(_, standing)| is_closed(standing)).count()
+    }
+
     /// How a digest is treated at `now_ms`.
     pub fn standing(&self, digest: &Digest, now_ms: u64) -> Standing {
         match self.standings.binary_search_by(|(other, _)| other.cmp(digest)) {
--- a/src/control/queries.rs
+++ b/src/control/queries.rs
@@ -1,6 +1,8 @@
 //! Queries: answered from the state without changing it.
 
+use crate::config;
 use crate::control::{jobs, machine, outcomes, poison, records};
+use crate::ids::Revision;
 
 /// A question about the control state.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -13,6 +15,13 @@
     Poison(poison::Query),
     /// The ledger of outcomes.
     Outcomes(outcomes::Query),
+    /// Accepted changes of the configuration after a revision, oldest first.
+    Changes {
+        /// The revision.
+        after: Revision,
+        /// The most changes of the answer.
+        limit: usize,
+    },
 }
 
 /// The answer to a query.
@@ -26,6 +35,8 @@
     Poison(poison::Answer),
     /// Hours of the ledger, in order.
     Outcomes(Vec<outcomes::Hour>),
+    /// Accepted changes of the configuration.
+    Changes(Vec<config::Accepted>),
 }
 
 /// Answers a query from the state.
@@ -36,6 +47,12 @@
         }
         Query::Jobs(query) => Answer::Jobs(jobs::answer(&state.jobs, query)),
         Query::Poison(query) => Answer::Poison(poison::answer(&state.poison, *query)),
+        Query::Changes { after, limit } => Answer::Changes(changes(&state.config, *after, *limit)),
         Query::Outcomes(query) => Answer::Outcomes(outcomes::answer(&state.outcomes, *query)),
     }
 }
+
+fn changes(state: &config::State, after: Revision, limit: usize) -> Vec<config::Accepted> {
+    let trail = state.trail().filter(|accepted| accepted.revision > after);
+    trail.take(limit).cloned().collect()
+}
--- /dev/null
+++ b/src/daemon/core.rs
@@ -0,0 +1,454 @@
+//! The control state of one daemon, on its control thread.
+//!
+//! Every daemon watches targets, follows the leader's news and passes on what is meant for the
+//! leader. A voter also runs a replica of the log; while it leads, it has a [`leader::Leader`].
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::LocalBoxFuture;
+use tokio::sync::Notify;
+
+use crate::consensus::node;
+use crate::control;
+use crate::control::{commands, machine, owner, port, queries};
+use crate::daemon::leader;
+use crate::daemon::message::{self, Reply, Request};
+use crate::daemon::peers::{Failure, Peers};
+use crate::daemon::published::Published;
+use crate::ids::{DaemonId, Incarnation, ModelRef, TargetId, Term, Zone};
+use crate::membership::targets::{Registry, Report, Taken};
+use crate::membership::{feed, home, targets};
+use crate::placement::demand;
+use crate::target::order;
+use crate::traffic::clock::Clock;
+
+/// Time for one question to another daemon.
+pub const ASK_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time within which the leader is looked for before a request is given up.
+const FIND_LEADER_MS: u64 = 4_000;
+/// Pause between two rounds of looking for the leader.
+const FIND_LEADER_PAUSE: Duration = Duration::from_millis(100);
+/// Models whose demand may wait to be sent.
+const MAX_DEMAND: usize = 65_536;
+
+/// A replica of the log and the state that it drives.
+pub struct Group {
+    /// The voter.
+    pub node: node::Handle,
+    /// The replicated state.
+    pub machine: Rc<RefCell<control::Machine>>,
+}
+
+/// Who a daemon is, and what it works with.
+pub struct Parts {
+    /// This life of this daemon.
+    pub owner: owner::Owner,
+    /// Where it runs.
+    pub availability_zone: Zone,
+    /// The time of all its threads.
+    pub clock: Clock,
+    /// What the traffic threads read.
+    pub published: Arc<Published>,
+    /// The other daemons.
+    pub peers: Rc<dyn Peers>,
+    /// Daemons that are asked who leads.
+    pub voters: Vec<DaemonId>,
+    /// When a silent target is doubted and given up.
+    pub silence: targets::Settings,
+    /// What a leader's placement works with.
+    pub placement: leader::Parts,
+    /// Called when the route table was replaced.
+    pub table_changed: Box<dyn Fn()>,
+}
+
+/// The control state of one daemon.
+pub struct Core {
+    pub(super) parts: Parts,
+    pub(super) group: RefCell<Option<Group>>,
+    /// What a voter tells of itself before it knows a group.
+    pub(super) unformed: RefCell<Option<message::Status>>,
+    pub(super) leader: RefCell<Option<Rc<leader::Leader>>>,
+    pub(super) feed: RefCell<feed::Feed>,
+    pub(super) places: RefCell<message::Places>,
+    pub(super) known_leader: RefCell<Option<DaemonId>>,
+    pub(super) is_leaving: Cell<bool>,
+    registry: RefCell<Registry>,
+    pub(super) reports: RefCell<Vec<Report>>,
+    pub(super) report_wake: Notify,
+    pub(super) demand: RefCell<Vec<demand::Entry>>,
+    pub(super) demand_wake: Notify,
+    relayed: RefCell<Vec<Relayed>>,
+}
+
+/// The last whole announcement that this daemon passed on to a home daemon.
+struct Relayed {
+    home: DaemonId,
+    state: order::State,
+}
+
+impl Core {
+    /// The control state of a daemon that has just started.
+    pub fn new(parts: Parts) -> Rc<Self> {
+        let registry = Registry::new(parts.silence);
+        Rc::new(Self {
+            parts,
+            group: RefCell::default(),
+            unformed: RefCell::default(),
+            leader: RefCell::default(),
+            feed: RefCell::default(),
+            places: RefCell::default(),
+            known_leader: RefCell::default(),
+            is_leaving: Cell::new(false),
+            registry: RefCell::new(registry),
+            reports: RefCell::default(),
+            report_wake: Notify::new(),
+            demand: RefCell::default(),
+            demand_wake: Notify::new(),
+            relayed: RefCell::default(),
+        })
+    }
+
+    /// This daemon.
+    pub fn id(&self) -> &DaemonId {
+        &self.parts.owner.daemon
+    }
+
+    /// The time, as Unix time.
+    pub fn now_ms(&self) -> u64 {
+        self.parts.clock.now_ms()
+    }
+
+    /// Answers a request of `from`, which may be this daemon itself.
+    pub async fn serve(self: &Rc<Self>, from: &DaemonId, request: Request) -> Reply {
+        match request {
+            Request::Announced(state) => {
+                Reply::Taken(self.watched(targets::Event::Announced(*state)))
+            }
+            Request::Alive(target, life, sequence) => {
+                Reply::Taken(self.watched(targets::Event::Alive(target, life, sequence)))
+            }
+            Request::Left(target, life) => {
+                Reply::Taken(self.watched(targets::Event::Left(target, life)))
+            }
+            Request::Propose(command) => self.propose_here(*command).await,
+            Request::Query(query) => self.query_here(query).await,
+            Request::Status => self.status(),
+            Request::Watch(watch) => match self.leading() {
+                Some(leader) => leader.watch(self, *watch).await,
+                None => self.not_leader(),
+            },
+            Request::Reports(reports) => match self.leading() {
+                Some(leader) => leader.reports(from, reports),
+                None => self.not_leader(),
+            },
+            Request::Demand(entries) => match self.leading() {
+                Some(leader) => leader.demand(self.now_ms(), from, entries),
+                None => self.not_leader(),
+            },
+            Request::Show(show) => match self.leading() {
+                Some(leader) => leader.show(self, show),
+                None => self.not_leader(),
+            },
+            Request::ReplaceVoter(old, new) => self.replace_voter(&old, &new).await,
+        }
+    }
+
+    fn leading(&self) -> Option<Rc<leader::Leader>> {
+        self.leader.borrow().clone()
+    }
+
+    pub(super) fn not_leader(&self) -> Reply {
+        Reply::NotLeader(self.node().and_then(|node| node.status().core.leader).map(|l| l.daemon))
+    }
+
+    pub(super) fn node(&self) -> Option<node::Handle> {
+        self.group.borrow().as_ref().map(|group| group.node.clone())
+    }
+
+    pub(super) fn machine(&self) -> Option<Rc<RefCell<control::Machine>>> {
+        self.group.borrow().as_ref().map(|group| Rc::clone(&group.machine))
+    }
+
+    /// Reads the replicated state of a voter.
+    pub(super) fn with_state<T>(&self, read: impl FnOnce(&machine::State) -> T) -> Option<T> {
+        let machine = self.machine()?;
+        let machine = machine.borrow();
+        Some(read(machine.state()))
+    }
+
+    async fn propose_here(&self, command: commands::Command) -> Reply {
+        let Some(node) = self.node() else { return self.not_leader() };
+        let entry = commands::Entry { now_ms: self.now_ms(), command };
+        match node.propose(entry.encode()).await {
+            Ok(bytes) => match commands::Outcome::decode(&bytes) {
+                Ok(outcome) => {
+                    if let Some(leader) = self.leading() {
+                        leader.committed(self, &outcome);
+                    }
+                    Reply::Outcome(Box::new(outcome))
+                }
+                Err(_) => Reply::Failed(port::Fate::Unknown, "decode the outcome".to_owned()),
+            },
+            Err(report) => self.node_failure(report.current_context()),
+        }
+    }
+
+    fn node_failure(&self, error: &node::Error) -> Reply {
+        match error {
+            node::Error::NotLeader(leader) => Reply::NotLeader(leader.clone()),
+            node::Error::Unknown => Reply::Failed(port::Fate::Unknown, error.to_string()),
+            node::Error::Unavailable(_) | node::Error::Start(_) => {
+                Reply::Failed(port::Fate::NotProposed, error.to_string())
+            }
+        }
+    }
+
+    async fn query_here(&self, query: queries::Query) -> Reply {
+        let Some(node) = self.node() else { return self.not_leader() };
+        if let Err(report) = node.read_barrier().await {
+            return self.node_failure(report.current_context());
+        }
+        match self.with_state(|state| queries::answer(state, &query)) {
+            Some(answer) => Reply::Answer(Box::new(answer)),
+            None => self.not_leader(),
+        }
+    }
+
+    fn status(&self) -> Reply {
+        let Some(node) = self.node() else {
+            let unformed = self.unformed.borrow().clone();
+            return unformed
+                .map_or(Reply::NotLeader(None), |status| Reply::Status(Box::new(status)));
+        };
+        let status = node.status();
+        Reply::Status(Box::new(message::Status {
+            voter: status.id,
+            group: status.core.membership.voters.clone(),
+            leader: status.core.leader.map(|leader| leader.daemon),
+            term: status.core.term,
+            commit: status.core.commit,
+            last: status.core.last,
+        }))
+    }
+
+    /// Sends a request to one daemon, or answers it here if that is this one.
+    pub async fn ask(
+        self: &Rc<Self>,
+        to: &DaemonId,
+        request: Request,
+        limit: Duration,
+    ) -> Result<Reply, Failure> {
+        if to == self.id() {
+            // Boxed, because a request that is served here may ask the leader in turn.
+            let served: LocalBoxFuture<'_, Reply> = Box::pin(self.serve(to, request));
+            return Ok(served.await);
+        }
+        let bytes = self.parts.peers.ask(to, message::encode(&request), limit).await?;
+        message::decode(&bytes).map_err(|_| Failure::Unknown)
+    }
+
+    /// Sends a request to the leader, wherever it is.
+    ///
+    /// A request that may have reached a leader is sent again: what changes state tells a repeat
+    /// from a new one by its own ids.
+    pub async fn ask_leader(
+        self: &Rc<Self>,
+        request: Request,
+        limit: Duration,
+    ) -> Result<Reply, Failure> {
+        let give_up_ms = self.now_ms() + FIND_LEADER_MS;
+        let mut failure = Failure::NotSent;
+        let mut turn = 0;
+        loop {
+            let candidate = self.leader_candidate(turn);
+            let Some(to) = candidate else { return Err(failure) };
+            match self.ask(&to, request.clone(), limit).await {
+                Ok(Reply::NotLeader(hint)) => {
+                    let is_news = hint.is_some() && hint.as_ref() != Some(&to);
+                    self.known_leader.replace(hint.filter(|_| is_news));
+                    if is_news {
+                        continue;
+                    }
+                }
+                Ok(Reply::Failed(port::Fate::Unknown, _)) => failure = Failure::Unknown,
+                Ok(Reply::Failed(port::Fate::NotProposed, _)) => {}
+                Ok(reply) => {
+                    self.known_leader.replace(Some(to));
+                    return Ok(reply);
+                }
+                Err(failed) => {
+                    if failed == Failure::Unknown {
+                        failure = failed;
+                    }
+                    self.known_leader.replace(None);
+                }
+            }
+            turn += 1;
+            if self.now_ms() >= give_up_ms {
+                return Err(failure);
+            }
+            if turn % self.parts.voters.len().max(1) == 0 {
+                tokio::time::sleep(FIND_LEADER_PAUSE).await;
+            }
+        }
+    }
+
+    fn leader_candidate(&self, turn: usize) -> Option<DaemonId> {
+        if self.leader.borrow().is_some() {
+            return Some(self.id().clone());
+        }
+        let known = self.known_leader.borrow().clone();
+        let own = self.node().and_then(|node| node.status().core.leader).map(|l| l.daemon);
+        let voters = &self.parts.voters;
+        let next = || voters.get(turn % voters.len().max(1)).cloned();
+        known.or(own.filter(|_| turn == 0)).or_else(next)
+    }
+
+    /// Replicates a command through the leader.
+    pub async fn propose(
+        self: &Rc<Self>,
+        command: commands::Command,
+    ) -> Result<commands::Outcome, port::Fate> {
+        let request = Request::Propose(Box::new(command));
+        match self.ask_leader(request, ASK_LIMIT).await {
+            Ok(Reply::Outcome(outcome)) => Ok(*outcome),
+            Ok(Reply::Failed(fate, _)) => Err(fate),
+            Ok(_) | Err(Failure::Unknown) => Err(port::Fate::Unknown),
+            Err(Failure::NotSent) => Err(port::Fate::NotProposed),
+        }
+    }
+
+    /// Reads the replicated state at the leader.
+    pub async fn query(
+        self: &Rc<Self>,
+        query: queries::Query,
+    ) -> Result<queries::Answer, port::Fate> {
+        match self.ask_leader(Request::Query(query), ASK_LIMIT).await {
+            Ok(Reply::Answer(answer)) => Ok(*answer),
+            _ => Err(port::Fate::NotProposed),
+        }
+    }
+
+    /// Takes an announcement of a target that came to this daemon, and brings it to its home.
+    /// `None` if no daemon could take it.
+    pub async fn announced(self: Rc<Self>, state: order::State) -> Option<Taken> {
+        let home = self.home_of(&state);
+        if home == *self.id() {
+            return Some(self.watched(targets::Event::Announced(state)));
+        }
+        if let Some(request) = self.short_announcement(&home, &state) {
+            match self.ask(&home, request, ASK_LIMIT).await {
+                Ok(Reply::Taken(Taken::Unknown)) | Err(_) => {}
+                Ok(Reply::Taken(taken)) => return Some(taken),
+                Ok(_) => return None,
+            }
+        }
+        let request = Request::Announced(Box::new(state.clone()));
+        match self.ask(&home, request, ASK_LIMIT).await {
+            Ok(Reply::Taken(taken)) => {
+                self.note_relayed(home, state);
+                Some(taken)
+            }
+            Ok(_) => None,
+            // Its home does not answer: until the list of daemons changes, this one watches it.
+            Err(_) => Some(self.watched(targets::Event::Announced(state))),
+        }
+    }
+
+    /// A target said that it is gone.
+    pub async fn left(self: Rc<Self>, target: TargetId, life: Incarnation) -> Option<Taken> {
+        let event = targets::Event::Left(target.clone(), life);
+        let zone = self.feed.borrow().table().find(&target).map(|e| e.availability_zone.clone());
+        let home = zone.and_then(|zone| self.home_in(&zone, &target));
+        match home {
+            Some(home) if home != *self.id() => {
+                match self.ask(&home, Request::Left(target, life), ASK_LIMIT).await {
+                    Ok(Reply::Taken(taken)) => Some(taken),
+                    _ => None,
+                }
+            }
+            _ => Some(self.watched(event)),
+        }
+    }
+
+    fn home_of(&self, state: &order::State) -> DaemonId {
+        let home = self.home_in(&state.availability_zone, &state.target);
+        home.unwrap_or_else(|| self.id().clone())
+    }
+
+    /// The home of a target: a daemon in its zone, or any where there is none.
+    fn home_in(&self, zone: &Zone, target: &TargetId) -> Option<DaemonId> {
+        let places = self.places.borrow();
+        let in_zone = places.list.iter().filter(|place| place.availability_zone == *zone);
+        let near = home::home_of(target, in_zone.map(|place| &place.daemon));
+        near.or_else(|| home::home_of(target, places.list.iter().map(|p| &p.daemon))).cloned()
+    }
+
+    fn short_announcement(&self, home: &DaemonId, state: &order::State) -> Option<Request> {
+        let relayed = self.relayed.borrow();
+        let place = relayed.binary_search_by(|known| known.state.target.cmp(&state.target));
+        let known = &relayed[place.ok()?];
+        let is_same = known.home == *home && targets::is_same_state(&known.state, state);
+        is_same.then(|| Request::Alive(state.target.clone(), state.incarnation, state.sequence))
+    }
+
+    fn note_relayed(&self, home: DaemonId, state: order::State) {
+        let mut relayed = self.relayed.borrow_mut();
+        let place = relayed.binary_search_by(|known| known.state.target.cmp(&state.target));
+        match place {
+            Ok(at) => relayed[at] = Relayed { home, state },
+            Err(at) => relayed.insert(at, Relayed { home, state }),
+        }
+    }
+
+    /// Tells the registry of watched targets what happened.
+    pub(super) fn watched(&self, event: targets::Event) -> Taken {
+        let (taken, reports) = self.registry.borrow_mut().on(self.now_ms(), event);
+        if !reports.is_empty() {
+            self.reports.borrow_mut().extend(reports);
+            self.report_wake.notify_one();
+        }
+        taken
+    }
+
+    /// A leader of another term needs the state of every watched target.
+    pub(super) fn report_all(&self) {
+        *self.reports.borrow_mut() = self.registry.borrow().all();
+        self.report_wake.notify_one();
+    }
+
+    /// Takes in demand of this daemon's traffic, to be sent soon.
+    pub fn take_demand(&self, entry: demand::Entry) {
+        let mut demand = self.demand.borrow_mut();
+        match demand.binary_search_by(|known| known.model.cmp(&entry.model)) {
+            Ok(at) => {
+                let arrivals = demand[at].arrivals + entry.arrivals;
+                demand[at] = demand::Entry { arrivals, ..entry };
+            }
+            Err(at) if demand.len() < MAX_DEMAND => demand.insert(at, entry),
+            Err(_) => metrics::counter!("fescuebay_demand_dropped_total").increment(1),
+        }
+        self.demand_wake.notify_one();
+    }
+
+    /// Notes when replicas are expected.
+    pub(super) fn expect(&self, expected: Vec<message::Expected>) {
+        let now_ms = self.now_ms();
+        for message::Expected { model, in_ms } in expected {
+            self.parts.published.expect(model, now_ms + in_ms, now_ms);
+        }
+    }
+
+    /// The models that wait to be reported, for tests.
+    pub fn pending_demand(&self) -> Vec<ModelRef> {
+        self.demand.borrow().iter().map(|entry| entry.model.clone()).collect()
+    }
+
+    /// The newest term that this daemon heard of in the feed.
+    pub(super) fn feed_term(&self) -> Term {
+        self.feed.borrow().cursor().term
+    }
+}
--- /dev/null
+++ b/src/daemon/leader/mod.rs
@@ -0,0 +1,400 @@
+//! What the leader of the control group does beside the log: it keeps the directory of targets
+//! and daemons, feeds the route table to all, and decides placement.
+
+mod catalogue;
+mod show;
+
+use std::cell::{Cell, RefCell};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use crate::control::{commands, owner};
+use crate::daemon::core::Core;
+use crate::daemon::follow;
+use crate::daemon::message::{Expected, FleetNews, News, Place, Places, Reply, Version, Watch};
+use crate::daemon::ports::Ports;
+use crate::ids::{DaemonId, ModelRef, Revision, TargetId, Term};
+use crate::membership::daemons::{Change, Daemons};
+use crate::membership::directory::{Directory, Effect};
+use crate::membership::feed::{Batch, Feed};
+use crate::membership::targets::Report;
+use crate::placement::planner::{Action, Event, Planner};
+use crate::placement::{demand, driver, settings};
+use crate::target::Target;
+
+/// Time between two looks at the daemons and targets.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Looks between two ticks of the replicated state.
+const LOOKS_PER_TICK: u64 = 10;
+/// Time for one order or question to a target.
+const ORDER_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// What a leader's placement works with.
+#[derive(Clone)]
+pub struct Parts {
+    /// The address that orders come from.
+    pub own_ip: IpAddr,
+    /// The bearer token of orders.
+    pub order_token: String,
+    /// Which targets check fencing numbers.
+    pub fencing: crate::settings::FencingChecks,
+}
+
+/// The leader of one term.
+pub struct Leader {
+    term: Term,
+    parts: Parts,
+    directory: RefCell<Directory>,
+    feed: RefCell<Feed>,
+    daemons: RefCell<Daemons>,
+    places: RefCell<Places>,
+    planner: Rc<RefCell<Planner>>,
+    events: mpsc::UnboundedSender<Event>,
+    expected: RefCell<Vec<(ModelRef, u64)>>,
+    catalogue: RefCell<catalogue::Sent>,
+    news: watch::Sender<u64>,
+    revision: Cell<Revision>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl Leader {
+    /// Begins to lead in `term`, from the route table that this daemon has.
+    pub fn start(core: &Rc<Core>, term: Term) -> Rc<Self> {
+        let now_ms = core.now_ms();
+        let entries = core.feed.borrow().table().entries().to_vec();
+        let directory = Directory::adopt(now_ms, &entries);
+        let planner = Rc::new(RefCell::new(Planner::new(term, placement_settings(core))));
+        let ports = Rc::new(Ports::new(
+            core.parts.placement.own_ip,
+            core.parts.placement.order_token.clone(),
+        ));
+        let sink: Rc<RefCell<Option<std::rc::Weak<Leader>>>> = Rc::default();
+        let driver_ports = driver::Ports {
+            lookup: lookup(&sink, ports),
+            sink: take_actions(&sink),
+            states: Rc::new(|_| ()),
+            now_ms: {
+                let clock = core.parts.clock;
+                Rc::new(move || clock.now_ms())
+            },
+            limit: ORDER_LIMIT,
+        };
+        let (driver, events) = driver::Driver::new(Rc::clone(&planner), driver_ports);
+        let leader = Rc::new(Self {
+            term,
+            parts: core.parts.placement.clone(),
+            directory: RefCell::new(directory),
+            feed: RefCell::new(Feed::new(term, entries)),
+            daemons: RefCell::default(),
+            places: RefCell::new(Places {
+                version: Version { term, number: 1 },
+                list: core.places.borrow().list.clone(),
+            }),
+            planner,
+            events,
+            expected: RefCell::default(),
+            catalogue: RefCell::default(),
+            news: watch::Sender::new(0),
+            revision: Cell::new(Revision(0)),
+            tasks: RefCell::default(),
+        });
+        sink.replace(Some(Rc::downgrade(&leader)));
+        leader.take_fleet(core);
+        let driving = tokio::task::spawn_local(driver.run());
+        let looking = tokio::task::spawn_local(look(Rc::clone(core), Rc::clone(&leader)));
+        leader.tasks.borrow_mut().extend([driving, looking]);
+        log::info!("leading in term {term}");
+        leader
+    }
+
+    /// Ends its work. Orders that are on their way expire or are fenced off.
+    pub fn stop(&self) {
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        log::info!("no longer leading in term {}", self.term);
+    }
+
+    /// Takes a heartbeat, and answers it with news or after a while.
+    ///
+    /// Only a leader whose lease is valid answers, so that nobody takes old news for new.
+    pub async fn watch(self: &Rc<Self>, core: &Rc<Core>, watch: Watch) -> Reply {
+        let changes = self.daemons.borrow_mut().heard(core.now_ms(), watch.heartbeat.clone());
+        self.daemons_changed(core, changes);
+        let mut news = self.news.subscribe();
+        let held = tokio::time::sleep(follow::HOLD);
+        tokio::pin!(held);
+        loop {
+            news.borrow_and_update();
+            let found = self.news_for(core, &watch);
+            if found.as_ref().is_some_and(is_news) {
+                break;
+            }
+            tokio::select! {
+                () = &mut held => break,
+                _ = news.changed() => {}
+            }
+        }
+        let is_leased = core.node().is_some_and(|node| node.status().lease_left_ms > 0);
+        let still_leads = core.leader.borrow().as_ref().is_some_and(|now| Rc::ptr_eq(now, self));
+        match self.news_for(core, &watch) {
+            Some(news) if is_leased && still_leads => Reply::News(Box::new(news)),
+            _ => Reply::NotLeader(None),
+        }
+    }
+
+    fn news_for(&self, core: &Core, watch: &Watch) -> Option<News> {
+        let revision = watch.heartbeat.revision;
+        let poison_revision = watch.poison;
+        let (fleet, poison) = core.with_state(|state| {
+            let fleet = FleetNews::since(&state.config, revision);
+            let query = crate::control::poison::Query::Since(poison_revision);
+            (fleet, crate::control::poison::answer(&state.poison, query))
+        })?;
+        let poison = match poison {
+            crate::control::poison::Answer::Feed(feed) if feed.revision != poison_revision => {
+                Some(feed)
+            }
+            _ => None,
+        };
+        let places = self.places.borrow();
+        Some(News {
+            term: self.term,
+            batch: self.feed.borrow().since(watch.cursor),
+            fleet,
+            daemons: (places.version != watch.daemons).then(|| places.clone()),
+            poison,
+        })
+    }
+
+    /// Takes the reports of a home daemon.
+    pub fn reports(&self, from: &DaemonId, reports: Vec<Report>) -> Reply {
+        let mut effects = Vec::new();
+        for report in reports {
+            effects.extend(self.directory.borrow_mut().report(from, report));
+        }
+        self.apply(effects);
+        Reply::Done
+    }
+
+    /// Takes the demand of a router, and tells when replicas are expected.
+    pub fn demand(&self, now_ms: u64, from: &DaemonId, entries: Vec<demand::Entry>) -> Reply {
+        let models: Vec<ModelRef> = entries.iter().map(|entry| entry.model.clone()).collect();
+        let report = demand::Report { daemon: from.clone(), entries };
+        let _ = self.events.send(Event::Demand(report));
+        let expected = self.expected.borrow();
+        let known = models.into_iter().filter_map(|model| {
+            let at = expected.binary_search_by(|(known, _)| known.cmp(&model)).ok()?;
+            let in_ms = expected[at].1.checked_sub(now_ms)?;
+            Some(Expected { model, in_ms })
+        });
+        Reply::Expected(known.collect())
+    }
+
+    /// A command was committed: those who wait for news may have some.
+    pub fn committed(&self, core: &Core, outcome: &commands::Outcome) {
+        match outcome {
+            commands::Outcome::Config(_) => self.take_fleet(core),
+            commands::Outcome::Poison(_) => self.tell(),
+            _ => {}
+        }
+    }
+
+    /// Those who wait look again for news.
+    fn tell(&self) {
+        self.news.send_modify(|number| *number += 1);
+    }
+
+    /// Takes a newer configuration to placement and to drains.
+    fn take_fleet(&self, core: &Core) {
+        let found = core.with_state(|state| state.config.fleet().clone());
+        let Some(fleet) = found else { return };
+        self.revision.set(fleet.revision());
+        let events = self.catalogue.borrow_mut().update(&fleet, core.now_ms());
+        events.into_iter().for_each(|event| drop(self.events.send(event)));
+        let effects = self.directory.borrow_mut().drain(|entry| {
+            catalogue::is_drained(&fleet, &entry.target, &entry.availability_zone, core.now_ms())
+        });
+        self.apply(effects);
+        self.tell();
+    }
+
+    fn apply(&self, effects: Vec<Effect>) {
+        let mut changes = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Table(change) => changes.push(change),
+                Effect::State(mut state) => {
+                    let announced = state.checks_fencing;
+                    state.checks_fencing =
+                        self.parts.fencing.is_checked_by(&state.target, announced);
+                    let _ = self.events.send(Event::TargetState(*state));
+                }
+                Effect::Gone(target, incarnation) => {
+                    log::info!("target {target} is gone");
+                    let _ = self.events.send(Event::TargetGone { target, incarnation });
+                }
+            }
+        }
+        if !changes.is_empty() {
+            self.feed.borrow_mut().push(changes);
+            self.tell();
+        }
+    }
+
+    fn daemons_changed(&self, core: &Rc<Core>, changes: Vec<Change>) {
+        let mut is_list_changed = false;
+        for change in changes {
+            match change {
+                Change::Joined(daemon, life) => {
+                    log::info!("daemon {daemon} joined, life {life}");
+                    is_list_changed = true;
+                }
+                Change::Suspected(daemon, _) => log::warn!("daemon {daemon} is silent"),
+                Change::Returned(daemon, _) => {
+                    log::info!("daemon {daemon} returned");
+                    is_list_changed = true;
+                }
+                Change::Leaving(daemon, _) => {
+                    log::info!("daemon {daemon} is leaving");
+                    is_list_changed = true;
+                }
+                Change::Gone(daemon, incarnation) => {
+                    log::warn!("daemon {daemon} is gone, life {incarnation}");
+                    is_list_changed = true;
+                    self.directory.borrow_mut().daemon_gone(core.now_ms(), &daemon);
+                    let _ = self.events.send(Event::DaemonGone(daemon.clone()));
+                    end_life(core, owner::Owner { daemon, incarnation });
+                }
+            }
+        }
+        if is_list_changed {
+            self.renew_places();
+        }
+    }
+
+    /// Lists the daemons that may be homes of targets.
+    fn renew_places(&self) {
+        let daemons = self.daemons.borrow();
+        let alive = daemons
+            .members()
+            .iter()
+            .filter(|member| member.is_alive() && !member.last().is_leaving);
+        let list: Vec<Place> = alive
+            .map(|member| Place {
+                daemon: member.last().daemon.clone(),
+                availability_zone: member.last().availability_zone.clone(),
+            })
+            .collect();
+        let mut places = self.places.borrow_mut();
+        if places.list != list {
+            places.list = list;
+            places.version.number += 1;
+            drop(places);
+            self.tell();
+        }
+    }
+
+    fn look(&self, core: &Rc<Core>) {
+        let now_ms = core.now_ms();
+        let changes = self.daemons.borrow_mut().tick(now_ms);
+        self.daemons_changed(core, changes);
+        let effects = self.directory.borrow_mut().tick(now_ms);
+        self.apply(effects);
+    }
+
+    fn take_action(&self, action: &Action) {
+        match action {
+            Action::Expect { model, ready_at_ms } => {
+                let mut expected = self.expected.borrow_mut();
+                match expected.binary_search_by(|(known, _)| known.cmp(model)) {
+                    Ok(at) => expected[at].1 = *ready_at_ms,
+                    Err(at) => expected.insert(at, (model.clone(), *ready_at_ms)),
+                }
+            }
+            Action::Decided { weights, count } => {
+                metrics::counter!("fescuebay_placement_decisions_total").increment(1);
+                log::info!("model {}: {count} replicas decided", weights.model);
+            }
+            Action::GaveUp { model, reason } => {
+                metrics::counter!("fescuebay_placement_given_up_total").increment(1);
+                log::warn!("model {model} cannot be loaded now: {reason:?}");
+            }
+            Action::Send { .. } | Action::AskState { .. } => {}
+        }
+    }
+
+    fn port_of(&self, target: &TargetId, ports: &Ports) -> Option<Arc<dyn Target>> {
+        self.feed.borrow().table().find(target).map(|entry| ports.get(entry))
+    }
+}
+
+/// Whether a watcher should be answered at once.
+fn is_news(news: &News) -> bool {
+    let is_same_fleet = matches!(news.fleet, FleetNews::Same);
+    news.batch != Batch::Nothing
+        || !is_same_fleet
+        || news.daemons.is_some()
+        || news.poison.is_some()
+}
+
+/// Looks after daemons, targets and the time of the replicated state until it is aborted.
+async fn look(core: Rc<Core>, leader: Rc<Leader>) {
+    let mut looks: u64 = 0;
+    loop {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        leader.look(&core);
+        looks += 1;
+        if looks.is_multiple_of(LOOKS_PER_TICK) {
+            let core = Rc::clone(&core);
+            tokio::task::spawn_local(async move {
+                let _ = core.propose(commands::Command::Tick).await;
+            });
+        }
+    }
+}
+
+/// Records that a life of a daemon is over, and tries until that is committed.
+fn end_life(core: &Rc<Core>, owner: owner::Owner) {
+    let core = Rc::clone(core);
+    tokio::task::spawn_local(async move {
+        let command = commands::Command::DaemonGone(owner);
+        while core.leader.borrow().is_some() {
+            if core.propose(command.clone()).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    });
+}
+
+type Slot = Rc<RefCell<Option<std::rc::Weak<Leader>>>>;
+
+fn leader_in(slot: &Slot) -> Option<Rc<Leader>> {
+    slot.borrow().as_ref().and_then(std::rc::Weak::upgrade)
+}
+
+fn lookup(slot: &Slot, ports: Rc<Ports>) -> driver::Lookup {
+    let slot = Rc::clone(slot);
+    Rc::new(move |target| leader_in(&slot)?.port_of(target, &ports))
+}
+
+fn take_actions(slot: &Slot) -> driver::Sink {
+    let slot = Rc::clone(slot);
+    Box::new(move |action| {
+        if let Some(leader) = leader_in(&slot) {
+            leader.take_action(action);
+        }
+    })
+}
+
+fn placement_settings(core: &Core) -> settings::Settings {
+    let base = core.with_state(|state| state.config.fleet().base().clone()).unwrap_or_default();
+    let starts_per_s = base.store_starts_per_s.0.ceil().max(1.0) as usize;
+    settings::Settings::new()
+        .store(starts_per_s, base.store_at_once)
+        .adapters_in_transit(base.adapters_in_transit)
+}
--- a/src/membership/daemons.rs
+++ b/src/membership/daemons.rs
@@ -140,6 +140,16 @@
         }
     }
 
+    /// When it was last heard of.
+    pub fn heard_ms(&self) -> u64 {
+        match self {
+            Member::Active(life) => life.heard_ms,
+            Member::Suspected(life) => life.heard_ms,
+            Member::Leaving(life) => life.heard_ms,
+            Member::Gone(life) => life.heard_ms,
+        }
+    }
+
     /// Whether its life goes on.
     pub fn is_alive(&self) -> bool {
         !matches!(self, Member::Gone(_))
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -17,7 +17,7 @@
     /// Placement learns the state of a target.
     State(Box<order::State>),
     /// Placement learns that a life of a target has ended.
-    Gone(TargetId),
+    Gone(TargetId, Incarnation),
 }
 
 #[derive(Clone, Debug)]
@@ -91,10 +91,8 @@
     /// Drops targets that nobody adopted in time.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Effect> {
         let is_lost = |known: &Known| known.adopt_by_ms.is_some_and(|by_ms| by_ms <= now_ms);
-        let lost: Vec<TargetId> =
-            self.known.iter().filter(|k| is_lost(k)).map(|k| k.entry.target.clone()).collect();
-        self.known.retain(|known| !is_lost(known));
-        lost.into_iter().flat_map(removed).collect()
+        let lost: Vec<Known> = self.known.extract_if(.., |known| is_lost(known)).collect();
+        lost.into_iter().flat_map(|known| removed(known.entry)).collect()
     }
 
     /// The entries as routers see them.
@@ -118,7 +116,7 @@
             }
             is_drained = known.is_drained;
             if state.incarnation > known.entry.incarnation {
-                effects.push(Effect::Gone(state.target.clone()));
+                effects.push(Effect::Gone(state.target.clone(), known.entry.incarnation));
             }
         }
         let known = Known {
@@ -149,13 +147,13 @@
         if !is_home || known.entry.incarnation != life {
             return Vec::new();
         }
-        self.known.remove(at);
-        removed(target.clone())
+        removed(self.known.remove(at).entry)
     }
 }
 
-fn removed(target: TargetId) -> Vec<Effect> {
-    vec![Effect::Table(Change::Remove(target.clone())), Effect::Gone(target)]
+fn removed(entry: Entry) -> Vec<Effect> {
+    let gone = Effect::Gone(entry.target.clone(), entry.incarnation);
+    vec![Effect::Table(Change::Remove(entry.target)), gone]
 }
 
 fn shown(standing: Standing, is_drained: bool) -> Standing {
--- a/src/membership/targets.rs
+++ b/src/membership/targets.rs
@@ -51,8 +51,7 @@
 }
 
 /// What the daemon answers to an announcement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Taken {
     /// It is the newest of this target.
     New,
@@ -256,7 +255,7 @@
 }
 
 /// Whether two announcements of one life tell the same, but for their load.
-fn is_same_state(old: &order::State, new: &order::State) -> bool {
+pub fn is_same_state(old: &order::State, new: &order::State) -> bool {
     let mut new_without_load = new.clone();
     new_without_load.sequence = old.sequence;
     new_without_load.load.running = old.load.running;
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -16,7 +16,7 @@
 }
 
 /// Demand for one model at one daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// The model or adapter that is asked for.
     pub model: ModelRef,
--- a/src/routing/demand.rs
+++ b/src/routing/demand.rs
@@ -14,7 +14,9 @@
     pub model: ModelRef,
     /// Requests that wait for it here.
     pub waiting: u32,
-    /// The earliest deadline among them, as Unix time.
+    /// Requests for it that are at targets from here.
+    pub in_flight: u32,
+    /// The earliest deadline among those that wait, as Unix time.
     pub earliest_deadline_ms: Option<u64>,
     /// The sum of the class weights of those that wait.
     pub class_weight: f64,
@@ -59,7 +61,12 @@
                 self.recent[at].reported_ms = now_ms;
                 std::mem::take(&mut self.recent[at].arrived)
             }
-            Err(_) => 0,
+            Err(_) if self.recent.len() >= MAX_MODELS => 0,
+            Err(at) => {
+                let recent = Recent { model: model.clone(), arrived: 0, reported_ms: now_ms };
+                self.recent.insert(at, recent);
+                0
+            }
         }
     }
 
@@ -67,7 +74,7 @@
     pub fn is_due(&self, now_ms: u64, model: &ModelRef) -> bool {
         match self.recent.binary_search_by(|recent| recent.model.cmp(model)) {
             Ok(at) => now_ms.saturating_sub(self.recent[at].reported_ms) >= PERIOD_MS,
-            Err(_) => false,
+            Err(_) => self.recent.len() < MAX_MODELS,
         }
     }
 
--- a/src/routing/engine/arrive.rs
+++ b/src/routing/engine/arrive.rs
@@ -273,8 +273,15 @@
     pub(super) fn demand_of(&mut self, now_ms: u64, model: ModelRef) -> Demand {
         let arrived = self.demand.reported(now_ms, &model);
         let destination = Destination::Model(model.clone());
-        let mut demand =
-            Demand { model, waiting: 0, earliest_deadline_ms: None, class_weight: 0.0, arrived };
+        let in_flight = self.requests.iter().filter(|r| r.is_at_target_for(&destination)).count();
+        let mut demand = Demand {
+            model,
+            waiting: 0,
+            in_flight: in_flight as u32,
+            earliest_deadline_ms: None,
+            class_weight: 0.0,
+            arrived,
+        };
         if let Ok(place) = self.lane_place(&destination) {
             for item in self.lanes[place].items() {
                 let Some(request) = self.requests.get(item.ticket) else { continue };
--- a/src/routing/engine/mod.rs
+++ b/src/routing/engine/mod.rs
@@ -254,6 +254,11 @@
         now_ms as f64 + wait_ms + own_ms.min(allowed_ms / 2.0)
     }
 
+    /// Whether it is at a target, for this destination.
+    fn is_at_target_for(&self, destination: &Destination) -> bool {
+        self.flights.iter().any(Option::is_some) && self.arrival.destination == *destination
+    }
+
     /// Whether it would be answered by its deadline if it were sent after `wait_ms`.
     fn is_in_time(&self, now_ms: u64, wait_ms: f64) -> bool {
         self.answered_ms(now_ms, wait_ms) <= self.arrival.deadline_ms as f64
--- a/src/routing/engine/tick.rs
+++ b/src/routing/engine/tick.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    /// Reports models that are waited for without new arrivals, once a period.
+    /// Reports models that are waited for or in use without new arrivals, once a period.
     fn report_waiting(&mut self, cx: &mut Context<'_>) {
         let mut due: Vec<ModelRef> = Vec::new();
         for lane in &self.lanes {
@@ -115,6 +115,15 @@
                 due.push(model.clone());
             }
         }
+        // Long work keeps its replica in use without new arrivals.
+        for request in self.requests.iter() {
+            if let Destination::Model(model) = &request.arrival.destination
+                && self.demand.is_due(cx.now_ms, model)
+                && !due.contains(model)
+            {
+                due.push(model.clone());
+            }
+        }
         for model in due {
             let demand = self.demand_of(cx.now_ms, model);
             cx.out.push(Action::Demand(demand));
--- a/src/routing/slab.rs
+++ b/src/routing/slab.rs
@@ -32,6 +32,11 @@
         self.len() == 0
     }
 
+    /// All values.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.places.iter().filter_map(|place| place.value.as_ref())
+    }
+
     /// Adds a value and returns its name.
     pub fn insert(&mut self, value: T) -> Ticket {
         match self.free.pop() {
