--- a/tests/jobs_properties.rs
+++ b/tests/jobs_properties.rs
@@ -38,7 +38,7 @@
     Pass {
         ms: u64,
     },
-    StepClock {
+    SetClock {
         ms: i64,
     },
     ChangeLeader,
@@ -86,7 +86,7 @@
         1 => (0..3_u8).prop_map(|daemon| Step::Kill { daemon }),
         1 => (0..JOBS).prop_map(Step::Cancel),
         3 => (1_000..40_000_u64).prop_map(|ms| Step::Pass { ms }),
-        1 => (-90_000..20_000_i64).prop_map(|ms| Step::StepClock { ms }),
+        1 => (-90_000..20_000_i64).prop_map(|ms| Step::SetClock { ms }),
         1 => proptest::strategy::Just(Step::ChangeLeader),
     ];
     proptest::collection::vec(step, 1..60)
@@ -158,7 +158,7 @@
                 commit(group, jobs::Command::Cancel { tenant, id: name(job) });
             }
             Step::Pass { ms } => group.pass(ms),
-            Step::StepClock { ms } => group.set_clock(group.now_ms().saturating_add_signed(ms)),
+            Step::SetClock { ms } => group.set_clock(group.now_ms().saturating_add_signed(ms)),
             Step::ChangeLeader => group.change_leader(),
         }
     }
--- a/tests/records_properties.rs
+++ b/tests/records_properties.rs
@@ -37,7 +37,7 @@
     Pass {
         ms: u64,
     },
-    StepClock {
+    SetClock {
         ms: i64,
     },
 }
@@ -97,7 +97,7 @@
         1 => Just(Step::CommitLate),
         1 => Just(Step::ChangeLeader),
         1 => (1_000..5_000_000_u64).prop_map(|ms| Step::Pass { ms }),
-        1 => (-9_000_000..9_000_000_i64).prop_map(|ms| Step::StepClock { ms }),
+        1 => (-9_000_000..9_000_000_i64).prop_map(|ms| Step::SetClock { ms }),
     ];
     proptest::collection::vec(step, 1..40)
 }
@@ -123,7 +123,7 @@
             Step::CommitLate => group.commit_late(),
             Step::ChangeLeader => group.change_leader(),
             Step::Pass { ms } => group.pass(ms),
-            Step::StepClock { ms } => group.set_clock(group.now_ms().saturating_add_signed(ms)),
+            Step::SetClock { ms } => group.set_clock(group.now_ms().saturating_add_signed(ms)),
         }
         // Releases that go on in the background end here.
         tokio::time::sleep(Duration::from_secs(60)).await;
