--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -37,6 +37,7 @@
         .route("/defaults", get(defaults::<B>))
         .route("/defaults/explain", get(explain::<B>))
         .route("/exceptions", get(exceptions::<B>))
+        .route("/catalogue", get(catalogue::<B>))
         .route("/changes", get(changes::<B>).post(change::<B>))
         .route("/revision", get(revision::<B>))
         .route("/targets", get(targets::<B>))
@@ -184,6 +185,10 @@
     Json(view::Exceptions { revision: fleet.revision(), exceptions })
 }
 
+async fn catalogue<B: Backend>(State(backend): State<Arc<B>>) -> Json<config::Catalogue> {
+    Json(backend.fleet().catalogue().clone())
+}
+
 /// The query of the audit trail.
 #[derive(serde::Deserialize)]
 struct ChangesQuery {
--- a/src/cli.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The command line.
