--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use error_stack::{Report, ResultExt, bail};
+use error_stack::{ResultExt, bail};
 
 use super::output::{print, print_json};
 use super::{Error, Result};
@@ -41,18 +41,6 @@
     }
 }
 
-/// Reads a settings file that must have no problem.
-///
-/// # Errors
-///
-/// Fails with every problem, one a line.
-pub(super) fn read(file: &Path) -> Result<Settings> {
-    settings::read(&text(file)?).map_err(|problems| {
-        let lines = problems.iter().map(|problem| format!("{}: {problem}", file.display()));
-        Report::new(refused(&problems)).attach(lines.collect::<Vec<_>>().join("\n"))
-    })
-}
-
 fn text(file: &Path) -> Result<String> {
     let failed = || Error::Refused(format!("{} cannot be read", file.display()));
     fs::read_to_string(file).change_context_lazy(failed)
