--- a/src/cli/connection.rs
+++ b/src/cli/connection.rs
@@ -90,9 +90,8 @@
             None => call(client.get::<view::Revisions>("/revision").await)?.accepted,
         };
         let id = self.change_id.unwrap_or_else(new_change_id);
-        let change = view::NewChange { id: id.clone(), base, reason, edits };
-        let made = call(client.change(&change).await)
-            .map_err(|report| report.attach(format!("change id {id}")))?;
+        let change = view::NewChange { id, base, reason, edits };
+        let made = call(client.change(&change).await).map_err(|report| unknown(report, &change))?;
         let wait = self.wait;
         print_made(connection, &made, wait.is_some());
         match wait {
@@ -102,6 +101,16 @@
     }
 }
 
+/// Says how to learn what became of a change whose answer was lost.
+fn unknown(report: Report<Error>, change: &view::NewChange) -> Report<Error> {
+    if !matches!(report.current_context(), Error::Unreachable(_)) {
+        return report;
+    }
+    let again = format!("--base {} --change-id {}", change.base, change.id);
+    let what = format!("it may have been made; the same command with {again} tells");
+    report.change_context(Error::Unreachable(what))
+}
+
 fn print_made(connection: &Connection, made: &view::Made, is_waiting: bool) {
     if connection.json {
         print_json(made);
@@ -137,12 +146,9 @@
 
 /// Turns the failure of a call into one of the command, with its exit code.
 pub(super) fn call<T>(result: client::Result<T>) -> Result<T> {
-    result.map_err(|report| {
-        let error = match report.current_context() {
-            client::Error::Problem(problem) => problem_error(problem),
-            other => Error::Unreachable(other.to_string()),
-        };
-        report.change_context(error)
+    result.map_err(|report| match report.current_context() {
+        client::Error::Problem(problem) => Report::new(problem_error(problem)),
+        _ => report.change_context(Error::Unreachable("no result".to_owned())),
     })
 }
 
--- a/src/membership/targets.rs
+++ b/src/membership/targets.rs
@@ -51,8 +51,7 @@
 }
 
 /// What the daemon answers to an announcement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Taken {
     /// It is the newest of this target.
     New,
--- a/src/settings/ini.rs
+++ b/src/settings/ini.rs
@@ -28,6 +28,8 @@
 pub(super) fn split<'a>(text: &'a str, problems: &mut Vec<Problem>) -> Vec<Section<'a>> {
     let text = text.strip_prefix('\u{feff}').unwrap_or(text);
     let mut sections: Vec<Section<'a>> = Vec::new();
+    // Lines under a broken header belong to no known section: one problem for the header is enough.
+    let mut is_header_broken = false;
     let mut parser = ini_core::Parser::new(text).auto_trim(true);
     loop {
         let number = parser.line() + 1;
@@ -41,7 +43,11 @@
                 what: what.to_owned(),
             });
         };
+        if let ini_core::Item::Section(_) | ini_core::Item::Error(_) = item {
+            is_header_broken = matches!(item, ini_core::Item::Error(_));
+        }
         match item {
+            ini_core::Item::Property(..) if is_header_broken => {}
             ini_core::Item::Section(name) if sections.iter().any(|s| s.name == name) => {
                 problem("", &format!("the section [{name}] stands twice"));
                 sections.push(Section { number, name, lines: Vec::new() });
