serve and dev: the whole path, from a caller to a cold model and back

Cause: no process joined the parts. Change: fescuebay serve runs a daemon from its settings, fescuebay dev one with three stand-in targets; daemons reach each other by capnp-rpc; voters form their group by asking each other, and a voter that lost its folder is replaced by its new identity. Calls of services go to the target with the service in their path, since one target may offer several.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -41,12 +41,12 @@
     }
 }
 
-fn text(file: &Path) -> Result<String> {
+pub(super) fn text(file: &Path) -> Result<String> {
     let failed = || Error::Refused(format!("{} cannot be read", file.display()));
     fs::read_to_string(file).change_context_lazy(failed)
 }
 
-fn refused(problems: &[settings::Problem]) -> Error {
+pub(super) fn refused(problems: &[settings::Problem]) -> Error {
     match problems.len() {
         1 => Error::Refused("1 problem in the settings".to_owned()),
         count => Error::Refused(format!("{count} problems in the settings")),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod output;
 mod report;
+mod serve;
 mod token;
 mod work;
 
@@ -44,6 +45,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    Serve(serve::Args),
+    Dev(serve::DevArgs),
     Check(check::Args),
     Token(token::Args),
     #[command(subcommand)]
@@ -132,6 +135,8 @@
 pub fn run(args: impl IntoIterator<Item = OsString>) -> Result<()> {
     let cli = Cli::parse_from(args);
     match cli.command {
+        Command::Serve(args) => args.run(cli.verbose),
+        Command::Dev(args) => args.run(cli.verbose),
         Command::Check(args) => args.run(),
         Command::Token(args) => args.run(),
         Command::Completions(args) => args.run(),
--- a/src/daemon/dev.rs
+++ b/src/daemon/dev.rs
@@ -51,6 +51,7 @@
         let traffic = self.daemon.addresses.traffic;
         let admin = self.daemon.addresses.admin;
         let token = &self.operator_token;
+        let program = std::env::args().next().unwrap_or_else(|| "fescuebay".to_owned());
         format!(
             r#"A care summary, streamed. Its model is cold, so the first answer waits for a load:
 
@@ -66,7 +67,7 @@
 
 What held, what did not, and why:
 
-  fescuebay report --admin http://{admin} --token {token}
+  FESCUEBAY_TOKEN={token} {program} report --admin {admin}
 "#
         )
     }
--- a/src/daemon/leader/catalogue.rs
+++ b/src/daemon/leader/catalogue.rs
@@ -176,11 +176,11 @@
     let subject = config::Subject::model(&name, now_ms);
     let effective = config::resolve(fleet, &subject);
     let is_forbidden_zone = |zone: &&Zone| {
-        let subject = config::Subject { availability_zone: Some(zone), ..subject.clone() };
+        let subject = config::Subject { availability_zone: Some(zone), ..subject };
         !config::resolve(fleet, &subject).is_placeable
     };
     let is_forbidden_target = |target: &&TargetId| {
-        let subject = config::Subject { target: Some(target), ..subject.clone() };
+        let subject = config::Subject { target: Some(target), ..subject };
         !config::resolve(fleet, &subject).is_placeable
     };
     let windows = effective.keep_warm.as_slice().iter();
--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -16,12 +16,14 @@
 use crate::consensus::node;
 use crate::control::{once, owner, port};
 use crate::daemon::core::{self, Core};
-use crate::daemon::peers::{Alone, Peers};
+use crate::daemon::peers::{Answers, Peers, Pooled};
 use crate::daemon::published::Published;
 use crate::daemon::{Error, Result, announce, backend, bridge, follow, group, leader, policy};
 use crate::daemon::{once as records, poison, ports};
 use crate::ids::DaemonId;
 use crate::membership::targets;
+use crate::peer;
+use crate::peer::client;
 use crate::settings::Settings;
 use crate::traffic;
 use crate::traffic::clock::Clock;
@@ -248,7 +250,16 @@
     stopped: oneshot::Receiver<()>,
 ) -> Result<()> {
     let settings = &parts.settings;
-    let peers: Rc<dyn Peers> = Rc::new(Alone);
+    let cluster = &settings.cluster;
+    let identity = peer::Identity {
+        cluster: cluster.id.to_string(),
+        daemon: parts.owner.daemon.clone(),
+        incarnation: parts.owner.incarnation,
+        key: peer::Key::new(cluster.key.reveal().to_vec()),
+    };
+    let pool = client::Pool::new(identity.clone(), settings.daemon.ip);
+    pool.set_peers(cluster.peers.iter().map(|peer| (peer.id.clone(), peer.address)).collect());
+    let peers: Rc<dyn Peers> = Rc::new(Pooled { pool, group: cluster.group });
     let core = Core::new(core::Parts {
         owner: parts.owner.clone(),
         availability_zone: settings.daemon.availability_zone.clone(),
@@ -267,6 +278,10 @@
         },
         table_changed: Box::new(move || shared.table_changed()),
     });
+    let answers = Answers { core: Rc::clone(&core), group: cluster.group };
+    let listen = settings.daemon.peer_address();
+    let listening = peer::server::serve(listen, identity, Rc::new(answers)).await;
+    let _server = listening.change_context(Error { step: "listen for other daemons" })?;
     tokio::task::spawn_local(receiver.serve(Rc::clone(&core)));
     tokio::task::spawn_local(follow::follow(Rc::clone(&core)));
     tokio::task::spawn_local(follow::look(Rc::clone(&core)));
--- a/src/traffic/handle.rs
+++ b/src/traffic/handle.rs
@@ -152,7 +152,8 @@
     }
     let body = edge::body(&shared.limits, body).await?;
     let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
-    let target_path = format!("{path}{query}");
+    // A target may offer several services at one address, so it is told which one.
+    let target_path = format!("/services/{service}{path}{query}");
     let method = parts.method;
     let digest = Digest::of(&[
         service.as_str().as_bytes(),
