--- a/src/placement/ledger.rs
+++ b/src/placement/ledger.rs
@@ -135,6 +135,8 @@
     pub is_leaving: bool,
     /// What is known of its state.
     pub standing: Standing,
+    /// Whether its loads count towards the limits on loads.
+    pub is_counted: bool,
     /// When an order that it may still get without checking the fencing number has expired.
     pub quiet_ms: u64,
     /// Copies of weights that it has at hand, sorted.
@@ -172,6 +174,7 @@
             checks_fencing: state.checks_fencing,
             is_leaving: state.leaving,
             standing: Standing::Unread,
+            is_counted: true,
             quiet_ms: 0,
             cached: Vec::new(),
             pending: None,
@@ -237,11 +240,20 @@
         &self.entries[from..to]
     }
 
-    /// The fastest source of these weights.
+    /// The fastest source of these weights. While a replica is being unloaded its copy may displace
+    /// others from memory, so none of these is relied on.
     pub fn source(&self, weights: &catalogue::Weights) -> catalogue::Source {
         let at = self.cached.partition_point(|(cached, _)| cached < weights);
         let copy = self.cached.get(at).filter(|(cached, _)| cached == weights);
-        copy.map(|(_, tier)| *tier).into()
+        match copy.map(|(_, tier)| *tier) {
+            Some(order::Tier::Memory) if self.is_unloading() => catalogue::Source::Store,
+            tier => tier.into(),
+        }
+    }
+
+    fn is_unloading(&self) -> bool {
+        let is_ending = |entry: &Entry| matches!(entry.stage, Stage::Releasing | Stage::Unloading);
+        self.entries.iter().any(is_ending)
     }
 
     /// Whether these weights failed here a short time ago.
--- a/src/placement/planner/mod.rs
+++ b/src/placement/planner/mod.rs
@@ -17,6 +17,9 @@
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// Assistant runners that the former leader knew. Given first, so that no order is given before
+    /// each of them was heard of or is gone.
+    Known(Vec<TargetId>),
     /// A target announced itself, perhaps some time ago.
     TargetState(order::State),
     /// A target answered [`Action::AskState`].
@@ -151,6 +154,7 @@
     started_ms: Option<u64>,
     is_acting: bool,
     sequence: u64,
+    awaited: BTreeSet<TargetId>,
     ledger: ledger::Ledger,
     limits: schedule::Limits,
     fleet_gaps: gaps::Histogram,
@@ -176,6 +180,7 @@
             started_ms: None,
             is_acting: false,
             sequence: 0,
+            awaited: BTreeSet::new(),
             ledger: ledger::Ledger::default(),
             limits,
             fleet_gaps: gaps::Histogram::default(),
@@ -211,6 +216,7 @@
 
     fn take(&mut self, event: Event) {
         match event {
+            Event::Known(targets) => self.awaited = targets.into_iter().collect(),
             Event::TargetState(state) => self.on_announcement(state),
             Event::StateRead { fencing, state } => self.on_state(fencing, state),
             Event::AskLost { target, fencing } => self.on_ask_lost(&target, fencing),
--- a/src/placement/planner/models.rs
+++ b/src/placement/planner/models.rs
@@ -270,21 +270,33 @@
         let site = census.serving.first().and_then(|target| self.ledger.find(target));
         let hazard_per_s = model.demand.hazard_per_s(now_ms, &self.fleet_gaps);
         let accelerators = self.accelerators(site, spec.memory_bytes);
-        let source = site.map_or(catalogue::Source::Store, |a| a.source(&spec.weights()));
-        let load_ms = self.limits.expected_ms(&spec.load, source);
+        let load_ms = self.limits.expected_ms(&spec.load, self.nearest_source(spec));
         let is_worth = |hazard_per_s: f32| {
             replicas::is_worth_holding(hazard_per_s, load_ms, accelerators, &self.fleet)
         };
         if census.ready > 0 {
             return if is_worth(hazard_per_s) { Hold::Keep } else { Hold::LetGo };
         }
+        // A load that was begun goes on at a lower value than one has to have to begin.
+        let margin = if census.serving.is_empty() { PRELOAD_MARGIN } else { 1.0 };
         let has_past = model.demand.gaps() >= PRELOAD_GAPS;
-        if has_past && is_worth(hazard_per_s / PRELOAD_MARGIN) {
+        if has_past && is_worth(hazard_per_s / margin) {
             return Hold::Preload;
         }
         if self.is_load_almost_done(name, census) { Hold::Keep } else { Hold::CancelLoads }
     }
 
+    /// The fastest source of a model on any target.
+    fn nearest_source(&self, spec: &catalogue::Model) -> catalogue::Source {
+        if spec.model.is_adapter() {
+            return catalogue::Source::Store;
+        }
+        let weights = spec.weights();
+        let accounts = self.ledger.accounts().iter().filter(|account| account.is_there());
+        let nearest = accounts.map(|account| account.source(&weights)).min();
+        nearest.unwrap_or(catalogue::Source::Store)
+    }
+
     /// The part of an accelerator that `memory` takes.
     fn accelerators(&self, site: Option<&ledger::Account>, memory: Bytes) -> f64 {
         let Some(account) = site.or_else(|| self.ledger.accounts().first()) else { return 1.0 };
--- a/src/placement/planner/orders.rs
+++ b/src/placement/planner/orders.rs
@@ -1,7 +1,7 @@
 //! Orders: how they are given, and what follows from their answer or its loss.
 
 use crate::ids::{ModelRef, OrderId, TargetId};
-use crate::placement::planner::{Action, Planner, Reason};
+use crate::placement::planner::{Action, Planner, Reason, targets};
 use crate::placement::{catalogue, choose, ledger};
 use crate::target::order;
 use crate::units::Bytes;
@@ -166,7 +166,7 @@
     pub(super) fn on_answer(&mut self, target: &TargetId, order_id: &OrderId, reply: order::Reply) {
         let Some(account) = self.ledger.find_mut(target) else { return };
         let is_pending = account.pending.as_ref().is_some_and(|p| p.order_id == *order_id);
-        if !is_pending {
+        if !is_pending || !account.is_there() {
             return;
         }
         let Some(pending) = account.pending.take() else { return };
@@ -200,7 +200,7 @@
         reply: order::Reply,
     ) {
         metrics::counter!("placement_loads_refused").increment(1);
-        self.avoid(target, weights);
+        self.avoid(target, weights, targets::AVOID_MS);
         self.remove(target, weights);
         match reply {
             order::Reply::Unknown => self.set_reason(&weights.model, Some(Reason::Unknown)),
@@ -274,7 +274,7 @@
             self.limits.learn_hang();
         }
         metrics::counter!("placement_loads_hung").increment(1);
-        self.avoid(target, weights);
+        self.avoid(target, weights, targets::AVOID_HUNG_MS);
         self.cancel(target, weights);
         self.set_reason(&weights.model, Some(Reason::Hung));
         self.set_due(&weights.model, self.now_ms);
--- a/src/placement/planner/round.rs
+++ b/src/placement/planner/round.rs
@@ -12,6 +12,8 @@
 const MODELS_PER_MS: u64 = 8;
 /// Time between two looks at whether the targets were read, in milliseconds.
 const TAKEOVER_CHECK_MS: u64 = 20;
+/// Questions that may be lost before a new leader gives orders without their answer.
+const READ_TRIES: u64 = 6;
 /// Deadlines are compared in steps of this, so that class weights decide between near ones.
 const DEADLINE_STEP_MS: u64 = 1_000;
 /// Models that one round tries to place.
@@ -81,15 +83,17 @@
         }
     }
 
-    /// Begins to give orders once all targets were heard of and read. A target that can't be read
-    /// holds this up only until every order of a former leader has expired.
+    /// Begins to give orders once all targets were heard of and read. One that announces itself but
+    /// can't be read holds this up for a bounded time; what it tells that it holds is counted.
     fn take_over(&mut self) -> bool {
         let started_ms = self.started_ms.unwrap_or(self.now_ms);
-        if self.now_ms < started_ms + self.settings.takeover_ms {
+        let is_early = self.now_ms < started_ms + self.settings.takeover_ms;
+        if is_early || !self.awaited.is_empty() {
             return false;
         }
         let settings = &self.settings;
-        let patience_ms = settings.lease_ms + 3 * settings.order_limit_ms + settings.clock_skew_ms;
+        let patience_ms =
+            settings.lease_ms + READ_TRIES * settings.order_limit_ms + settings.clock_skew_ms;
         let is_patient = self.now_ms < started_ms + patience_ms;
         let is_unread = |a: &ledger::Account| a.standing == ledger::Standing::Unread;
         if is_patient && self.ledger.accounts().iter().any(is_unread) {
--- a/src/placement/planner/targets.rs
+++ b/src/placement/planner/targets.rs
@@ -8,6 +8,8 @@
 
 /// What a target that is gone held is forgotten after this time, in milliseconds.
 const FORGET_MS: u64 = 600_000;
+/// Time in which the next life of a target is heard of, in milliseconds.
+const NEXT_LIFE_MS: u64 = 3_000;
 /// Shortest time between two questions about a replica that changes, in milliseconds.
 const MIN_ASK_MS: u64 = 5;
 /// Longest time between two questions about a replica that changes, in milliseconds.
@@ -20,11 +22,16 @@
 /// milliseconds.
 pub(super) const AVOID_MS: u64 = 5_000;
 
+/// Weights whose load hung on a target are not tried there again for this time, in milliseconds.
+pub(super) const AVOID_HUNG_MS: u64 = 600_000;
+
 /// What a timer of an account is for.
 enum Due {
     Nothing(Option<u64>),
     Ask,
     OrderLost,
+    /// The next life of a target that is gone got no order, or was heard of by now.
+    Discount,
     AskLost(order::Fencing),
     Forget,
 }
@@ -32,6 +39,7 @@
 impl Planner {
     pub(super) fn on_announcement(&mut self, state: order::State) {
         let target = state.target.clone();
+        self.awaited.remove(&target);
         let Some(account) = self.ledger.find_mut(&target) else {
             if state.kind == order::Kind::Assistant {
                 self.open_account(&state);
@@ -54,6 +62,9 @@
         }
         self.describe(&state);
         self.promote(&state);
+        if is_new_life {
+            self.adopt(&state);
+        }
         self.arm(&target);
     }
 
@@ -62,9 +73,17 @@
         account.quiet_ms = self.takeover_quiet_ms();
         self.ledger.insert(account);
         self.describe(state);
+        self.adopt(state);
         self.arm(&state.target);
     }
 
+    /// Counts what a target that was not read yet tells that it holds.
+    fn adopt(&mut self, state: &order::State) {
+        for held in &state.holds {
+            self.reconcile_held(&state.target, held, None);
+        }
+    }
+
     /// When the last order of a former leader has expired.
     fn takeover_quiet_ms(&self) -> u64 {
         let settings = &self.settings;
@@ -75,7 +94,7 @@
     /// What was known of the target has to be read again.
     fn reopen_account(&mut self, target: &TargetId) {
         let Some(account) = self.ledger.find_mut(target) else { return };
-        if !account.is_there() {
+        if !std::mem::replace(&mut account.is_counted, true) {
             for entry in account.entries().iter().filter(|entry| entry.is_in_transit()) {
                 self.limits.begin(entry.weights.model.is_adapter(), entry.source);
             }
@@ -186,7 +205,7 @@
             let has_failed =
                 matches!(entry.stage, ledger::Stage::Reserved | ledger::Stage::Loading);
             if has_failed {
-                self.avoid(target, &entry.weights);
+                self.avoid(target, &entry.weights, AVOID_MS);
             }
             self.remove(target, &entry.weights);
         }
@@ -277,19 +296,15 @@
     }
 
     pub(super) fn on_gone(&mut self, target: &TargetId, incarnation: Incarnation) {
+        self.awaited.remove(target);
         let Some(account) = self.ledger.find_mut(target) else { return };
         if incarnation < account.incarnation || !account.is_there() {
             return;
         }
         account.standing = ledger::Standing::Gone { since_ms: self.now_ms };
         account.question = None;
-        if let Some(pending) = account.pending.take() {
-            // The order may still reach the next life of the target.
-            let quiet_ms = pending.expires_ms + self.settings.clock_skew_ms;
-            account.quiet_ms = account.quiet_ms.max(quiet_ms);
-        }
-        for entry in account.entries().iter().filter(|entry| entry.is_in_transit()) {
-            self.limits.end(entry.weights.model.is_adapter(), entry.source);
+        if let Some(pending) = &mut account.pending {
+            pending.is_lost = true;
         }
         self.set_due_on(target);
         self.place_soon();
@@ -347,7 +362,7 @@
         let Some(account) = self.ledger.find_mut(target) else { return };
         let Some(old) = account.remove(weights) else { return };
         let has_other = !account.of_model(&weights.model).is_empty();
-        if old.is_in_transit() && account.is_there() {
+        if old.is_in_transit() && account.is_counted {
             self.limits.end(weights.model.is_adapter(), old.source);
         }
         if let Some(model) = self.models.get_mut(&weights.model)
@@ -362,10 +377,10 @@
     }
 
     /// Does not try the weights on this target for a while.
-    pub(super) fn avoid(&mut self, target: &TargetId, weights: &catalogue::Weights) {
+    pub(super) fn avoid(&mut self, target: &TargetId, weights: &catalogue::Weights, avoid_ms: u64) {
         let now_ms = self.now_ms;
         if let Some(account) = self.ledger.find_mut(target) {
-            account.avoid(weights.clone(), now_ms, now_ms + AVOID_MS);
+            account.avoid(weights.clone(), now_ms, now_ms + avoid_ms);
         }
     }
 
@@ -376,7 +391,9 @@
         let Some(account) = self.ledger.find_mut(target) else { return };
         let timer_ms = match due {
             Due::Nothing(timer_ms) => timer_ms,
-            Due::Ask | Due::OrderLost | Due::AskLost(_) | Due::Forget => Some(now_ms),
+            Due::Ask | Due::OrderLost | Due::Discount | Due::AskLost(_) | Due::Forget => {
+                Some(now_ms)
+            }
         };
         if let Some(old_ms) = std::mem::replace(&mut account.timer_ms, timer_ms) {
             self.timers.remove(&(old_ms, target.clone()));
@@ -395,7 +412,12 @@
             if at_ms <= now_ms { due } else { Due::Nothing(Some(at_ms)) }
         };
         if let ledger::Standing::Gone { since_ms } = account.standing {
-            return or_later(since_ms + FORGET_MS, Due::Forget);
+            if !account.is_counted {
+                return or_later(since_ms + FORGET_MS, Due::Forget);
+            }
+            let expires_ms = account.pending.as_ref().map_or(0, |pending| pending.expires_ms);
+            let expired_ms = since_ms.max(expires_ms) + settings.clock_skew_ms + NEXT_LIFE_MS;
+            return or_later(expired_ms, Due::Discount);
         }
         if let Some(question) = account.question {
             let lost_ms = question.asked_ms + 2 * settings.order_limit_ms;
@@ -447,6 +469,7 @@
             Due::Ask => self.ask(target),
             Due::AskLost(fencing) => self.on_ask_lost(target, fencing),
             Due::OrderLost => self.lose_pending(target),
+            Due::Discount => self.discount(target),
             Due::Forget => self.forget(target),
         }
     }
@@ -460,6 +483,18 @@
         self.arm(target);
     }
 
+    /// Loads of a target that is gone no longer count: its next life would have been heard of.
+    fn discount(&mut self, target: &TargetId) {
+        let Some(account) = self.ledger.find_mut(target) else { return };
+        account.pending = None;
+        account.is_counted = false;
+        for entry in account.entries().iter().filter(|entry| entry.is_in_transit()) {
+            self.limits.end(entry.weights.model.is_adapter(), entry.source);
+        }
+        self.place_soon();
+        self.arm(target);
+    }
+
     fn forget(&mut self, target: &TargetId) {
         let Some(account) = self.ledger.find(target) else { return };
         let held: Vec<_> = account.entries().iter().map(|entry| entry.weights.clone()).collect();
--- a/src/placement/settings.rs
+++ b/src/placement/settings.rs
@@ -29,7 +29,7 @@
             lease_ms: 2_000,
             order_limit_ms: 2_000,
             clock_skew_ms: 500,
-            takeover_ms: 500,
+            takeover_ms: 2_500,
             demand_limit_ms: 10_000,
             scale_down_ms: 30_000,
             hang_floor_ms: 2_000,
@@ -81,7 +81,10 @@
         self
     }
 
-    /// The time in which targets are heard of before a new leader gives its first order.
+    /// The time before a new leader gives its first order. As long as the order limit and the clock
+    /// skew together, it outlasts the orders of a former leader that are still on their way: a
+    /// target that restarts meanwhile has forgotten which fencing numbers it saw. 0 is safe where
+    /// there was no former leader.
     pub fn takeover_ms(mut self, takeover_ms: u64) -> Self {
         self.takeover_ms = takeover_ms;
         self
