Jobs over HTTP, run by the traffic of a daemon; pictures of the state leave its indexes out

Listing the calls that may have run looked at every record: 130 ms with 1,100,000 records, on the control thread. They are indexed now. Visibility of three functions in traffic::handle is raised, so that a job's run is prepared by the same code as a call.

--- a/benches/records.rs
+++ b/benches/records.rs
@@ -26,27 +26,33 @@
 const MIN_RECORDS_PER_SECOND: f64 = 5_000.0;
 
 fn main() {
+    let mut machine = machine();
+    let mut calls = 0;
+    let before_bytes = resident_bytes();
     for size in SIZES {
-        sized(size);
+        println!("== {size} answered records, answers of {ANSWER_BYTES} bytes ==");
+        while calls < size {
+            call(&mut machine, calls);
+            calls += 1;
+        }
+        let used_bytes = resident_bytes().saturating_sub(before_bytes);
+        println!("resident memory a 100,000 records     {:8.1} MiB", per_100k(used_bytes, size));
+        let bytes = machine.snapshot();
+        let snapshot_bytes = bytes.len() as u64;
+        println!(
+            "snapshot a 100,000 records            {:8.1} MiB",
+            per_100k(snapshot_bytes, size)
+        );
+        restore(bytes, size);
+        list(&machine, size);
+        calls += rate(&mut machine, calls);
+        calls += snapshot_meanwhile(&mut machine, calls);
     }
     jobs_rate();
 }
 
-fn sized(size: u64) {
-    println!("== {size} answered records, answers of {ANSWER_BYTES} bytes ==");
-    let before_bytes = resident_bytes();
-    let mut machine = machine();
-    for number in 0..size {
-        call(&mut machine, number);
-    }
-    let used_bytes = resident_bytes().saturating_sub(before_bytes);
-    let per_100k = |bytes: u64| bytes as f64 * 1e5 / size as f64 / (1 << 20) as f64;
-    println!("resident memory for 100,000 records   {:8.1} MiB", per_100k(used_bytes));
-    rate(&mut machine, size);
-    let bytes = snapshot(&mut machine, size);
-    println!("snapshot for 100,000 records          {:8.1} MiB", per_100k(bytes.len() as u64));
-    list(&machine, size);
-    restore(&bytes, size);
+fn per_100k(bytes: u64, records: u64) -> f64 {
+    bytes as f64 * 1e5 / records as f64 / f64::from(1 << 20)
 }
 
 fn machine() -> Machine {
@@ -106,7 +112,8 @@
     Owner { daemon: "daemon-1".parse().expect("a name"), incarnation: Incarnation(1) }
 }
 
-fn rate(machine: &mut Machine, first: u64) {
+/// Measures calls, and returns how many it made.
+fn rate(machine: &mut Machine, first: u64) -> u64 {
     let start = Instant::now();
     let calls = (first..first + CALLS).flat_map(|number| call(machine, number));
     let mut times: Vec<Duration> = calls.collect();
@@ -117,13 +124,9 @@
         "  with encoding and decoding          {:8.0}",
         CALLS as f64 / start.elapsed().as_secs_f64()
     );
-    println!(
-        "one entry: p50 {:?}, p99 {:?}, longest {:?}",
-        quantile(&mut times, 50),
-        quantile(&mut times, 99),
-        quantile(&mut times, 100)
-    );
+    print_quantiles("one entry", &mut times);
     verdict("records a second", per_second >= MIN_RECORDS_PER_SECOND);
+    CALLS
 }
 
 fn quantile(times: &mut [Duration], percent: usize) -> Duration {
@@ -131,36 +134,35 @@
     times[(times.len() - 1) * percent / 100]
 }
 
-/// Takes a snapshot on another thread while calls go on, and returns it.
-fn snapshot(machine: &mut Machine, size: u64) -> Vec<u8> {
+/// Takes a snapshot on another thread while calls go on, and returns how many calls it made.
+fn snapshot_meanwhile(machine: &mut Machine, first: u64) -> u64 {
     let start = Instant::now();
     let frozen = machine.freeze();
     let freeze = start.elapsed();
     let encoder = std::thread::spawn(move || {
         let start = Instant::now();
-        (frozen.encode(), start.elapsed())
+        black_box(frozen.encode());
+        start.elapsed()
     });
     let mut times = Vec::new();
-    let mut number = size + CALLS;
-    while !encoder.is_finished() {
-        times.extend(call(machine, number));
-        number += 1;
+    let mut calls = 0;
+    while calls == 0 || !encoder.is_finished() {
+        times.extend(call(machine, first + calls));
+        calls += 1;
     }
-    let (bytes, encode) = encoder.join().expect("the encoder ends");
+    let encode = encoder.join().expect("the encoder ends");
     println!("freeze {freeze:?}; encode on another thread {encode:?}");
-    if !times.is_empty() {
-        println!(
-            "one entry meanwhile: p50 {:?}, p99 {:?}, longest {:?}",
-            quantile(&mut times, 50),
-            quantile(&mut times, 99),
-            quantile(&mut times, 100)
-        );
-        verdict("stall of a snapshot", freeze + quantile(&mut times, 100) <= MAX_STALL);
-    }
+    print_quantiles("one entry meanwhile", &mut times);
+    verdict("stall of a snapshot", freeze + quantile(&mut times, 100) <= MAX_STALL);
     let start = Instant::now();
     black_box(machine.snapshot());
     println!("encode on the control thread instead  {:?}", start.elapsed());
-    bytes
+    calls
+}
+
+fn print_quantiles(what: &str, times: &mut [Duration]) {
+    let (median, p99) = (quantile(times, 50), quantile(times, 99));
+    println!("{what}: p50 {median:?}, p99 {p99:?}, longest {:?}", quantile(times, 100));
 }
 
 fn list(machine: &Machine, size: u64) {
@@ -177,19 +179,19 @@
         rows += page.len();
     }
     println!("list {rows} records in pages: {:?}, longest page {longest:?}", start.elapsed());
-    assert!(rows as u64 >= size, "the list is not whole");
+    assert!(rows as u64 == size, "the list is not whole");
     let query = records::Query::List { after: None, max_rows: 1_000, only_unknown: true };
     let start = Instant::now();
     black_box(machine.query(&Query::Records(query)));
     println!("look for unknown ones among all       {:?}", start.elapsed());
 }
 
-fn restore(bytes: &[u8], size: u64) {
+fn restore(bytes: Vec<u8>, size: u64) {
     let mut restored = Machine::default();
     let start = Instant::now();
-    restored.restore(bytes).expect("the snapshot can be read");
+    restored.restore(&bytes).expect("the snapshot can be read");
     println!("restore                               {:?}", start.elapsed());
-    assert_eq!(restored.state().records.len() as u64, size + CALLS);
+    assert_eq!(restored.state().records.len() as u64, size);
 }
 
 fn jobs_rate() {
@@ -202,12 +204,7 @@
     let applied: Duration = times.iter().sum();
     let per_second = CALLS as f64 / applied.as_secs_f64();
     println!("jobs a second, from door to end       {per_second:8.0}  (alone, without the log)");
-    println!(
-        "one entry: p50 {:?}, p99 {:?}, longest {:?}",
-        quantile(&mut times, 50),
-        quantile(&mut times, 99),
-        quantile(&mut times, 100)
-    );
+    print_quantiles("one entry", &mut times);
 }
 
 /// The three entries of a job: its submission, its lease, its answer.
--- a/src/control/jobs/state.rs
+++ b/src/control/jobs/state.rs
@@ -27,7 +27,7 @@
 
 /// Indexes of the table, built anew after a restore. Trees, because they grow and shrink at the
 /// rate of the jobs.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct Index {
     waiting: BTreeSet<Turn>,
     timers: BTreeSet<(u64, shards::Key)>,
@@ -72,7 +72,7 @@
 }
 
 /// The durable jobs.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct State {
     limits: Limits,
     jobs: shards::Table<Job>,
@@ -123,6 +123,16 @@
         std::mem::take(&mut self.refused)
     }
 
+    /// A picture to be encoded: without what [`State::index`] builds, so that it costs little.
+    pub fn picture(&self) -> Self {
+        Self {
+            limits: self.limits.clone(),
+            jobs: self.jobs.clone(),
+            next_order: self.next_order,
+            ..Self::default()
+        }
+    }
+
     /// Applies a command, after what time has brought.
     pub fn apply(&mut self, context: &Context<'_>, command: Command) -> Outcome {
         self.run_timers(context);
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -20,8 +20,8 @@
     pub gone: &'a owner::Gone,
 }
 
-/// The control state. A clone shares its large parts, and costs little.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+/// The control state.
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct State {
     now_ms: u64,
     gone: owner::Gone,
@@ -48,6 +48,19 @@
         Context { now_ms: self.now_ms, gone: &self.gone }
     }
 
+    /// A picture of the state that shares its large parts, without what a restore builds anew.
+    fn picture(&self) -> Self {
+        Self {
+            now_ms: self.now_ms,
+            gone: self.gone.clone(),
+            records: self.records.picture(),
+            jobs: self.jobs.picture(),
+            poison: self.poison.clone(),
+            outcomes: self.outcomes.clone(),
+            config: Arc::clone(&self.config),
+        }
+    }
+
     /// Applies a command stamped `now_ms`.
     pub fn apply(&mut self, now_ms: u64, command: Command) -> Outcome {
         self.now_ms = self.now_ms.max(now_ms);
@@ -143,7 +156,7 @@
     ///
     /// The state goes on to change meanwhile: parts that change are copied first.
     pub fn freeze(&self) -> Frozen {
-        Frozen(self.state.clone())
+        Frozen(self.state.picture())
     }
 }
 
--- a/src/control/records/query.rs
+++ b/src/control/records/query.rs
@@ -84,9 +84,16 @@
             View::Record(record.map(|record| row(record, context)))
         }
         Query::List { after, max_rows, only_unknown } => {
-            let rows = state.records().after(*after).map(|record| row(record, context));
-            let wanted = rows.filter(|r| !only_unknown || matches!(r.status, Status::Unknown(_)));
-            View::Page(wanted.take((*max_rows).min(MAX_ROWS)).collect())
+            let max_rows = (*max_rows).min(MAX_ROWS);
+            let rows = if *only_unknown {
+                let open = state.open_after(*after).map(|record| row(record, context));
+                let unknown = open.filter(|row| matches!(row.status, Status::Unknown(_)));
+                unknown.take(max_rows).collect()
+            } else {
+                let records = state.records().after(*after).take(max_rows);
+                records.map(|record| row(record, context)).collect()
+            };
+            View::Page(rows)
         }
         Query::Count => View::Count(state.len()),
     }
--- a/src/control/records/record.rs
+++ b/src/control/records/record.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Whether the call is under way or may have run.
+    pub(super) fn is_open(&self) -> bool {
+        matches!(self.status, Status::Pending(_) | Status::Unknown(..))
+    }
+
     /// Whether a new call may take the key over.
     pub(super) fn is_free(&self) -> bool {
         match &self.status {
--- a/src/control/records/state.rs
+++ b/src/control/records/state.rs
@@ -1,5 +1,7 @@
 //! The table of idempotency records and what commands do to it.
 
+use std::collections::BTreeSet;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use crate::control::answer::Answer;
@@ -23,7 +25,7 @@
 }
 
 /// The idempotency records.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct State {
     limits: Limits,
     records: shards::Table<Record>,
@@ -32,6 +34,9 @@
     tenants: Vec<Usage>,
     #[serde(skip)]
     answers_bytes: u64,
+    /// Calls under way and calls that may have run: a tree, since it changes with every call.
+    #[serde(skip)]
+    open: BTreeSet<shards::Key>,
     #[serde(skip)]
     checks: Vec<std::result::Result<(), String>>,
 }
@@ -66,6 +71,23 @@
         &self.records
     }
 
+    /// Calls under way and calls that may have run, whose keys come after `key`.
+    pub(super) fn open_after(&self, key: Option<shards::Key>) -> impl Iterator<Item = &Record> {
+        let first = key.map_or(Bound::Unbounded, Bound::Excluded);
+        let keys = self.open.range((first, Bound::Unbounded));
+        keys.filter_map(|key| self.records.get(key))
+    }
+
+    /// A picture to be encoded: without what [`State::index`] builds, so that it costs little.
+    pub fn picture(&self) -> Self {
+        Self {
+            limits: self.limits.clone(),
+            records: self.records.clone(),
+            tombstones: self.tombstones.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, context: &Context<'_>, command: Command) -> Outcome {
         match command {
@@ -275,19 +297,24 @@
     }
 
     fn put(&mut self, record: Record) {
-        self.remember(&record);
-        if let Some(former) = self.records.insert(record) {
+        if let Some(former) = self.records.get(&record.key).cloned() {
             self.forget(&former);
         }
+        self.remember(&record);
+        self.records.insert(record);
     }
 
     fn remember(&mut self, record: &Record) {
         self.answers_bytes += record.kept_bytes();
+        if record.is_open() {
+            self.open.insert(record.key);
+        }
         self.usage(&record.tenant).records += 1;
     }
 
     fn forget(&mut self, record: &Record) {
         self.answers_bytes -= record.kept_bytes();
+        self.open.remove(&record.key);
         self.usage(&record.tenant).records -= 1;
     }
 
@@ -304,6 +331,7 @@
 
     /// Builds after a restore what snapshots leave out.
     pub fn index(&mut self) {
+        self.open.clear();
         let mut records = std::mem::take(&mut self.records);
         records.for_each(|record| {
             record.tenant = self.usage(&record.tenant).tenant.clone();
--- a/src/traffic/handle.rs
+++ b/src/traffic/handle.rs
@@ -118,7 +118,7 @@
     Ok(Prepared { call, effective, key: stated.key })
 }
 
-fn prepare_model(
+pub(super) fn prepare_model(
     shared: &Arc<Shared>,
     tenant: TenantId,
     stated: &Stated,
@@ -169,7 +169,7 @@
 }
 
 /// Splits `/services/{service}/{path}` into the service and `/{path}`.
-fn split_path(path: &str) -> Option<(&str, &str)> {
+pub(super) fn split_path(path: &str) -> Option<(&str, &str)> {
     let rest = path.strip_prefix("/services/")?;
     let end = rest.find('/').unwrap_or(rest.len());
     let (service, path) = rest.split_at(end);
@@ -177,7 +177,7 @@
 }
 
 /// Asks the configuration, and builds what the engine is told.
-fn prepare(
+pub(super) fn prepare(
     shared: &Arc<Shared>,
     tenant: TenantId,
     stated: &Stated,
--- /dev/null
+++ b/src/traffic/jobs/mod.rs
@@ -0,0 +1,64 @@
+//! Durable jobs over HTTP: submitting, waiting, fetching, cancelling, and running their work.
+
+mod door;
+mod execute;
+mod prepare;
+mod view;
+
+use std::fmt;
+use std::sync::{Arc, OnceLock, Weak};
+
+use axum::Router;
+use axum::routing::{get, post};
+
+use crate::control::port;
+use crate::routing::refusal::{Code, Ran, Refusal};
+use crate::routing::retry;
+use crate::traffic::shared::Shared;
+
+pub use execute::Executor;
+
+/// When to ask again while the control group is out of reach.
+const UNAVAILABLE_RETRY_MS: u64 = 2_000;
+
+/// The jobs of the control group, for callers.
+pub struct Jobs {
+    log: Arc<dyn port::Log>,
+    shared: OnceLock<Weak<Shared>>,
+}
+
+impl fmt::Debug for Jobs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Jobs").finish_non_exhaustive()
+    }
+}
+
+impl Jobs {
+    /// Jobs over `log`. Until [`Jobs::attach`] is called, every call is refused.
+    pub fn new(log: Arc<dyn port::Log>) -> Arc<Self> {
+        Arc::new(Self { log, shared: OnceLock::new() })
+    }
+
+    /// Tells the traffic of the daemon that the routes belong to; only the first call counts.
+    pub fn attach(&self, shared: &Arc<Shared>) {
+        self.shared.get_or_init(|| Arc::downgrade(shared));
+    }
+
+    /// The routes, to be merged into those of callers.
+    pub fn routes(self: &Arc<Self>) -> Router {
+        Router::new()
+            .route("/v1/jobs", post(door::submit))
+            .route("/v1/jobs/{id}", get(view::job).delete(view::cancel))
+            .route("/v1/jobs/{id}/answer", get(view::answer))
+            .with_state(Arc::clone(self))
+    }
+
+    fn shared(&self) -> Result<Arc<Shared>, Refusal> {
+        self.shared.get().and_then(Weak::upgrade).ok_or_else(|| unavailable(Ran::No))
+    }
+}
+
+/// The refusal while the control group is out of reach.
+fn unavailable(ran: Ran) -> Refusal {
+    retry::refusal(Code::NoRecords, ran, UNAVAILABLE_RETRY_MS)
+}
--- /dev/null
+++ b/src/traffic/jobs/view.rs
@@ -0,0 +1,243 @@
+//! `GET` and `DELETE /v1/jobs/{id}`: how far a job is, its answer, and its cancellation.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::body::Body as HttpBody;
+use axum::extract::{Path, Query, State};
+use axum::response::{IntoResponse, Response};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+
+use crate::control::answer::{Answer, Body};
+use crate::control::jobs::{self, Cancelled, End, Status};
+use crate::control::{commands, port, queries};
+use crate::ids::{ClassName, JobId, TenantId};
+use crate::routing::refusal::{Code, Ran, Refusal};
+use crate::traffic::jobs::{Jobs, door, unavailable};
+use crate::traffic::problem;
+
+/// Longest time that a caller may wait for an end in one request.
+const MAX_WAIT_MS: u64 = 60_000;
+/// First pause between two looks at a job that is waited for; it doubles with each.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two looks.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// The query of a long poll.
+#[derive(serde::Deserialize)]
+pub(super) struct Wait {
+    /// How long to wait for the job's end.
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// A job as its caller sees it.
+#[derive(serde::Serialize)]
+struct View<'a> {
+    id: &'a JobId,
+    status: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    class: Option<ClassName>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    submitted_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ran: Option<jobs::Ran>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    code: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    answer: Option<AnswerView>,
+}
+
+#[derive(serde::Serialize)]
+struct AnswerView {
+    status: u16,
+    content_type: Box<str>,
+    /// The body, if it is JSON or text; in any case it is at `/v1/jobs/{id}/answer`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    body: Option<serde_json::Value>,
+    /// Whether the body was too large to be kept.
+    is_too_large: bool,
+}
+
+impl<'a> View<'a> {
+    fn new(id: &'a JobId, status: &'static str) -> Self {
+        Self {
+            id,
+            status,
+            class: None,
+            submitted_ms: None,
+            deadline_ms: None,
+            ran: None,
+            code: None,
+            reason: None,
+            answer: None,
+        }
+    }
+
+    fn of_end(id: &'a JobId, end: End) -> Self {
+        match end {
+            End::Answered(answer) => {
+                Self { answer: Some(answer_view(answer)), ..Self::new(id, "answered") }
+            }
+            End::Refused { reason, ran } => Self {
+                ran: Some(ran),
+                code: Some(reason.code()),
+                reason: Some(reason.to_string()),
+                ..Self::new(id, "refused")
+            },
+            End::Cancelled { ran } => Self { ran: Some(ran), ..Self::new(id, "cancelled") },
+        }
+    }
+
+    fn of_row(row: &'a jobs::Row) -> Self {
+        let view = match &row.status {
+            Status::Waiting => Self::new(&row.id, "waiting"),
+            Status::Leased => Self::new(&row.id, "running"),
+            Status::Answered => Self::new(&row.id, "answered"),
+            Status::Ended(end) => Self::of_end(&row.id, end.clone()),
+        };
+        Self {
+            class: Some(row.class.clone()),
+            submitted_ms: Some(row.submitted_ms),
+            deadline_ms: Some(row.deadline_ms),
+            ..view
+        }
+    }
+}
+
+fn answer_view(answer: Answer) -> AnswerView {
+    let body = match &answer.body {
+        Body::Kept(bytes) => serde_json::from_slice(bytes)
+            .ok()
+            .or_else(|| std::str::from_utf8(bytes).ok().map(Into::into)),
+        Body::TooLarge { .. } => None,
+    };
+    AnswerView {
+        status: answer.status,
+        is_too_large: matches!(answer.body, Body::TooLarge { .. }),
+        content_type: answer.content_type,
+        body,
+    }
+}
+
+/// The response of a submission whose job has ended before.
+pub(super) fn ended(id: &JobId, end: End) -> Response {
+    Json(View::of_end(id, end)).into_response()
+}
+
+/// `GET /v1/jobs/{id}?wait_ms=`.
+pub(super) async fn job(
+    State(jobs): State<Arc<Jobs>>,
+    Path(id): Path<String>,
+    Query(wait): Query<Wait>,
+    headers: HeaderMap,
+) -> Response {
+    match look(&jobs, &id, &headers, wait.wait_ms).await {
+        Ok(row) => Json(View::of_row(&row)).into_response(),
+        Err(refusal) => problem::response(&refusal),
+    }
+}
+
+/// `GET /v1/jobs/{id}/answer`: the answer as the target gave it.
+pub(super) async fn answer(
+    State(jobs): State<Arc<Jobs>>,
+    Path(id): Path<String>,
+    Query(wait): Query<Wait>,
+    headers: HeaderMap,
+) -> Response {
+    match look(&jobs, &id, &headers, wait.wait_ms).await {
+        Ok(jobs::Row { status: Status::Ended(End::Answered(answer)), .. }) => plain(answer),
+        Ok(row) => (StatusCode::CONFLICT, Json(View::of_row(&row))).into_response(),
+        Err(refusal) => problem::response(&refusal),
+    }
+}
+
+fn plain(answer: Answer) -> Response {
+    let Body::Kept(body) = answer.body else {
+        return problem::response(&Refusal {
+            code: Code::BodyTooLarge,
+            ran: Ran::Yes,
+            retry_after_ms: 0,
+        });
+    };
+    let mut response = Response::new(HttpBody::from(body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    if let Ok(content_type) = HeaderValue::from_str(&answer.content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    }
+    response
+}
+
+/// `DELETE /v1/jobs/{id}`.
+pub(super) async fn cancel(
+    State(jobs): State<Arc<Jobs>>,
+    Path(id): Path<String>,
+    headers: HeaderMap,
+) -> Response {
+    match cancelled(&jobs, &id, &headers).await {
+        Ok(response) => response,
+        Err(refusal) => problem::response(&refusal),
+    }
+}
+
+async fn cancelled(jobs: &Jobs, id: &str, headers: &HeaderMap) -> Result<Response, Refusal> {
+    let tenant = door::caller(jobs, headers)?;
+    let id = read(id)?;
+    let command = jobs::Command::Cancel { tenant: tenant.clone(), id: id.clone() };
+    let outcome = jobs.log.propose(commands::Command::Jobs(command)).await;
+    let Ok(commands::Outcome::Jobs(jobs::Outcome::Cancelled(cancelled))) = outcome else {
+        return Err(unavailable(Ran::Maybe));
+    };
+    match cancelled {
+        Cancelled::Done { ran } => {
+            Ok(Json(View::of_end(&id, End::Cancelled { ran })).into_response())
+        }
+        Cancelled::AlreadyEnded => {
+            let row = find(&*jobs.log, &tenant, &id).await?;
+            Ok((StatusCode::CONFLICT, Json(View::of_row(&row))).into_response())
+        }
+        Cancelled::NotFound => Err(Refusal::not_run(Code::NotFound)),
+    }
+}
+
+fn read(id: &str) -> Result<JobId, Refusal> {
+    id.parse().map_err(|_| Refusal::not_run(Code::NotFound))
+}
+
+/// Looks at a job until it has ended, or until the caller's wait is over.
+async fn look(
+    jobs: &Jobs,
+    id: &str,
+    headers: &HeaderMap,
+    wait_ms: u64,
+) -> Result<jobs::Row, Refusal> {
+    let tenant = door::caller(jobs, headers)?;
+    let id = read(id)?;
+    let wait = Duration::from_millis(wait_ms.min(MAX_WAIT_MS));
+    let until = tokio::time::Instant::now() + wait;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let row = find(&*jobs.log, &tenant, &id).await?;
+        let is_over = tokio::time::Instant::now() >= until;
+        if is_over || matches!(row.status, Status::Ended(_)) {
+            return Ok(row);
+        }
+        let next = tokio::time::Instant::now() + pause;
+        tokio::time::sleep_until(next.min(until)).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+async fn find(log: &dyn port::Log, tenant: &TenantId, id: &JobId) -> Result<jobs::Row, Refusal> {
+    let query = jobs::Query::Job(tenant.clone(), id.clone());
+    match log.query(queries::Query::Jobs(query)).await {
+        Ok(queries::Answer::Jobs(jobs::View::Job(Some(row)))) => Ok(*row),
+        Ok(queries::Answer::Jobs(jobs::View::Job(None))) => Err(Refusal::not_run(Code::NotFound)),
+        _ => Err(unavailable(Ran::Maybe)),
+    }
+}
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod edge;
 pub mod handle;
+pub mod jobs;
 mod measure;
 pub mod once;
 pub mod poison;
