--- a/src/cli/work.rs
+++ b/src/cli/work.rs
@@ -136,15 +136,15 @@
             print_json(&records);
             return Ok(());
         }
-        let mut table = Table::new(&["tenant", "key", "state", "called", "target", "since"]);
+        let mut table = Table::new(&["tenant", "key", "state", "daemon", "since"]);
         for record in &records {
-            let target = record.target.as_ref().map(ToString::to_string);
+            let key = record.key.as_ref().map(ToString::to_string);
+            let daemon = record.daemon.as_ref().map(ToString::to_string);
             table.row([
                 record.tenant.to_string(),
-                record.key.to_string(),
+                key.unwrap_or_default(),
                 record.state.clone(),
-                record.called.clone(),
-                target.unwrap_or_default(),
+                daemon.unwrap_or_default(),
                 logging::time(record.created_ms).to_string(),
             ]);
         }
