Configuration: only what a change makes worse stops it; first defaults from the settings

Cause: a contradiction that time or a lost zone brings about would have stopped every later change, just when operators need them. [defaults] of the settings reached no cluster. A reason stood twice in the audit trail.

Ruled out: leaving out the whole-fleet checks (an operator's slip would pass).

Change: contradictions and kept memory are compared before and after a change; Facts::new; Settings::first_change, which serve passes on; an exception alone carries its reason.

Conclusion: as stated.

--- a/src/cli/connection.rs
+++ b/src/cli/connection.rs
@@ -131,7 +131,10 @@
     let lagging = admin::lagging(&revisions, revision);
     if lagging.is_empty() {
         if !connection.json {
-            print(&format!("in force at all {} daemons", revisions.daemons.len()));
+            print(&match revisions.daemons.len() {
+                1 => "in force".to_owned(),
+                count => format!("in force at all {count} daemons"),
+            });
         }
         return Ok(());
     }
--- a/src/cli/exceptions.rs
+++ b/src/cli/exceptions.rs
@@ -127,7 +127,8 @@
             Command::Add(args) => {
                 let end_ms = args.end.end_ms(now_ms());
                 let edit = add(args.scope, args.settings, &args.reason, end_ms);
-                args.change.make(&args.connection, args.reason, vec![edit]).await
+                // The exception itself carries the reason.
+                args.change.make(&args.connection, String::new(), vec![edit]).await
             }
             Command::Remove(args) => {
                 let edits = args.ids.into_iter().map(Edit::RemoveException).collect();
@@ -174,13 +175,13 @@
     /// Runs the command.
     pub async fn run(self) -> Result<()> {
         let scope = Scope { target: self.target, availability_zone: self.zone, ..Scope::default() };
-        let edits = if self.undo {
-            undo(&self.connection, &scope).await?
-        } else {
-            let drain = Setting { key: config::Key::Drain, value: Value::Flag(true) };
-            vec![add(scope, vec![drain], &self.reason, self.end.end_ms(now_ms()))]
-        };
-        self.change.make(&self.connection, self.reason, edits).await
+        if self.undo {
+            let edits = undo(&self.connection, &scope).await?;
+            return self.change.make(&self.connection, self.reason, edits).await;
+        }
+        let drain = Setting { key: config::Key::Drain, value: Value::Flag(true) };
+        let edit = add(scope, vec![drain], &self.reason, self.end.end_ms(now_ms()));
+        self.change.make(&self.connection, String::new(), vec![edit]).await
     }
 }
 
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -103,7 +103,8 @@
 }
 
 async fn serve(settings: Settings) -> Result<()> {
-    let started = daemon::serve(settings, None, metrics_text()?).await;
+    let first_change = settings.first_change();
+    let started = daemon::serve(settings, first_change, metrics_text()?).await;
     let daemon = started.change_context_lazy(|| failed("start the daemon"))?;
     let has_failed = until_stopped(&daemon).await?;
     let stopped = daemon.stop().await;
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -30,6 +30,37 @@
     pub largest_target_bytes: Option<Bytes>,
 }
 
+impl Facts {
+    /// What is known from the targets, each with its zone and accelerator memory, from the zones
+    /// of daemons, and from the tenants. Without any target, targets and memory are not known.
+    pub fn new(
+        targets: impl IntoIterator<Item = (TargetId, Zone, Bytes)>,
+        mut zones: Vec<Zone>,
+        tenants: Vec<TenantId>,
+    ) -> Self {
+        let (mut ids, mut memory) = (Vec::new(), Vec::new());
+        for (id, zone, memory_bytes) in targets {
+            ids.push(id);
+            zones.push(zone);
+            memory.push(memory_bytes.0);
+        }
+        let has_targets = !ids.is_empty();
+        Self {
+            zones: (!zones.is_empty()).then(|| sorted(zones)),
+            targets: has_targets.then(|| sorted(ids)),
+            tenants: Some(sorted(tenants)),
+            memory_bytes: has_targets.then(|| Bytes(memory.iter().sum())),
+            largest_target_bytes: memory.iter().max().map(|largest| Bytes(*largest)),
+        }
+    }
+}
+
+fn sorted<T: Ord>(mut list: Vec<T>) -> Vec<T> {
+    list.sort_unstable();
+    list.dedup();
+    list
+}
+
 /// Collects the problems of one edit.
 struct Found<'a> {
     problems: &'a mut Vec<Problem>,
@@ -63,13 +94,22 @@
         next.edit(edit, &change.author, now_ms);
     }
     next.derive();
+    // What was wrong before, as when an exception ended or a zone was lost, must not stop a change.
+    let before = contradictions(fleet, facts, now_ms);
+    let after = contradictions(&next, facts, now_ms);
     found.edit = 0;
-    check_replicas(&next, now_ms, &mut found);
-    check_memory(&next, facts, now_ms, &mut found);
-    check_zones(&next, facts, now_ms, &mut found);
+    after.into_iter().filter(|what| !before.contains(what)).for_each(|what| found.add(what));
+    check_memory(fleet, &next, facts, now_ms, &mut found);
     problems
 }
 
+/// What contradicts itself in a whole fleet.
+fn contradictions(fleet: &Fleet, facts: &Facts, now_ms: u64) -> Vec<String> {
+    let mut found = crossed_limits(fleet, now_ms);
+    found.extend(unplaceable(fleet, facts, now_ms));
+    found
+}
+
 fn check_edit(fleet: &Fleet, edit: &Edit, facts: &Facts, now_ms: u64, found: &mut Found<'_>) {
     match edit {
         Edit::SetDefault(Setting { key, .. }) if key.reach() == Reach::Targets => {
@@ -291,38 +331,44 @@
 }
 
 /// Limits of replicas that contradict each other.
-fn check_replicas(fleet: &Fleet, now_ms: u64, found: &mut Found<'_>) {
-    check_limits(fleet, &Subject { now_ms, ..Subject::default() }, "the defaults", found);
+fn crossed_limits(fleet: &Fleet, now_ms: u64) -> Vec<String> {
+    let whole = Subject { now_ms, ..Subject::default() };
+    let mut found = crossed(fleet, &whole, "the defaults");
     let limits = [Key::MinReplicas, Key::MaxReplicas, Key::KeepWarm];
-    for exception in fleet.exceptions() {
+    for exception in fleet.exceptions().iter().filter(|other| other.is_in_force(now_ms)) {
         if exception.settings.iter().any(|setting| limits.contains(&setting.key)) {
             let of = format!("exception {} for {}", exception.id, exception.scope);
-            check_limits(fleet, &exception.scope.subject(now_ms), &of, found);
+            found.extend(crossed(fleet, &exception.scope.subject(now_ms), &of));
         }
     }
+    found
 }
 
-fn check_limits(fleet: &Fleet, subject: &Subject<'_>, of: &str, found: &mut Found<'_>) {
+fn crossed(fleet: &Fleet, subject: &Subject<'_>, of: &str) -> Vec<String> {
     let effective = resolve(fleet, subject);
     let (min, max) = (effective.min_replicas, effective.max_replicas);
+    let mut found = Vec::new();
     if min > max {
-        found.add(format!("with {of}, min_replicas {min} is above max_replicas {max}"));
+        found.push(format!("with {of}, min_replicas {min} is above max_replicas {max}"));
     }
     if max == 0 && !effective.keep_warm.is_empty() {
         let windows = &effective.keep_warm;
-        found.add(format!("with {of}, keep_warm {windows} contradicts max_replicas 0"));
+        found.push(format!("with {of}, keep_warm {windows} contradicts max_replicas 0"));
     }
+    found
 }
 
-/// Replicas that are kept at any demand and would not fit.
-fn check_memory(fleet: &Fleet, facts: &Facts, now_ms: u64, found: &mut Found<'_>) {
+/// Replicas kept at any demand that a change adds and that would not fit.
+fn check_memory(fleet: &Fleet, next: &Fleet, facts: &Facts, now_ms: u64, found: &mut Found<'_>) {
     let Some(capacity) = facts.memory_bytes else { return };
-    let models = maybe_kept(fleet);
-    let kept_bytes: u64 = models.iter().map(|model| kept(fleet, model, now_ms)).sum();
-    if kept_bytes > capacity.0 {
+    let kept_bytes = |fleet: &Fleet| -> u64 {
+        maybe_kept(fleet).iter().map(|model| kept(fleet, model, now_ms)).sum()
+    };
+    let after = kept_bytes(next);
+    if after > capacity.0 && after > kept_bytes(fleet) {
         found.add(format!(
             "replicas kept at any demand would take {}, all targets have {capacity}",
-            Bytes(kept_bytes)
+            Bytes(after)
         ));
     }
 }
@@ -353,19 +399,22 @@
     u64::from(effective.min_replicas.max(warm)) * memory_bytes.0
 }
 
-/// Models that are to be kept but may be placed nowhere.
-fn check_zones(fleet: &Fleet, facts: &Facts, now_ms: u64, found: &mut Found<'_>) {
-    let Some(zones) = facts.zones.as_ref().filter(|zones| !zones.is_empty()) else { return };
+/// Models that may be placed nowhere.
+fn unplaceable(fleet: &Fleet, facts: &Facts, now_ms: u64) -> Vec<String> {
+    let Some(zones) = &facts.zones else { return Vec::new() };
     let forbids =
         |setting: &Setting| setting.key == Key::Placeable && setting.value == Value::Flag(false);
     if !fleet.exceptions().iter().any(|exception| exception.settings.iter().any(forbids)) {
-        return;
-    }
-    for model in &fleet.catalogue().models {
-        let base = ModelRef { model: model.name.clone(), adapter: None };
-        let subject = Subject::model(&base, now_ms);
-        if !zones.iter().any(|zone| resolve(fleet, &subject.in_zone(zone)).is_placeable) {
-            found.add(format!("no availability zone would be left for {}", model.name));
-        }
+        return Vec::new();
     }
+    let is_unplaceable = |model: &ModelRef| {
+        let subject = Subject::model(model, now_ms);
+        !zones.iter().any(|zone| resolve(fleet, &subject.in_zone(zone)).is_placeable)
+    };
+    let models = fleet.catalogue().models.iter();
+    let bases = models.map(|model| ModelRef { model: model.name.clone(), adapter: None });
+    bases
+        .filter(is_unplaceable)
+        .map(|model| format!("no availability zone would be left for {model}"))
+        .collect()
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -15,7 +15,7 @@
 use std::path::PathBuf;
 
 use crate::config;
-use crate::ids::{ClusterId, DaemonId, GroupId, Incarnation, TargetId, TenantId, Zone};
+use crate::ids::{ClusterId, DaemonId, GroupId, Incarnation, Revision, TargetId, TenantId, Zone};
 use crate::units::Millis;
 
 pub use builder::Builder;
@@ -33,6 +33,9 @@
 /// Threads for traffic, where the settings name no other number.
 pub const THREADS: usize = 4;
 
+/// The id and the author of the change that a settings file makes.
+const FIRST_CHANGE: &str = "settings";
+
 /// One problem in a settings file.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
 pub struct Problem {
@@ -91,6 +94,21 @@
     pub fn is_voter(&self) -> bool {
         self.daemon.data_folder.is_some()
     }
+
+    /// The change that gives a cluster without a configuration the fleet defaults of this file.
+    pub fn first_change(&self) -> Option<config::Change> {
+        if self.defaults.is_empty() {
+            return None;
+        }
+        let defaults = self.defaults.iter().cloned();
+        Some(config::Change {
+            id: FIRST_CHANGE.parse().expect("a constant name"),
+            base: Revision(0),
+            author: FIRST_CHANGE.parse().expect("a constant name"),
+            reason: "fleet defaults of the settings".to_owned(),
+            edits: defaults.map(config::Edit::SetDefault).collect(),
+        })
+    }
 }
 
 /// Who a daemon is and where it listens. Port 0 takes any free port.
--- a/src/settings/sections.rs
+++ b/src/settings/sections.rs
@@ -245,6 +245,10 @@
     let mut settings = Vec::new();
     for line in reader.lines("defaults") {
         match config::Setting::read(line.key, line.value) {
+            Ok(setting) if setting.key.reach() == config::Reach::Targets => {
+                let what = "it is no default: add an exception for a target or zone";
+                reader.problem(line.number, "defaults", line.key, what);
+            }
             Ok(setting) => settings.push(setting),
             Err(what) => reader.problem(line.number, "defaults", line.key, what),
         }
--- a/tests/check_settings.rs
+++ b/tests/check_settings.rs
@@ -106,6 +106,7 @@
     (26, "deadline = 30 min min", &[(26, "deadline")]),
     (26, "deadlines = 30 s", &[(26, "deadlines")]),
     (26, "rank = 12", &[(26, "rank")]),
+    (26, "drain = yes", &[(26, "drain")]),
 ];
 
 #[test]
