Routing: the driver no longer wakes itself, and lanes stay put while served

Cause: a tick of the driver saw its own last wake time and notified itself, so an idle daemon spun on one core; and a refusal inside serve_lane could drop or insert a lane under the loop's index. Change: the driver marks itself awake before a tick; lanes are added and dropped, and parked requests let in, only at the end of an event.

--- a/src/routing/engine/arrive.rs
+++ b/src/routing/engine/arrive.rs
@@ -55,6 +55,7 @@
         if wakes {
             self.report_demand(cx, ticket);
         }
+        self.settle(cx);
         ticket
     }
 
@@ -163,7 +164,7 @@
         };
         request.predicted_ms = Some(wait_ms as u64);
         if !request.is_in_time(cx.now_ms, wait_ms) {
-            self.drop_empty_lane(place);
+            self.has_empty_lane |= lane.is_empty();
             return self.refuse(cx, ticket, Code::NotInTime, wait_ms);
         }
         request.state = State::Waiting(position);
@@ -209,12 +210,6 @@
         }
     }
 
-    pub(super) fn drop_empty_lane(&mut self, place: usize) {
-        if self.lanes.get(place).is_some_and(Lane::is_empty) {
-            self.lanes.remove(place);
-        }
-    }
-
     pub(super) fn count_waiting(&mut self, ticket: Ticket) {
         let Some(request) = self.requests.get_mut(ticket) else { return };
         if !request.counted_waiting {
--- a/src/routing/engine/dispatch.rs
+++ b/src/routing/engine/dispatch.rs
@@ -95,7 +95,6 @@
         while let Some((item, target)) = self.next_of_lane(cx, place) {
             self.dispatch(cx, place, item, target);
         }
-        self.drop_empty_lane(place);
     }
 
     /// The first request of a lane that some target has room for.
@@ -136,6 +135,7 @@
     /// Takes a request out of its lane and sends it, or refuses it if its time has run out.
     fn dispatch(&mut self, cx: &mut Context<'_>, lane: usize, item: Item, target: u32) {
         self.lanes[lane].remove(&item.position);
+        self.has_empty_lane |= self.lanes[lane].is_empty();
         let Some(request) = self.requests.get(item.ticket) else { return };
         if !request.is_in_time(cx.now_ms, 0.0) {
             return self.refuse(cx, item.ticket, Code::NotInTime, 0.0);
@@ -149,7 +149,6 @@
     pub(super) fn serve_target(&mut self, cx: &mut Context<'_>, place: u32) {
         while let Some((lane, item)) = self.next_for_target(cx.now_ms, place) {
             self.dispatch(cx, lane, item, place);
-            self.drop_empty_lane(lane);
         }
     }
 
--- a/src/routing/engine/mod.rs
+++ b/src/routing/engine/mod.rs
@@ -244,6 +244,11 @@
 }
 
 impl Request {
+    /// Whether an attempt of it is at a target.
+    fn is_in_flight(&self) -> bool {
+        self.flights.iter().any(Option::is_some)
+    }
+
     /// When it would be answered if it were sent after `wait_ms`.
     ///
     /// Its own time counts for at most half of what the caller allowed: a learned time that is too
@@ -292,7 +297,7 @@
     broken: Vec<BrokenCall>,
     demand: Pace,
     unpark_later: Vec<usize>,
-    is_unparking: bool,
+    has_empty_lane: bool,
 }
 
 impl Engine {
--- a/src/routing/engine/outcome.rs
+++ b/src/routing/engine/outcome.rs
@@ -36,6 +36,7 @@
             self.lengths.observe_first(&subject, &class, first_ms);
         }
         self.serve_target(cx, place);
+        self.settle(cx);
     }
 
     /// A part of the answer went to the caller: from now on the request is not run again.
@@ -65,6 +66,7 @@
         }
         self.crest.answered(cx.now_ms);
         self.end(cx, ticket);
+        self.settle(cx);
     }
 
     fn flight(&self, number: Number, ticket: Ticket, attempt: u32) -> Option<Flight> {
@@ -91,11 +93,11 @@
             self.blame(cx.now_ms, number, ticket, failure);
             self.land(cx, number, ticket, attempt);
         }
-        let Some(request) = self.requests.get(ticket) else { return };
-        if request.flights.iter().any(Option::is_some) {
-            return;
+        let runs_on = self.requests.get(ticket).is_some_and(Request::is_in_flight);
+        if !runs_on {
+            self.after_failure(cx, ticket, &case);
         }
-        self.after_failure(cx, ticket, &case);
+        self.settle(cx);
     }
 
     fn after_failure(&mut self, cx: &mut Context<'_>, ticket: Ticket, case: &Case) {
@@ -187,11 +189,13 @@
         if let Some(number) = number {
             self.land(cx, number, ticket, attempt);
         }
+        self.settle(cx);
     }
 
     /// The caller left: the end of the request, wherever it is.
     pub fn leave(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
         self.end(cx, ticket);
+        self.settle(cx);
     }
 
     /// Takes an attempt off its target, and gives the room to whoever waits.
@@ -219,7 +223,7 @@
             State::Waiting(position) => {
                 if let Ok(place) = self.lane_place(&request.arrival.destination) {
                     self.lanes[place].remove(&position);
-                    self.drop_empty_lane(place);
+                    self.has_empty_lane |= self.lanes[place].is_empty();
                 }
             }
             State::Pausing => self.pauses.retain(|(_, other)| *other != ticket),
@@ -231,18 +235,24 @@
         }
         let share = self.shares.get_mut(request.share);
         share.admitted -= u32::from(request.is_admitted);
-        share.in_flight -= u32::from(request.flights.iter().any(Option::is_some));
+        share.in_flight -= u32::from(request.is_in_flight());
         for (number, attempt) in request.flights.into_iter().flatten() {
             self.land(cx, number, ticket, attempt);
         }
-        self.unpark_later.push(request.share);
-        // A request that is let in may end at once; its share is then looked at by the outer loop.
-        if !self.is_unparking {
-            self.is_unparking = true;
-            while let Some(share) = self.unpark_later.pop() {
-                self.unpark(cx, share);
-            }
-            self.is_unparking = false;
+        if !self.shares.get(request.share).parked.is_empty() {
+            self.unpark_later.push(request.share);
+        }
+    }
+
+    /// Finishes an event: lets parked requests into the room that it made, and drops empty lanes.
+    ///
+    /// Lanes are added and dropped only here and on arrival, never while one is being served.
+    pub(super) fn settle(&mut self, cx: &mut Context<'_>) {
+        while let Some(share) = self.unpark_later.pop() {
+            self.unpark(cx, share);
+        }
+        if std::mem::take(&mut self.has_empty_lane) {
+            self.lanes.retain(|lane| !lane.is_empty());
         }
     }
 
--- a/src/routing/engine/tables.rs
+++ b/src/routing/engine/tables.rs
@@ -47,6 +47,7 @@
         self.numbers.sort_unstable();
         self.refresh_lanes();
         self.serve_lanes(cx);
+        self.settle(cx);
     }
 
     fn new_target(&mut self, entry: &Entry) -> Target {
@@ -78,12 +79,10 @@
         }
     }
 
-    /// Serves every lane; a lane may vanish while it is served.
+    /// Serves every lane.
     pub(super) fn serve_lanes(&mut self, cx: &mut Context<'_>) {
-        for place in (0..self.lanes.len()).rev() {
-            if place < self.lanes.len() {
-                self.serve_lane(cx, place);
-            }
+        for place in 0..self.lanes.len() {
+            self.serve_lane(cx, place);
         }
     }
 }
--- a/src/routing/engine/tick.rs
+++ b/src/routing/engine/tick.rs
@@ -31,6 +31,7 @@
         }
         self.report_waiting(cx);
         self.demand.prune(cx.now_ms);
+        self.settle(cx);
     }
 
     fn end_pauses(&mut self, cx: &mut Context<'_>) {
--- a/src/traffic/shared.rs
+++ b/src/traffic/shared.rs
@@ -282,6 +282,8 @@
     /// Drives what depends on time, until it is dropped.
     pub async fn drive(&self) {
         loop {
+            // While it is awake it needs no waking.
+            self.next_wake_ms.store(0, Ordering::Relaxed);
             let ready_at = |model: &ModelRef| self.placement.ready_at_ms(model);
             let next_ms = self.step(|engine, cx| {
                 engine.tick(cx, ready_at);
