--- a/src/routing/engine/mod.rs
+++ b/src/routing/engine/mod.rs
@@ -168,7 +168,7 @@
     fn default() -> Self {
         Self {
             zone: None,
-            long_share: 0.5,
+            long_share: 0.75,
             floor_share: 0.02,
             max_waiting: 20_000,
             max_waiting_bytes: 64 << 20,
@@ -316,6 +316,11 @@
         &self.table
     }
 
+    /// The name that the next request will get.
+    pub fn next_ticket(&self) -> Ticket {
+        self.requests.next()
+    }
+
     /// Requests that have not ended.
     pub fn requests(&self) -> usize {
         self.requests.len()
--- a/src/routing/slab.rs
+++ b/src/routing/slab.rs
@@ -37,6 +37,16 @@
         self.places.iter().filter_map(|place| place.value.as_ref())
     }
 
+    /// The name that the next value will get.
+    pub fn next(&self) -> Ticket {
+        match self.free.last() {
+            Some(place) => {
+                Ticket { place: *place, generation: self.places[*place as usize].generation }
+            }
+            None => Ticket { place: self.places.len() as u32, generation: 0 },
+        }
+    }
+
     /// Adds a value and returns its name.
     pub fn insert(&mut self, value: T) -> Ticket {
         match self.free.pop() {
