Routing measures: stricter crest allowance, fairer FIFO, load reports

What was wrong: the crest's allowance left out the time until its last deadline, and FIFO sent work that could not be in time any more.

--- a/benches/measures_routing/mod.rs
+++ b/benches/measures_routing/mod.rs
@@ -12,7 +12,7 @@
 use fescuebay::ids::{Digest, Incarnation, Sequence};
 use fescuebay::membership::table::{Entry, Replica, Standing, Table};
 use fescuebay::routing::engine::{Action, Arrival, Context, Destination, Engine, Settings, Ticket};
-use fescuebay::target::order::Kind;
+use fescuebay::target::order::{Kind, Load};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -21,7 +21,8 @@
 pub enum Policy {
     /// The engine of `routing`, one for each router.
     Engine,
-    /// One queue for all, first in, first out, to a random target with a free slot.
+    /// One queue for all, first in, first out, to a random target with a free slot. What cannot be
+    /// answered in time any more is refused when its turn comes.
     Fifo,
     /// A random target at once; the target queues.
     Random,
@@ -117,6 +118,7 @@
     sequence: u64,
     runners: Vec<Runner>,
     calls: Vec<Sent>,
+    calls_of: Vec<Vec<usize>>,
     engines: Vec<Engine>,
     tickets: Vec<Vec<(Ticket, usize)>>,
     fifo: VecDeque<usize>,
@@ -181,6 +183,7 @@
             sequence: 0,
             runners: vec![Runner::default(); world.targets],
             calls: Vec::new(),
+            calls_of: vec![Vec::new(); jobs.len()],
             engines: vec![Engine::new(Settings::default()); world.routers],
             tickets: vec![Vec::new(); world.routers],
             fifo: VecDeque::new(),
@@ -303,6 +306,12 @@
                 return;
             }
             let Some(job) = self.fifo.pop_front() else { return };
+            let spec = self.jobs[job];
+            if now_ms + spec.length_ms > spec.at_ms + spec.deadline_ms {
+                self.fates[job].is_refused = true;
+                self.ended += 1;
+                continue;
+            }
             let target = free[self.rng.random_range(0..free.len())] as u32;
             let ticket = Ticket { place: 0, generation: 0 };
             self.send(now_ms, job, 0, ticket, 0, target);
@@ -322,6 +331,7 @@
         let call = self.calls.len();
         self.calls.push(Sent { job, router, ticket, attempt, target, is_over: false });
         self.fates[job].attempts += 1;
+        self.calls_of[job].push(call);
         self.runners[target].queue.push_back(call);
         self.serve_target(now_ms, target);
         call
@@ -354,19 +364,19 @@
         let Sent { job, router, ticket, attempt, .. } = self.calls[call];
         self.fates[job].latency_ms = Some(now_ms - self.jobs[job].at_ms);
         self.ended += 1;
-        let others: Vec<usize> = (0..self.calls.len())
-            .rev()
-            .take(5000)
-            .filter(|c| self.calls[*c].job == job && *c != call && !self.calls[*c].is_over)
-            .collect();
-        for other in others {
-            self.free(now_ms, self.calls[other].target, other);
+        for other in std::mem::take(&mut self.calls_of[job]) {
+            if other != call && !self.calls[other].is_over {
+                self.free(now_ms, self.calls[other].target, other);
+            }
         }
+        let runner = &self.runners[target];
+        let (running, waiting) = (runner.running.len() as u32, runner.queue.len() as u32);
+        let load = Some(Load { running, waiting, slots: self.world.slots });
         self.free(now_ms, target, call);
         match self.policy {
             Policy::Engine => {
                 self.decide(now_ms, router, |engine, cx| {
-                    engine.first_byte(cx, ticket, attempt, None);
+                    engine.first_byte(cx, ticket, attempt, load);
                     engine.complete(cx, ticket, attempt);
                 });
             }
@@ -522,10 +532,16 @@
     };
     let runs = [Policy::Engine, Policy::Fifo, Policy::Random].map(|p| run(&world, p, &jobs));
     let slots = world.targets as u64 * u64::from(world.slots);
-    let mut left = (slots * (CREST_UNTIL_MS - CREST_FROM_MS) / CREST_LENGTH_MS) as f64;
+    // Work of the crest may be answered until its last deadline, but shares that time with later
+    // work of its own rank and of better ones.
+    let served_ms = CREST_UNTIL_MS + CREST_DEADLINE_MS - CREST_FROM_MS;
+    let mut left = (slots * served_ms / CREST_LENGTH_MS) as f64;
+    let tail = CREST_UNTIL_MS..CREST_UNTIL_MS + CREST_DEADLINE_MS;
     let mut by_rank = Vec::new();
     for rank in 0..3 {
         let asked = jobs.iter().filter(|job| job.rank == rank && in_crest(job)).count() as f64;
+        let is_later = |job: &&Job| job.rank == rank && tail.contains(&job.at_ms);
+        left -= jobs.iter().filter(is_later).count() as f64;
         let allowed = asked.min(left);
         left -= allowed;
         if allowed < 1.0 {
