--- a/src/routing/engine/arrive.rs
+++ b/src/routing/engine/arrive.rs
@@ -159,8 +159,9 @@
         } else {
             let ahead = admission::ahead(lane, &position);
             let slots = admission::slots(&self.targets, candidates);
-            request.raw_wait_ms = admission::wait_ms(ahead, request.expected_ms, slots);
-            self.estimate.corrected_ms(request.raw_wait_ms)
+            let (raw_ms, wait_ms) = request.queue_wait_ms(ahead, slots, &self.estimate);
+            request.raw_wait_ms = raw_ms;
+            wait_ms
         };
         request.predicted_ms = Some(wait_ms as u64);
         if !request.is_in_time(cx.now_ms, wait_ms) {
--- a/src/routing/engine/mod.rs
+++ b/src/routing/engine/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::ids::{ClassName, Digest, ModelRef, ServiceName, TargetId, TenantId};
 use crate::membership::table::Table;
-use crate::routing::admission::Estimate;
+use crate::routing::admission::{self, Estimate};
 use crate::routing::affinity::{Affinity, Conversation};
 use crate::routing::budget::Budget;
 use crate::routing::demand::{Demand, Pace};
@@ -264,6 +264,17 @@
         self.flights.iter().any(Option::is_some) && self.arrival.destination == *destination
     }
 
+    /// The wait that is expected of it in a lane, as computed and as corrected for earlier errors.
+    ///
+    /// Without an observed length nothing is expected: a guess is no reason to refuse.
+    fn queue_wait_ms(&self, ahead: usize, slots: f64, estimate: &Estimate) -> (f64, f64) {
+        if !self.expected.is_learned() {
+            return (0.0, 0.0);
+        }
+        let raw_ms = admission::wait_ms(ahead, self.expected_ms, slots);
+        (raw_ms, estimate.corrected_ms(raw_ms))
+    }
+
     /// Whether it would be answered by its deadline if it were sent after `wait_ms`.
     fn is_in_time(&self, now_ms: u64, wait_ms: f64) -> bool {
         self.answered_ms(now_ms, wait_ms) <= self.arrival.deadline_ms as f64
--- a/src/routing/engine/tick.rs
+++ b/src/routing/engine/tick.rs
@@ -9,6 +9,10 @@
 /// Time between two looks at what waits.
 const PERIOD_MS: u64 = 20;
 
+/// What waits until the next look waits at least as long, a late timer included: its refusal must
+/// not come after its deadline.
+const LOOK_MS: f64 = PERIOD_MS as f64 + 5.0;
+
 impl Engine {
     /// When [`Engine::tick`] is due; `None` if nothing depends on time.
     pub fn next_tick_ms(&self, now_ms: u64) -> Option<u64> {
@@ -61,7 +65,10 @@
     /// Refuses parked requests whose deadline is too near.
     fn refuse_parked(&mut self, cx: &mut Context<'_>) {
         let is_late = |engine: &Engine, ticket: &Ticket| {
-            engine.requests.get(*ticket).is_some_and(|request| !request.is_in_time(cx.now_ms, 0.0))
+            engine
+                .requests
+                .get(*ticket)
+                .is_some_and(|request| !request.is_in_time(cx.now_ms, LOOK_MS))
         };
         let mut late: Vec<Ticket> = Vec::new();
         for (_, _, share) in self.shares.iter() {
@@ -88,10 +95,9 @@
                 for item in lane.items_of(rank) {
                     let Some(request) = self.requests.get(item.ticket) else { continue };
                     let wait_ms = if candidates.is_empty() {
-                        ready_in_ms
+                        ready_in_ms.max(LOOK_MS)
                     } else {
-                        let raw_ms = admission::wait_ms(ahead, request.expected_ms, slots);
-                        self.estimate.corrected_ms(raw_ms)
+                        request.queue_wait_ms(ahead, slots, &self.estimate).1.max(LOOK_MS)
                     };
                     if request.is_in_time(cx.now_ms, wait_ms) {
                         ahead += 1;
--- a/src/routing/limit.rs
+++ b/src/routing/limit.rs
@@ -43,6 +43,11 @@
         self.value as u32
     }
 
+    /// How many calls the target said it runs at once.
+    pub fn slots(&self) -> f64 {
+        self.max
+    }
+
     /// Moves the limit after an answer, with the slowness seen, the calls in flight when it came,
     /// and the load that the target reported.
     pub fn observe(&mut self, slowness: f64, in_flight: u32, load: Option<Load>) {
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -119,7 +119,7 @@
     pub fn cost(&self, now_ms: u64, distance: f64) -> f64 {
         let waiting = f64::from(self.in_flight()) + self.reported_others(now_ms) + 1.0;
         let distance = if self.is_near { 1.0 } else { 1.0 + distance };
-        self.slowness_at(now_ms) * waiting * distance / f64::from(self.limit.get())
+        self.slowness_at(now_ms) * waiting * distance / self.limit.slots()
     }
 
     /// Calls of other routers, as last reported and discounted by the age of the report.
