--- a/src/traffic/handle.rs
+++ b/src/traffic/handle.rs
@@ -118,7 +118,7 @@
     Ok(Prepared { call, effective, key: stated.key })
 }
 
-fn prepare_model(
+pub(super) fn prepare_model(
     shared: &Arc<Shared>,
     tenant: TenantId,
     stated: &Stated,
@@ -152,7 +152,8 @@
     }
     let body = edge::body(&shared.limits, body).await?;
     let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
-    let target_path = format!("{path}{query}");
+    // A target may offer several services at one address, so it is told which one.
+    let target_path = format!("/services/{service}{path}{query}");
     let method = parts.method;
     let digest = Digest::of(&[
         service.as_str().as_bytes(),
@@ -169,7 +170,7 @@
 }
 
 /// Splits `/services/{service}/{path}` into the service and `/{path}`.
-fn split_path(path: &str) -> Option<(&str, &str)> {
+pub(super) fn split_path(path: &str) -> Option<(&str, &str)> {
     let rest = path.strip_prefix("/services/")?;
     let end = rest.find('/').unwrap_or(rest.len());
     let (service, path) = rest.split_at(end);
@@ -177,7 +178,7 @@
 }
 
 /// Asks the configuration, and builds what the engine is told.
-fn prepare(
+pub(super) fn prepare(
     shared: &Arc<Shared>,
     tenant: TenantId,
     stated: &Stated,
