--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -101,8 +101,15 @@
         voters.iter().filter(|id| **id != self.config.id).cloned().collect()
     }
 
+    /// Nobody leads, so a split vote is tried again soon.
+    fn plan_retry(&mut self, now_ms: u64) {
+        let jitter_ms = self.config.timing.election_jitter_ms;
+        let random_ms = self.rng.random_range(0..jitter_ms);
+        self.election_due_ms = now_ms + jitter_ms / 2 + random_ms;
+    }
+
     pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
-        self.reset_election(now_ms);
+        self.plan_retry(now_ms);
         if !self.log.membership().is_voter(&self.config.id) {
             return;
         }
@@ -162,7 +169,7 @@
         self.incoming = None;
         self.leader = None;
         self.role = Role::Candidate { grants: vec![self.config.id.clone()] };
-        self.reset_election(now_ms);
+        self.plan_retry(now_ms);
         let last = self.log.last();
         for voter in self.other_voters() {
             self.send(&voter, Body::Vote { last, is_transfer });
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 
 use super::entry::{Entry, SnapshotMeta, VoterId};
-use crate::ids::{GroupId, LogIndex, Term};
+use crate::ids::{DaemonId, GroupId, Incarnation, LogIndex, Term};
 
 /// One message. A receiver drops it unless `group` and `to` are its own.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
     /// The group that it belongs to.
     pub group: GroupId,
@@ -20,6 +20,35 @@
     pub body: Body,
 }
 
+/// A message as it travels: the names of the daemons are known from the connection.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+struct Wire {
+    group: GroupId,
+    from: Incarnation,
+    to: Incarnation,
+    term: Term,
+    body: Body,
+}
+
+impl Message {
+    /// The bytes to send to the daemon of `to`.
+    pub fn encode(self) -> Vec<u8> {
+        let Self { group, from, to, term, body } = self;
+        let wire = Wire { group, from: from.incarnation, to: to.incarnation, term, body };
+        // The parts hold only types that postcard can write.
+        postcard::to_stdvec(&wire).unwrap_or_default()
+    }
+
+    /// Reads what the daemon `from` sent to the daemon `to`.
+    pub fn decode(bytes: &[u8], from: &DaemonId, to: &DaemonId) -> Option<Self> {
+        let Wire { group, from: sender, to: receiver, term, body } =
+            postcard::from_bytes(bytes).ok()?;
+        let from = VoterId { daemon: from.clone(), incarnation: sender };
+        let to = VoterId { daemon: to.clone(), incarnation: receiver };
+        Some(Self { group, from, to, term, body })
+    }
+}
+
 /// Identifies the leader's broadcast that a reply answers.
 #[derive(
     Clone,
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod core;
 pub mod entry;
+pub mod formation;
 pub mod log;
 pub mod message;
 pub mod node;
--- a/src/consensus/node/handle.rs
+++ b/src/consensus/node/handle.rs
@@ -10,6 +10,7 @@
 use super::{Error, Result};
 use crate::consensus::core::{Change, Core, Proposed, Refusal};
 use crate::consensus::entry::VoterId;
+use crate::consensus::formation::Seen;
 use crate::consensus::message::Message;
 use crate::ids::{DaemonId, LogIndex};
 
@@ -64,18 +65,13 @@
         answered.await.unwrap_or_else(|_| Err(Report::new(Error::NotLeader(None))))
     }
 
-    /// Takes a message from another daemon. One that cannot be read, or whose sender is not the
-    /// daemon that sent it, is dropped.
+    /// Takes a message from another daemon. One that cannot be read is dropped.
     pub fn receive(&self, from: &DaemonId, message: &[u8]) {
-        let Ok(message) = postcard::from_bytes::<Message>(message) else {
+        let mut shared = self.shared.borrow_mut();
+        let Some(message) = Message::decode(message, from, shared.daemon()) else {
             metrics::counter!("consensus_unreadable_messages_total").increment(1);
             return;
         };
-        if message.from.daemon != *from {
-            metrics::counter!("consensus_unreadable_messages_total").increment(1);
-            return;
-        }
-        let mut shared = self.shared.borrow_mut();
         let now_ms = shared.now_ms();
         if let Ok(core) = shared.core_mut() {
             core.receive(now_ms, message);
@@ -87,6 +83,15 @@
         self.shared.borrow().status()
     }
 
+    /// What the folder says, for voters that ask whether to form a group.
+    pub fn seen(&self) -> Seen {
+        let status = self.status();
+        match status.core.membership.voters.is_empty() {
+            true => Seen::Empty(status.id),
+            false => Seen::Formed(status.core.membership),
+        }
+    }
+
     /// Follows who leads.
     pub fn subscribe(&self) -> watch::Receiver<Leadership> {
         self.shared.borrow().subscribe()
--- a/src/consensus/node/settings.rs
+++ b/src/consensus/node/settings.rs
@@ -12,6 +12,8 @@
 use crate::consensus::Machine;
 use crate::consensus::core::{Config, Stored};
 use crate::consensus::entry::{Membership, Snapshot, SnapshotMeta, VoterId};
+use crate::consensus::formation::Seen;
+use crate::consensus::log::Log;
 use crate::consensus::timing::Timing;
 use crate::ids::{DaemonId, GroupId, Incarnation};
 use crate::storage::disk::Folder;
@@ -99,6 +101,15 @@
         &self.id
     }
 
+    /// What its folder says, for other voters that ask.
+    pub fn seen(&self) -> Seen {
+        if !self.is_formed() {
+            return Seen::Empty(self.id.clone());
+        }
+        let log = Log::new(&self.stored.snapshot.meta, self.stored.entries.clone());
+        Seen::Formed(log.membership().clone())
+    }
+
     /// Whether its folder knows a group, or it has learnt of one from a leader.
     pub fn is_formed(&self) -> bool {
         let has_members = !self.stored.snapshot.meta.membership.voters.is_empty();
@@ -121,7 +132,8 @@
         let membership = Membership::of_voters(voters);
         let meta = SnapshotMeta { membership, ..SnapshotMeta::default() };
         let snapshot = Snapshot { meta, ..Snapshot::default() };
-        self.store.save_snapshot(&snapshot).change_context_lazy(|| start("write the folder"))?;
+        let saved = self.store.snapshot_saver().save(&snapshot);
+        saved.change_context_lazy(|| start("write the folder"))?;
         self.stored.snapshot = snapshot;
         Ok(())
     }
--- a/src/consensus/node/shell.rs
+++ b/src/consensus/node/shell.rs
@@ -13,7 +13,7 @@
 use crate::consensus::Machine;
 use crate::consensus::core::{self, Action, Config, Core, Proposed, RoleKind, Stored};
 use crate::consensus::entry::{Entry, HardState, Payload, Snapshot, SnapshotMeta, VoterId};
-use crate::ids::{LogIndex, Term};
+use crate::ids::{DaemonId, LogIndex, Term};
 use crate::storage::disk::Disk;
 use crate::storage::store::Store;
 use crate::storage::writer::{self, Job, Writer};
@@ -71,6 +71,11 @@
         self.epoch.elapsed().as_millis() as u64
     }
 
+    /// The daemon of this voter.
+    pub(super) fn daemon(&self) -> &DaemonId {
+        &self.core.id().daemon
+    }
+
     /// The core, for a command; the loop is woken to carry out what follows from it.
     pub(super) fn core_mut(&mut self) -> Result<&mut Core> {
         if let Some(failure) = &self.failure {
@@ -289,9 +294,8 @@
             }
             Action::Install { write, snapshot, hard } => self.install(write, snapshot, hard),
             Action::Send(message) => {
-                // Messages hold only types that postcard can write.
-                let bytes = postcard::to_stdvec(&message).unwrap_or_default();
-                self.transport.send(&message.to.daemon, bytes);
+                let to = message.to.daemon.clone();
+                self.transport.send(&to, message.encode());
             }
             Action::Apply(entries) => self.apply(entries),
             Action::TakeSnapshot(meta) => self.take_snapshot(meta),
--- a/src/consensus/timing.rs
+++ b/src/consensus/timing.rs
@@ -28,7 +28,8 @@
     pub heartbeat_ms: u64,
     /// How long a voter that heard from a leader refuses to help another to power.
     pub election_ms: u64,
-    /// An election starts up to this long after `election_ms`, at random.
+    /// An election starts up to this long after `election_ms`, at random, and is tried again
+    /// after half to one and a half times as long.
     pub election_jitter_ms: u64,
     /// How long after a broadcast that a majority answered the leader may serve reads alone.
     pub lease_ms: u64,
@@ -36,7 +37,7 @@
 
 impl Default for Timing {
     fn default() -> Self {
-        Self { heartbeat_ms: 700, election_ms: 1600, election_jitter_ms: 600, lease_ms: 1400 }
+        Self { heartbeat_ms: 1050, election_ms: 1800, election_jitter_ms: 400, lease_ms: 1600 }
     }
 }
 
@@ -46,8 +47,9 @@
     /// # Errors
     /// The rule that is broken.
     pub fn check(&self) -> Result<(), Report<Error>> {
-        let rule = "the heartbeat must be above zero and at most half the election time";
-        ensure!(self.heartbeat_ms > 0 && self.heartbeat_ms * 2 <= self.election_ms, Error { rule });
+        let rule = "the heartbeat must be above zero and at most two thirds of the election time";
+        let is_in_time = self.heartbeat_ms * 3 <= self.election_ms * 2;
+        ensure!(self.heartbeat_ms > 0 && is_in_time, Error { rule });
         let rule = "the election jitter must be above zero";
         ensure!(self.election_jitter_ms > 0, Error { rule });
         let longest_ms = self.election_ms * (100 - CLOCK_DRIFT_PERCENT) / 100;
--- a/src/storage/disk.rs
+++ b/src/storage/disk.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use error_stack::{Report, ResultExt as _, bail};
 
@@ -13,7 +14,9 @@
 
 /// The files of one folder, by name. Nothing is durable before it is synced: neither content
 /// ([`Disk::sync`]) nor names ([`Disk::sync_folder`]).
-pub trait Disk: Send {
+///
+/// A clone is another handle to the same folder, for another thread.
+pub trait Disk: Clone + Send {
     /// The names of all files but the lock.
     fn list(&self) -> io::Result<Vec<String>>;
     /// The whole content of a file.
@@ -38,8 +41,8 @@
 #[derive(Debug)]
 pub struct Folder {
     path: PathBuf,
-    /// Holds the lock until dropped.
-    _lock: File,
+    /// Holds the lock until the last handle is dropped.
+    lock: Arc<File>,
     /// The file that was last appended to.
     current: Option<(String, File)>,
 }
@@ -77,7 +80,7 @@
             let synced = File::open(parent).and_then(|parent| parent.sync_all());
             synced.change_context(io_error("sync the parent of"))?;
         }
-        Ok(Self { path: path.to_owned(), _lock: lock, current: None })
+        Ok(Self { path: path.to_owned(), lock: Arc::new(lock), current: None })
     }
 
     fn opened(&mut self, name: &str) -> io::Result<&mut File> {
@@ -93,6 +96,12 @@
     }
 }
 
+impl Clone for Folder {
+    fn clone(&self) -> Self {
+        Self { path: self.path.clone(), lock: self.lock.clone(), current: None }
+    }
+}
+
 impl Disk for Folder {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -74,7 +74,8 @@
         owner: &Owner,
         new_incarnation: Incarnation,
     ) -> Result<(Self, Stored)> {
-        let names = list(&mut disk)?;
+        remove_unfinished(&mut disk)?;
+        let names = list(&disk)?;
         let incarnation = match names.iter().any(|name| name == META_FILE) {
             true => read_meta(&disk, owner)?,
             false => create_meta(&mut disk, owner, new_incarnation, &names)?,
@@ -101,10 +102,21 @@
             current_bytes: 0,
             is_stopped: false,
         };
-        store.start_segment(&[])?;
+        store.start_anew(&stored)?;
         Ok((store, stored))
     }
 
+    /// Begins with a segment that holds all that is in force. Without it, entries that were set
+    /// aside because they conflict with the snapshot would come back before later ones.
+    fn start_anew(&mut self, stored: &Stored) -> Result<()> {
+        let meta = &stored.snapshot.meta;
+        let mut records = vec![Record::Reset { index: meta.index, term: meta.term }];
+        records.extend(stored.entries.iter().cloned().map(Record::Entry));
+        self.start_segment(&records)?;
+        self.closed.iter_mut().for_each(|segment| segment.end = LogIndex(0));
+        self.remove_covered(meta.index)
+    }
+
     /// The life of this folder, chosen when it was made.
     pub fn incarnation(&self) -> Incarnation {
         self.incarnation
@@ -123,16 +135,17 @@
         })
     }
 
-    /// Saves a snapshot of the applied state and drops the segments that it covers.
+    /// A saver of snapshots for another thread.
+    pub fn snapshot_saver(&self) -> SnapshotSaver<D> {
+        SnapshotSaver { disk: self.disk.clone() }
+    }
+
+    /// Drops what a durable snapshot covers: older snapshots, and whole segments.
     ///
     /// # Errors
     /// As for [`Store::append`].
-    pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
-        self.guard(|store| {
-            store.write_snapshot(snapshot)?;
-            store.rotate(&[])?;
-            store.remove_covered(snapshot.meta.index)
-        })
+    pub fn drop_covered(&mut self, snapshot: LogIndex) -> Result<()> {
+        self.guard(|store| store.remove_covered(snapshot))
     }
 
     /// Saves a snapshot from the leader, after which the log begins anew.
@@ -141,7 +154,7 @@
     /// As for [`Store::append`].
     pub fn install(&mut self, snapshot: &Snapshot, hard: &HardState) -> Result<()> {
         self.guard(|store| {
-            store.write_snapshot(snapshot)?;
+            store.snapshot_saver().save(snapshot)?;
             store.hard = hard.clone();
             let meta = &snapshot.meta;
             store.rotate(&[Record::Reset { index: meta.index, term: meta.term }])?;
@@ -196,14 +209,9 @@
         self.sync_folder()
     }
 
-    fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
-        let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.meta.index.0);
-        write_whole(&mut self.disk, &name, snapshot)
-    }
-
     /// Removes older snapshots, and segments from the oldest on that hold nothing after `index`.
     fn remove_covered(&mut self, index: LogIndex) -> Result<()> {
-        let names = list(&mut self.disk)?;
+        let names = list(&self.disk)?;
         let snapshots = numbered(&names, SNAPSHOT_PREFIX);
         let old = snapshots.into_iter().filter(|(at, _)| *at < index.0).map(|(_, name)| name);
         let covered = self.closed.iter().take_while(|segment| segment.end <= index).count();
@@ -221,6 +229,22 @@
     }
 }
 
+/// Saves snapshots of the applied state while the log is written to.
+pub struct SnapshotSaver<D> {
+    disk: D,
+}
+
+impl<D: Disk> SnapshotSaver<D> {
+    /// Saves a snapshot: once this returns, it is durable.
+    ///
+    /// # Errors
+    /// The system refuses.
+    pub fn save(&mut self, snapshot: &Snapshot) -> Result<()> {
+        let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.meta.index.0);
+        write_whole(&mut self.disk, &name, snapshot)
+    }
+}
+
 /// Rebuilds the log from its segments.
 struct Replay {
     group: GroupId,
@@ -350,15 +374,17 @@
     disk.read(name).map_err(|error| io_error("read", name, &error))
 }
 
-/// The names in the folder, without those that were being written.
-fn list(disk: &mut impl Disk) -> Result<Vec<String>> {
-    let names = disk.list().map_err(|error| io_error("list", "the folder", &error))?;
-    let is_unfinished = |name: &String| name.ends_with(UNFINISHED_SUFFIX);
-    let (unfinished, names): (Vec<_>, Vec<_>) = names.into_iter().partition(is_unfinished);
-    for name in unfinished {
-        disk.remove(&name).map_err(|error| io_error("remove", &name, &error))?;
+/// The names in the folder.
+fn list(disk: &impl Disk) -> Result<Vec<String>> {
+    disk.list().map_err(|error| io_error("list", "the folder", &error))
+}
+
+/// Removes files that were being written when the last process ended.
+fn remove_unfinished(disk: &mut impl Disk) -> Result<()> {
+    for name in list(disk)?.iter().filter(|name| name.ends_with(UNFINISHED_SUFFIX)) {
+        disk.remove(name).map_err(|error| io_error("remove", name, &error))?;
     }
-    Ok(names)
+    Ok(())
 }
 
 /// The files `prefix-NUMBER`, by rising number.
--- a/src/storage/writer.rs
+++ b/src/storage/writer.rs
@@ -1,4 +1,5 @@
-//! The thread that writes and syncs, so that the control thread never waits for a disk.
+//! The threads that write and sync, so that the control thread never waits for a disk. Snapshots
+//! have a thread of their own, so that the log does not wait for them either.
 
 use std::sync::mpsc;
 use std::thread;
@@ -7,9 +8,10 @@
 
 use super::disk::Disk;
 use super::record::Record;
-use super::store::Store;
+use super::store::{SnapshotSaver, Store};
 use super::{Error, Result};
 use crate::consensus::entry::{HardState, Snapshot};
+use crate::ids::LogIndex;
 
 /// Most records that one sync covers.
 const MAX_BATCH_RECORDS: usize = 8192;
@@ -24,8 +26,10 @@
         /// The records.
         records: Vec<Record>,
     },
-    /// Save a snapshot of the applied state.
+    /// Save a snapshot of the applied state, beside the other work.
     SaveSnapshot(Snapshot),
+    /// Drop what a durable snapshot covers.
+    DropCovered(LogIndex),
     /// Save a snapshot from the leader and start an empty log after it.
     Install {
         /// The number of the write.
@@ -52,7 +56,8 @@
 #[derive(Debug)]
 pub struct Writer {
     jobs: mpsc::Sender<Job>,
-    thread: thread::JoinHandle<()>,
+    snapshots: mpsc::Sender<Snapshot>,
+    threads: [thread::JoinHandle<()>; 2],
 }
 
 impl Writer {
@@ -65,27 +70,59 @@
         reports: reports::UnboundedSender<Report>,
     ) -> Result<Self> {
         let (jobs, queue) = mpsc::channel();
-        let thread = thread::Builder::new()
-            .name("storage".to_owned())
-            .spawn(move || run(store, &queue, &reports))
-            .map_err(|error| Error::Io {
-                step: "start",
-                file: "the storage thread".to_owned(),
-                reason: error.to_string(),
-            })?;
-        Ok(Self { jobs, thread })
+        let (snapshots, snapshot_queue) = mpsc::channel();
+        let saver = store.snapshot_saver();
+        let (saved_jobs, saved_reports) = (jobs.clone(), reports.clone());
+        let threads = [
+            spawn("snapshots", move || save(saver, &snapshot_queue, &saved_jobs, &saved_reports))?,
+            spawn("storage", move || run(store, &queue, &reports))?,
+        ];
+        Ok(Self { jobs, snapshots, threads })
     }
 
     /// Queues work. After a failure it is dropped: nothing is acknowledged any more.
     pub fn submit(&self, job: Job) {
-        // The thread has ended only after it reported a failure.
-        let _ = self.jobs.send(job);
+        // A thread has ended only after it reported a failure.
+        let _ = match job {
+            Job::SaveSnapshot(snapshot) => self.snapshots.send(snapshot).is_ok(),
+            job => self.jobs.send(job).is_ok(),
+        };
     }
 
-    /// Ends the thread after the queued work and waits for it.
+    /// Ends the threads after the queued work and waits for them.
     pub fn finish(self) {
+        drop(self.snapshots);
         drop(self.jobs);
-        let _ = self.thread.join();
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<thread::JoinHandle<()>> {
+    let spawned = thread::Builder::new().name(name.to_owned()).spawn(work);
+    spawned.map_err(|error| {
+        let file = format!("the {name} thread");
+        error_stack::Report::new(Error::Io { step: "start", file, reason: error.to_string() })
+    })
+}
+
+/// Saves snapshots one after the other.
+fn save<D: Disk>(
+    mut saver: SnapshotSaver<D>,
+    queue: &mpsc::Receiver<Snapshot>,
+    jobs: &mpsc::Sender<Job>,
+    reports: &reports::UnboundedSender<Report>,
+) {
+    while let Ok(snapshot) = queue.recv() {
+        let index = snapshot.meta.index;
+        let saved = saver.save(&snapshot).map(|()| Report::SnapshotSaved(snapshot));
+        let is_failed = saved.is_err();
+        let _ = reports.send(saved.unwrap_or_else(Report::Failed));
+        if is_failed {
+            return;
+        }
+        let _ = jobs.send(Job::DropCovered(index));
     }
 }
 
@@ -100,17 +137,19 @@
             Job::Append { write, records } => {
                 let write = gather(queue, write, records, &mut next, &mut store);
                 metrics::counter!("storage_syncs_total").increment(1);
-                write.map(Report::Synced)
-            }
-            Job::SaveSnapshot(snapshot) => {
-                store.save_snapshot(&snapshot).map(|()| Report::SnapshotSaved(snapshot))
+                write.map(|write| Some(Report::Synced(write)))
             }
+            // Submitted to the other thread.
+            Job::SaveSnapshot(_) => Ok(None),
+            Job::DropCovered(index) => store.drop_covered(index).map(|()| None),
             Job::Install { write, snapshot, hard } => {
-                store.install(&snapshot, &hard).map(|()| Report::Synced(write))
+                store.install(&snapshot, &hard).map(|()| Some(Report::Synced(write)))
             }
         };
         let is_failed = done.is_err();
-        let _ = reports.send(done.unwrap_or_else(Report::Failed));
+        if let Some(report) = done.unwrap_or_else(|error| Some(Report::Failed(error))) {
+            let _ = reports.send(report);
+        }
         if is_failed {
             return;
         }
--- a/tests/storage_faults.rs
+++ b/tests/storage_faults.rs
@@ -229,7 +229,10 @@
 fn perform(store: &mut Store<FakeDisk>, work: &Work) -> fescuebay::storage::Result<()> {
     match work {
         Work::Append(records) => store.append(records),
-        Work::Save(snapshot) => store.save_snapshot(snapshot),
+        Work::Save(snapshot) => {
+            store.snapshot_saver().save(snapshot)?;
+            store.drop_covered(snapshot.meta.index)
+        }
         Work::Install(snapshot, hard) => store.install(snapshot, hard),
     }
 }
@@ -273,10 +276,19 @@
     let Ok((mut store, _)) = open(disk.clone()) else { return 0 };
     let life = life();
     let done = life.iter().take_while(|work| perform(&mut store, work).is_ok()).count();
+    if matches!(life.get(done), Some(Work::Save(_))) {
+        // The saver's failure stops the voter by its report, not by the log.
+        return done;
+    }
     for work in &life[done..] {
         // A voter that failed once acknowledges nothing more, whatever the disk says by then.
         disk.state().fault = None;
-        let refused = perform(&mut store, work).unwrap_err();
+        let refused = match work {
+            // The saver of snapshots is another thread's; what it does is not an acknowledgement.
+            Work::Save(snapshot) => store.drop_covered(snapshot.meta.index),
+            work => perform(&mut store, work),
+        };
+        let refused = refused.unwrap_err();
         assert_eq!(*refused.current_context(), Error::Stopped);
     }
     done
@@ -303,8 +315,9 @@
                 disk.state().fault = Some(fault);
                 let done = live(&disk);
                 disk.state().lose_power(kept);
-                let (_, stored) =
-                    open(disk).unwrap_or_else(|error| panic!("{fault:?} {kept:?}: {error:?}"));
+                let (store, stored) = open(disk.clone())
+                    .unwrap_or_else(|error| panic!("{fault:?} {kept:?}: {error:?}"));
+                go_on(disk, store, &stored);
                 // The work that was under way may be there or not.
                 let life = life();
                 let also = (done + 1).min(life.len());
@@ -317,6 +330,20 @@
     }
 }
 
+/// What is acknowledged after a restart survives the next one.
+fn go_on(disk: FakeDisk, mut store: Store<FakeDisk>, stored: &Stored) {
+    let last = stored.entries.last().map_or(stored.snapshot.meta.index, |entry| entry.index);
+    let next = entry(last.0 + 1, 9);
+    store.append(&[Record::Hard(hard(9)), Record::Entry(next.clone())]).unwrap();
+    drop(store);
+    disk.state().lose_power(Kept::Nothing);
+    let mut expected = stored.clone();
+    expected.hard = hard(9);
+    expected.entries.push(next);
+    let again = open(disk).unwrap().1;
+    assert!(is_same(&again, &expected), "{again:?} in place of {expected:?}");
+}
+
 /// The snapshot of an unfinished install, before term and vote are written.
 fn is_half_installed(stored: &Stored, work: &[Work]) -> bool {
     let Some(Work::Install(snapshot, _)) = work.last() else { return false };
@@ -398,7 +425,12 @@
         let disk = FakeDisk::default();
         let (mut store, _) = open(disk.clone()).unwrap();
         store.append(&[Record::Entry(entry(1, 1)), Record::Entry(entry(2, 1))]).unwrap();
-        store.save_snapshot(&snapshot(1, 1)).unwrap();
+        store.snapshot_saver().save(&snapshot(1, 1)).unwrap();
+        store.drop_covered(LogIndex(1)).unwrap();
+        // Another segment follows, so that the end of the first is no torn end.
+        let bytes = disk.read("log-00000000000000000001").unwrap();
+        disk.clone().create("log-00000000000000000002").unwrap();
+        disk.clone().append("log-00000000000000000002", &bytes).unwrap();
         let name = {
             let state = disk.state();
             state.names.keys().find(|name| name.starts_with(prefix)).unwrap().clone()
