Daemon: durable jobs over HTTP, run by every daemon

Cause: jobs were built and not mounted. Change: their routes are among the callers' routes; each daemon leases and runs up to 16 at once; a daemon that stops finishes those that run.

--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -14,13 +14,14 @@
 use crate::admin;
 use crate::config;
 use crate::consensus::node;
+use crate::control::jobs::shell;
 use crate::control::{once, owner, port};
 use crate::daemon::core::{self, Core};
 use crate::daemon::peers::{Answers, Peers, Pooled};
 use crate::daemon::published::Published;
 use crate::daemon::{Error, Result, announce, backend, bridge, follow, group, leader, policy};
 use crate::daemon::{once as records, poison, ports};
-use crate::ids::{DaemonId, Revision};
+use crate::ids::DaemonId;
 use crate::membership::targets;
 use crate::peer;
 use crate::peer::client;
@@ -30,6 +31,8 @@
 
 /// Largest answer that is kept with an idempotency record, in bytes.
 const MAX_KEPT_ANSWER_BYTES: u64 = 64 << 10;
+/// Durable jobs that a daemon runs at once.
+const JOB_SLOTS: usize = 16;
 /// Time for another voter to take over when the leader stops.
 const HAND_OVER: Duration = Duration::from_secs(2);
 
@@ -52,6 +55,7 @@
     control: thread::JoinHandle<Result<()>>,
     tasks: JoinSet<Result<()>>,
     traffic: tokio::task::JoinHandle<std::io::Result<()>>,
+    jobs: tokio::task::JoinHandle<()>,
     bridge: bridge::Bridge,
     control_stop: oneshot::Sender<()>,
 }
@@ -67,6 +71,8 @@
         self.stop.send_replace(true);
         self.bridge.run(|core| Box::pin(async move { core.is_leaving.set(true) })).await;
         let finished = self.traffic.await;
+        // Jobs that run are finished, others go to another daemon.
+        let _ = self.jobs.await;
         self.tasks.shutdown().await;
         self.bridge.run(|core| Box::pin(hand_over(core))).await;
         let _ = self.control_stop.send(());
@@ -109,8 +115,7 @@
 
 /// Starts a daemon on the current multi-thread runtime.
 ///
-/// `first_change`, or else the defaults of the settings, are put in force if the cluster has no
-/// configuration yet.
+/// `first_change` is made if the cluster has no configuration yet.
 ///
 /// # Errors
 /// When a listener, the folder or a thread cannot be opened.
@@ -123,7 +128,6 @@
     let incarnation = settings.daemon.incarnation.incarnation(clock.now_ms());
     let owner = owner::Owner { daemon: settings.daemon.id.clone(), incarnation };
     let published = Arc::new(Published::default());
-    let first_change = first_change.or_else(|| first_defaults(&settings));
     let (bridge, receiver) = bridge::new();
 
     let callers = listen(settings.daemon.traffic_address(), "listen for callers").await?;
@@ -138,6 +142,7 @@
     let log: Arc<dyn port::Log> = Arc::new(policy::Log { bridge: bridge.clone() });
     let shared = traffic_shared(&settings, &published, &bridge, &log, &owner, clock, metrics_text);
     let (control_stop, control_stopped) = oneshot::channel();
+    let job_parts = job_parts(&shared, &log, &owner, clock);
     let control = start_control(
         ControlParts { settings: settings.clone(), owner, clock, published: published.clone() },
         Arc::clone(&shared),
@@ -147,6 +152,7 @@
     )?;
 
     let (stop, stopped) = watch::channel(false);
+    let jobs = tokio::spawn(shell::run(job_parts, stopped.clone()));
     let mut tasks = JoinSet::new();
     let announce = announce::Shared { bridge: bridge.clone(), tokens: settings.tokens.clone() };
     tasks.spawn(serve_http(announcements, announce::router(Arc::new(announce))));
@@ -159,7 +165,7 @@
     };
     let traffic = tokio::spawn(traffic::serve(callers, shared, until_stopped));
     log::info!("daemon {} serves callers at {}", settings.daemon.id, addresses.traffic);
-    Ok(Daemon { addresses, stop, control, tasks, traffic, bridge, control_stop })
+    Ok(Daemon { addresses, stop, control, tasks, traffic, jobs, bridge, control_stop })
 }
 
 async fn listen(address: SocketAddr, step: &'static str) -> Result<TcpListener> {
@@ -196,15 +202,37 @@
     let client = once::Client::new(Arc::clone(log), owner.clone(), MAX_KEPT_ANSWER_BYTES);
     let poison = poison::List::new(Arc::clone(published), Arc::clone(log), clock);
     let targets = Arc::new(move |entry: &_| ports.get(entry));
-    traffic::Shared::builder(Arc::clone(&published.table), targets, Arc::new(policy))
+    let jobs = traffic::jobs::Jobs::new(Arc::clone(log));
+    let shared = traffic::Shared::builder(Arc::clone(&published.table), targets, Arc::new(policy))
         .zone(settings.daemon.availability_zone.clone())
         .placement(Arc::new(placement))
         .once(Arc::new(records::Records::new(client)))
         .poison(Arc::new(poison))
         .metrics_text(metrics_text)
+        .extra_routes(jobs.routes())
         .balancer_notice_ms(settings.traffic.linger_ms.0)
         .clock(clock)
-        .build()
+        .build();
+    jobs.attach(&shared);
+    shared
+}
+
+/// What the daemon's runs of durable jobs work with.
+fn job_parts(
+    shared: &Arc<traffic::Shared>,
+    log: &Arc<dyn port::Log>,
+    owner: &owner::Owner,
+    clock: Clock,
+) -> Arc<shell::Parts> {
+    Arc::new(shell::Parts {
+        log: Arc::clone(log),
+        owner: owner.clone(),
+        execute: Arc::new(traffic::jobs::Executor::new(Arc::clone(shared))),
+        once: once::Client::new(Arc::clone(log), owner.clone(), MAX_KEPT_ANSWER_BYTES),
+        slots: JOB_SLOTS,
+        clock: Arc::new(move || clock.now_ms()),
+        random: Arc::new(rand::random),
+    })
 }
 
 fn order_token(settings: &Settings) -> String {
@@ -243,20 +271,6 @@
     spawned.change_context(Error { step: "start the control thread" })
 }
 
-/// The first change of a cluster whose settings name fleet defaults; the same at every voter.
-fn first_defaults(settings: &Settings) -> Option<config::Change> {
-    if settings.defaults.is_empty() {
-        return None;
-    }
-    Some(config::Change {
-        id: "first-defaults".parse().expect("a constant name"),
-        base: Revision(0),
-        author: "settings".parse().expect("a constant name"),
-        reason: "the [defaults] of the settings".to_owned(),
-        edits: settings.defaults.iter().cloned().map(config::Edit::SetDefault).collect(),
-    })
-}
-
 /// The control thread's work, until `stopped`.
 async fn control(
     parts: ControlParts,
