Nine daemons of the built binary under failure

Cause: nothing showed that the parts hold together as processes. Change: black-box tests start nine daemons in three availability zones with stand-in targets: the leader killed during loads, a voter's folder lost and a second VM lost right after the repair, a frozen leader and router, a graceful stop under streams, two operators racing, a reservation resent through every daemon while two die. Operators see the life of each voter's folder. The second-VM case first failed because the test took the old identity of the lost voter for the new one; the view did not tell them apart.

--- a/src/admin/view.rs
+++ b/src/admin/view.rs
@@ -158,6 +158,8 @@
     pub daemon: DaemonId,
     /// Where it runs.
     pub availability_zone: Zone,
+    /// The life of its data folder: another one after the folder was lost.
+    pub folder: Incarnation,
     /// `leader`, `follower` or `learner`.
     pub role: String,
     /// The last log entry that it holds durably.
--- a/src/daemon/leader/show.rs
+++ b/src/daemon/leader/show.rs
@@ -88,6 +88,7 @@
             view::Voter {
                 daemon: id.daemon.clone(),
                 availability_zone: zone.unwrap_or_else(|| core.parts.availability_zone.clone()),
+                folder: id.incarnation,
                 role: role.to_owned(),
                 synced: node.matched(id).unwrap_or_default(),
                 silent_ms: known.map(|member| Millis(now_ms.saturating_sub(member.heard_ms()))),
--- /dev/null
+++ b/tests/nine_daemons.rs
@@ -0,0 +1,232 @@
+//! Nine daemons of the built binary under failure, driven and checked by HTTP alone.
+
+#[path = "nine/cluster.rs"]
+mod cluster;
+mod common;
+#[path = "nine/web.rs"]
+mod web;
+
+use std::time::Duration;
+
+use cluster::Cluster;
+use fescuebay::units::Bytes;
+use serde_json::{Value, json};
+use tokio::sync::Mutex;
+
+/// One cluster at a time: nine processes are enough for a small machine.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// The life of a voter's folder, as the leader shows it.
+fn folder_of(voters: &[Value], daemon: &str) -> Option<u64> {
+    let voter = voters.iter().find(|voter| voter["daemon"] == daemon)?;
+    voter["folder"].as_u64()
+}
+
+fn gib(number: u64) -> Bytes {
+    Bytes(number * Bytes::GIB.0)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_for_cold_models_are_answered_although_the_leader_is_killed_during_loads() {
+    let _turn = TURN.lock().await;
+    let mut cluster = Cluster::start("leader-killed").await;
+    let mut targets = Vec::new();
+    for number in 0..3 {
+        // Two check fencing numbers, one ignores them.
+        let adjust = |settings: fescuebay::stand_in::Settings| {
+            settings.memory_bytes(gib(20)).load_ms(1_500).checks_fencing(number != 0)
+        };
+        targets.push(cluster.target(number, adjust).await);
+    }
+    let names = ["quill", "burro", "veleta", "torre"];
+    let first = &cluster.daemons[0];
+    let revision = cluster.change(first, "models", cluster::models(&names, 5)).await;
+    cluster.in_force(revision).await;
+
+    let leader = cluster.leader().await;
+    let mut asked = Vec::new();
+    for (at, daemon) in cluster.daemons.iter().enumerate().filter(|(at, _)| *at != leader) {
+        for name in names {
+            let address = daemon.traffic();
+            asked.push((at, name, tokio::spawn(web::stream(address, name, 5))));
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    cluster.daemons[leader].kill();
+
+    for (at, name, answer) in asked {
+        let answer = answer.await.unwrap();
+        let is_answered = answer.as_ref().is_some_and(|answer| answer.is_stream_of(5));
+        assert!(is_answered, "{name} through daemon {at}: {answer:?}");
+    }
+    for target in &targets {
+        let peak = target.peak_memory_bytes();
+        assert!(peak <= gib(20), "a target held {peak}");
+    }
+    let held: usize = targets.iter().map(|target| target.state().holds.len()).sum();
+    assert!(held <= 2 * names.len(), "{held} replicas of {} models, 2 allowed each", names.len());
+    assert_ne!(cluster.leader().await, leader);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn nothing_accepted_is_lost_with_a_second_vm_right_after_a_repair() {
+    let _turn = TURN.lock().await;
+    let mut cluster = Cluster::start("second-vm").await;
+    let mut accepted = 0;
+    for n in 0..20 {
+        let name = format!("model-{n}");
+        let edits = cluster::models(&[name.as_str()], 1);
+        accepted = cluster.change(&cluster.daemons[4], &name, edits).await;
+    }
+    let leader = cluster.leader().await;
+    let lost = (leader + 1) % 3;
+    let name = cluster.daemons[lost].name.clone();
+    let old_folder = folder_of(&cluster.voters().await, &name);
+    cluster.daemons[lost].kill();
+    let folder = cluster.daemons[lost].folder.clone().unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    std::fs::create_dir_all(&folder).unwrap();
+    cluster.daemons[lost].start();
+    cluster
+        .until("the voter that lost its folder is one again", async || {
+            let voters = cluster.voters().await;
+            let synced = voters.iter().filter_map(|voter| voter["synced"].as_u64()).max();
+            folder_of(&voters, &name) > old_folder
+                && voters.iter().any(|voter| {
+                    voter["daemon"] == name.as_str()
+                        && voter["role"] == "follower"
+                        && voter["synced"].as_u64() >= synced.map(|synced| synced - 1)
+                })
+        })
+        .await;
+    cluster.daemons[leader].kill();
+    cluster.leader().await;
+    cluster.in_force(accepted).await;
+    let more = cluster.change(&cluster.daemons[5], "after", cluster::models(&["after"], 1)).await;
+    assert_eq!(more, accepted + 1, "a revision was lost or reverted");
+    cluster.in_force(more).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_daemon_that_was_frozen_takes_up_the_configuration_and_never_reverts() {
+    let _turn = TURN.lock().await;
+    let cluster = Cluster::start("frozen").await;
+    let leader = cluster.leader().await;
+    for frozen in [leader, 7] {
+        let other = (frozen + 1) % 9;
+        cluster.daemons[frozen].signal("STOP");
+        let id = format!("while-{frozen}-is-frozen");
+        let edits = cluster::models(&[id.as_str()], 1);
+        let revision = cluster.change(&cluster.daemons[other], &id, edits).await;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        cluster.daemons[frozen].signal("CONT");
+        cluster.in_force(revision).await;
+        for daemon in cluster.running() {
+            let (_, defaults) = cluster.admin(daemon, "GET", "/defaults", Value::Null).await;
+            assert!(defaults["revision"].as_u64() >= Some(revision), "{} reverted", daemon.name);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_graceful_stop_under_streams_cuts_off_none() {
+    let _turn = TURN.lock().await;
+    let mut cluster = Cluster::start("graceful").await;
+    let target = cluster.target(0, |settings| settings.load_ms(50).token_ms(30).slots(64)).await;
+    let revision =
+        cluster.change(&cluster.daemons[0], "model", cluster::models(&["quill"], 5)).await;
+    cluster.in_force(revision).await;
+    let leader = cluster.leader().await;
+    for stopped in [4, leader] {
+        let address = cluster.daemons[stopped].traffic();
+        let warm = web::stream(address, "quill", 2).await;
+        assert!(warm.as_ref().is_some_and(|answer| answer.is_stream_of(2)), "{warm:?}");
+        let ask = |n: u32| tokio::spawn(web::stream(address, "quill", 20 + 5 * n));
+        let streams: Vec<_> = (0..20).map(|n| (n, ask(n))).collect();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        cluster.daemons[stopped].signal("TERM");
+        for (n, stream) in streams {
+            let answer = stream.await.unwrap();
+            let tokens = 20 + 5 * n as usize;
+            let is_whole = answer.as_ref().is_some_and(|answer| answer.is_stream_of(tokens));
+            assert!(is_whole, "stream {n} was cut off: {answer:?}");
+        }
+        assert_eq!(cluster.daemons[stopped].exit_code().await, Some(0));
+    }
+    drop(target);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn of_two_operators_at_one_revision_one_wins_and_a_repeat_gets_its_first_outcome() {
+    let _turn = TURN.lock().await;
+    let cluster = Cluster::start("operators").await;
+    let (_, revisions) = cluster.admin(&cluster.daemons[0], "GET", "/revision", Value::Null).await;
+    let base = revisions["accepted"].as_u64().unwrap();
+    let change = |id: &str| {
+        let edits = cluster::models(&[id], 1);
+        json!({ "id": id, "base": base, "reason": "a race", "edits": edits })
+    };
+    let (one, two) = tokio::join!(
+        cluster.admin(&cluster.daemons[3], "POST", "/changes", change("one")),
+        cluster.admin(&cluster.daemons[8], "POST", "/changes", change("two")),
+    );
+    let mut statuses = [one.0, two.0];
+    statuses.sort_unstable();
+    assert_eq!(statuses[1], 409, "one of them is told of a conflict: {one:?} {two:?}");
+    assert!(matches!(statuses[0], 200 | 201), "the other wins: {one:?} {two:?}");
+    let (winner, made) = if one.0 == 409 { ("two", two.1) } else { ("one", one.1) };
+    let leader = cluster.leader().await;
+    let again =
+        cluster.admin(&cluster.daemons[(leader + 1) % 9], "POST", "/changes", change(winner)).await;
+    assert_eq!(again.1["revision"], made["revision"], "the same id gives the first outcome");
+    cluster.in_force(base + 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_reservation_resent_through_every_daemon_while_daemons_die_runs_at_most_once() {
+    let _turn = TURN.lock().await;
+    let mut cluster = Cluster::start("reservation").await;
+    let services = vec!["desk".parse().unwrap()];
+    let target = cluster.target(0, |settings| settings.token_ms(20).services(services)).await;
+    let revision = cluster.change(&cluster.daemons[0], "service", cluster::service("desk")).await;
+    cluster.in_force(revision).await;
+    cluster.offers("desk").await;
+
+    let leader = cluster.leader().await;
+    let router = 4;
+    let mut calls = Vec::new();
+    for round in 0..4 {
+        for daemon in cluster.running() {
+            for key in 0..10 {
+                let url = format!("http://{}/services/desk/reservations", daemon.traffic());
+                let key = format!("donkey-{key}");
+                calls.push(tokio::spawn(async move {
+                    let body = json!({ "donkey": key }).to_string();
+                    let headers = [("idempotency-key", key.as_str())];
+                    let answer = web::call("POST", &url, &headers, &body).await;
+                    (key, answer)
+                }));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        match round {
+            0 => cluster.daemons[router].kill(),
+            1 => cluster.daemons[leader].kill(),
+            _ => {}
+        }
+    }
+    let mut answered = 0;
+    for call in calls {
+        let (key, answer) = call.await.unwrap();
+        let executions = target.executions(&key);
+        assert!(executions <= 1, "{key} was executed {executions} times");
+        let Some(answer) = answer else { continue };
+        if answer.status == 201 {
+            answered += 1;
+            assert_eq!(executions, 1, "{key} was answered without being executed");
+        }
+    }
+    assert!(answered > 0, "no reservation was made at all");
+    let unexpected: Vec<_> = target.all_executions().into_iter().filter(|(_, n)| *n > 1).collect();
+    assert_eq!(unexpected, []);
+}
