--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -157,12 +157,11 @@
         self.rate_per_s * (-age_ms / RATE_WINDOW_MS).exp()
     }
 
-    /// Requests a second of holding an idle replica; see [`gaps::Histogram::hazard_per_s`].
-    pub fn hazard_per_s(&self, now_ms: u64, fleet: &gaps::Histogram) -> f32 {
-        match self.last_arrival_ms {
-            Some(last_ms) => self.gaps.hazard_per_s(fleet, now_ms.saturating_sub(last_ms)),
-            None => 0.0,
-        }
+    /// Requests a second of holding an idle replica; see [`gaps::Histogram::hazard_per_s`]. Where
+    /// no arrival is known, one is assumed at `assumed_ms`.
+    pub fn hazard_per_s(&self, now_ms: u64, fleet: &gaps::Histogram, assumed_ms: u64) -> f32 {
+        let last_ms = self.last_arrival_ms.unwrap_or(assumed_ms);
+        self.gaps.hazard_per_s(fleet, now_ms.saturating_sub(last_ms))
     }
 
     /// When the last report came, idle or not.
--- a/src/placement/planner/round.rs
+++ b/src/placement/planner/round.rs
@@ -16,12 +16,16 @@
 const READ_TRIES: u64 = 6;
 /// Deadlines are compared in steps of this, so that class weights decide between near ones.
 const DEADLINE_STEP_MS: u64 = 1_000;
-/// Models that one round tries to place.
-const MAX_CANDIDATES: usize = 256;
+/// Models that one round tries to place: this bounds its time.
+const MAX_CANDIDATES: usize = 24;
+/// Models in the queue for the weight store that every round tries; later ones are tried less often.
+const PROMPT_QUEUE: u64 = 8;
 /// Loss of a replica in use that is not the model's only one, in milliseconds.
 const BUSY_LOSS_MS: u64 = 60_000;
 /// Time between two tries to place a model that has no room, in milliseconds.
 const RETRY_MS: u64 = 250;
+/// Time between two looks at whether the base of an adapter is ready, in milliseconds.
+const BASE_RETRY_MS: u64 = 10;
 
 /// The order in which models are placed: the least first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,7 +79,7 @@
         self.place_ms = None;
         self.placed_ms = self.now_ms;
         let mut promises = Promises::default();
-        for name in self.candidates() {
+        for name in self.candidates(&mut promises) {
             self.place(&name, &mut promises);
         }
         if let Some(at_ms) = promises.again_ms {
@@ -103,21 +107,52 @@
         log::info!("placement of term {} begins to give orders", self.term);
         let names: Vec<ModelRef> = self.models.keys().cloned().collect();
         for name in names {
+            self.want_what_is_held(&name);
             self.set_due(&name, self.now_ms);
         }
         self.run_due();
         true
     }
 
-    /// Models that are short of replicas, the most urgent first.
-    fn candidates(&self) -> Vec<ModelRef> {
-        let ranked = self.short.iter().map(|name| (self.priority(name), name));
-        let mut ranked: Vec<_> = ranked.collect();
+    /// Begins with the replicas that a former leader left; demand lowers their count slowly.
+    fn want_what_is_held(&mut self, name: &ModelRef) {
+        let held = self.census(name).serving.len() as u32;
+        if let Some(model) = self.models.get_mut(name)
+            && let Some(spec) = &model.spec
+        {
+            model.wanted.set(self.now_ms, held.min(spec.policy.max_replicas));
+        }
+    }
+
+    /// Models that are short of replicas and due to be tried, the most urgent first.
+    fn candidates(&self, promises: &mut Promises) -> Vec<ModelRef> {
+        let mut ranked = Vec::new();
+        for name in &self.short {
+            let retry_ms = self.models[name].retry_ms;
+            if retry_ms > self.now_ms {
+                promises.again(retry_ms);
+                promises.has_waiting_work |= !self.models[name].demand.is_idle();
+            } else {
+                ranked.push((self.priority(name), name));
+            }
+        }
         ranked.sort_unstable();
-        ranked.truncate(MAX_CANDIDATES);
+        if ranked.len() > MAX_CANDIDATES {
+            ranked.truncate(MAX_CANDIDATES);
+            promises.again(self.now_ms);
+        }
         ranked.into_iter().map(|(_, name)| name.clone()).collect()
     }
 
+    /// Tries a model again only after a while.
+    fn retry_later(&mut self, name: &ModelRef, wait_ms: u64, promises: &mut Promises) {
+        let retry_ms = self.now_ms + wait_ms;
+        if let Some(model) = self.models.get_mut(name) {
+            model.retry_ms = retry_ms;
+        }
+        promises.again(retry_ms);
+    }
+
     fn priority(&self, name: &ModelRef) -> Priority {
         let model = &self.models[name];
         let load_ms = model.spec.as_ref().map_or(0, |spec| spec.load.store_ms);
@@ -287,6 +322,9 @@
         promises.has_waiting_work = true;
         if choice.source == catalogue::Source::Store && !spec.model.is_adapter() {
             promises.queued += 1;
+            if promises.queued > PROMPT_QUEUE {
+                self.retry_later(&spec.model, RETRY_MS, promises);
+            }
         }
         if let schedule::Start::At(at_ms) = self.limits.store_start(self.now_ms) {
             promises.again(at_ms);
@@ -301,8 +339,8 @@
 
     fn on_no_choice(&mut self, name: &ModelRef, spec: &catalogue::Model, promises: &mut Promises) {
         promises.has_waiting_work |= !self.models[name].demand.is_idle();
-        promises.again(self.now_ms + RETRY_MS);
         if spec.model.is_adapter() && !self.has_warm_site(&spec.model) {
+            self.retry_later(name, BASE_RETRY_MS, promises);
             // Its base is on its way, or is told to have no room itself.
             let base = self.models.get(&spec.model.base());
             if let Some(ready_ms) = base.and_then(|base| base.expect_ms) {
@@ -310,6 +348,7 @@
             }
             return;
         }
+        self.retry_later(name, RETRY_MS, promises);
         let weights = spec.weights();
         let accounts = self.ledger.accounts().iter();
         let could_hold = accounts.filter(|account| {
--- a/src/placement/policy.rs
+++ b/src/placement/policy.rs
@@ -87,7 +87,7 @@
     fn default() -> Self {
         Self {
             idle_weight: 1.0,
-            cold_start_weight: 20.0,
+            cold_start_weight: 4.0,
             crest_weight: 0.25,
             drained_targets: Vec::new(),
             drained_zones: Vec::new(),
--- a/tests/placement_failures.rs
+++ b/tests/placement_failures.rs
@@ -297,6 +297,16 @@
     assert_eq!(world.loading(|_| true), 0);
 }
 
+#[test]
+fn a_new_leader_keeps_what_is_loaded_though_it_knows_no_past() {
+    let mut world = world(true);
+    ask_for(&mut world, 10);
+    world.tell(demand("d1", "quill", 0, FAR_MS));
+    change_leader(&mut world, &models(), 0);
+    world.run_for(8_000);
+    assert_eq!(world.ready("quill").len(), 1);
+}
+
 #[test]
 fn a_hung_load_is_given_up_and_tried_elsewhere() {
     let mut world = world(true);
@@ -406,6 +416,8 @@
 fn work_that_waits_takes_the_memory_of_idle_replicas() {
     let models: Vec<_> = (0..12).map(|at| spec(&format!("m{at}"), 40)).collect();
     let mut world = World::new(1, nine(true), planner(1, 1_000_000, &models));
+    // Idle replicas cost nothing, so that only waiting work takes their memory.
+    world.tell(Event::Fleet(policy::Fleet { idle_weight: 0.0, ..Default::default() }));
     world.run_for(5_000);
     for at in 0..9 {
         world.tell(demand("d1", &format!("m{at}"), 1, FAR_MS));
