--- a/src/control/records/state.rs
+++ b/src/control/records/state.rs
@@ -1,10 +1,13 @@
 //! The table of idempotency records and what commands do to it.
 
+use std::collections::BTreeSet;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use crate::control::answer::Answer;
 use crate::control::machine::Context;
 use crate::control::records::command::{Begun, Command, End, Finished, Outcome, Settled};
+use crate::control::records::kept::Kept;
 use crate::control::records::limits::Limits;
 use crate::control::records::record::{
     self, Attempt, Cause, Nonce, Record, Settlement, Status, Tombstone,
@@ -23,7 +26,7 @@
 }
 
 /// The idempotency records.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct State {
     limits: Limits,
     records: shards::Table<Record>,
@@ -32,6 +35,9 @@
     tenants: Vec<Usage>,
     #[serde(skip)]
     answers_bytes: u64,
+    /// Calls under way and calls that may have run: a tree, since it changes with every call.
+    #[serde(skip)]
+    open: BTreeSet<shards::Key>,
     #[serde(skip)]
     checks: Vec<std::result::Result<(), String>>,
 }
@@ -66,6 +72,23 @@
         &self.records
     }
 
+    /// Calls under way and calls that may have run, whose keys come after `key`.
+    pub(super) fn open_after(&self, key: Option<shards::Key>) -> impl Iterator<Item = &Record> {
+        let first = key.map_or(Bound::Unbounded, Bound::Excluded);
+        let keys = self.open.range((first, Bound::Unbounded));
+        keys.filter_map(|key| self.records.get(key))
+    }
+
+    /// A picture to be encoded: without what [`State::index`] builds, so that it costs little.
+    pub fn picture(&self) -> Self {
+        Self {
+            limits: self.limits.clone(),
+            records: self.records.clone(),
+            tombstones: self.tombstones.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, context: &Context<'_>, command: Command) -> Outcome {
         match command {
@@ -142,7 +165,7 @@
                 Begun::MayHaveRun { since_ms, cause }
             }
             _ if record.expires_ms <= context.now_ms => Begun::Expired,
-            Status::Answered(answered) => Begun::Answered(answered.1.clone()),
+            Status::Answered(kept) => Begun::Answered(kept.read().1),
             Status::Unknown(_, cause) => Begun::MayHaveRun { since_ms, cause },
             Status::Settled(settlement) => Begun::Settled(Settlement::clone(&settlement)),
             Status::Released(_) => return None,
@@ -165,7 +188,7 @@
             Status::Pending(attempt) | Status::Unknown(attempt, _) if attempt.nonce == nonce => {
                 Arc::clone(attempt)
             }
-            Status::Answered(answered) if answered.0 == nonce => return Finished::Already,
+            Status::Answered(kept) if kept.read().0 == nonce => return Finished::Already,
             Status::Released(first) if *first == nonce => return Finished::Already,
             _ => return self.contradicted(&tenant, &end),
         };
@@ -174,7 +197,7 @@
         }
         let mut record = record.clone();
         record.status = match end {
-            End::Answered(answer) => Status::Answered(Arc::new((nonce, self.bounded(answer)))),
+            End::Answered(answer) => Status::Answered(Kept::new(nonce, &self.bounded(answer))),
             End::Released => Status::Released(nonce),
             End::Unknown(cause) => Status::Unknown(attempt, cause),
         };
@@ -275,19 +298,24 @@
     }
 
     fn put(&mut self, record: Record) {
-        self.remember(&record);
-        if let Some(former) = self.records.insert(record) {
+        if let Some(former) = self.records.get(&record.key).cloned() {
             self.forget(&former);
         }
+        self.remember(&record);
+        self.records.insert(record);
     }
 
     fn remember(&mut self, record: &Record) {
         self.answers_bytes += record.kept_bytes();
+        if record.is_open() {
+            self.open.insert(record.key);
+        }
         self.usage(&record.tenant).records += 1;
     }
 
     fn forget(&mut self, record: &Record) {
         self.answers_bytes -= record.kept_bytes();
+        self.open.remove(&record.key);
         self.usage(&record.tenant).records -= 1;
     }
 
@@ -304,6 +332,7 @@
 
     /// Builds after a restore what snapshots leave out.
     pub fn index(&mut self) {
+        self.open.clear();
         let mut records = std::mem::take(&mut self.records);
         records.for_each(|record| {
             record.tenant = self.usage(&record.tenant).tenant.clone();
--- a/src/routing/engine/mod.rs
+++ b/src/routing/engine/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::ids::{ClassName, Digest, ModelRef, ServiceName, TargetId, TenantId};
 use crate::membership::table::Table;
-use crate::routing::admission::Estimate;
+use crate::routing::admission::{self, Estimate};
 use crate::routing::affinity::{Affinity, Conversation};
 use crate::routing::budget::Budget;
 use crate::routing::demand::{Demand, Pace};
@@ -168,7 +168,7 @@
     fn default() -> Self {
         Self {
             zone: None,
-            long_share: 0.5,
+            long_share: 0.75,
             floor_share: 0.02,
             max_waiting: 20_000,
             max_waiting_bytes: 64 << 20,
@@ -244,6 +244,11 @@
 }
 
 impl Request {
+    /// Whether an attempt of it is at a target.
+    fn is_in_flight(&self) -> bool {
+        self.flights.iter().any(Option::is_some)
+    }
+
     /// When it would be answered if it were sent after `wait_ms`.
     ///
     /// Its own time counts for at most half of what the caller allowed: a learned time that is too
@@ -259,6 +264,17 @@
         self.flights.iter().any(Option::is_some) && self.arrival.destination == *destination
     }
 
+    /// The wait that is expected of it in a lane, as computed and as corrected for earlier errors.
+    ///
+    /// Without an observed length nothing is expected: a guess is no reason to refuse.
+    fn queue_wait_ms(&self, ahead: usize, slots: f64, estimate: &Estimate) -> (f64, f64) {
+        if !self.expected.is_learned() {
+            return (0.0, 0.0);
+        }
+        let raw_ms = admission::wait_ms(ahead, self.expected_ms, slots);
+        (raw_ms, estimate.corrected_ms(raw_ms))
+    }
+
     /// Whether it would be answered by its deadline if it were sent after `wait_ms`.
     fn is_in_time(&self, now_ms: u64, wait_ms: f64) -> bool {
         self.answered_ms(now_ms, wait_ms) <= self.arrival.deadline_ms as f64
@@ -297,7 +313,7 @@
     broken: Vec<BrokenCall>,
     demand: Pace,
     unpark_later: Vec<usize>,
-    is_unparking: bool,
+    has_empty_lane: bool,
 }
 
 impl Engine {
@@ -311,6 +327,11 @@
         &self.table
     }
 
+    /// The name that the next request will get.
+    pub fn next_ticket(&self) -> Ticket {
+        self.requests.next()
+    }
+
     /// Requests that have not ended.
     pub fn requests(&self) -> usize {
         self.requests.len()
