Placement driver tested; a lost order no longer keeps its target from being tried

Cause: with one target, an order that was lost delayed the load by 5 s more, because the missing replica was taken for a failed load (8,010 ms to ready, 3,000 ms expected). Change: only a load that the target had taken and then dropped is avoided for a while.

--- a/src/placement/planner/targets.rs
+++ b/src/placement/planner/targets.rs
@@ -202,9 +202,8 @@
         let entries = account.entries().iter();
         let freed: Vec<_> = entries.filter(|entry| !is_told(&entry.weights)).cloned().collect();
         for entry in freed {
-            let has_failed =
-                matches!(entry.stage, ledger::Stage::Reserved | ledger::Stage::Loading);
-            if has_failed {
+            // An order that was lost says nothing of whether the load would have failed.
+            if entry.stage == ledger::Stage::Loading {
                 self.avoid(target, &entry.weights, AVOID_MS);
             }
             self.remove(target, &entry.weights);
