--- a/src/routing/engine/mod.rs
+++ b/src/routing/engine/mod.rs
@@ -342,6 +342,11 @@
         self.requests.len() - self.running()
     }
 
+    /// Whether any request waits.
+    pub fn has_waiting(&self) -> bool {
+        self.waiting_by_rank.iter().any(|waiting| *waiting > 0)
+    }
+
     /// Requests at targets.
     pub fn running(&self) -> usize {
         self.shares.iter().map(|(_, _, share)| share.in_flight as usize).sum()
--- a/src/routing/engine/outcome.rs
+++ b/src/routing/engine/outcome.rs
@@ -159,13 +159,14 @@
     /// Sends a second attempt beside the first one, if that is allowed: nobody waits, the budget
     /// has a token, and another target has room.
     pub fn hedge(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
+        let has_waiting = self.has_waiting();
         let Some(request) = self.requests.get_mut(ticket) else { return };
         let in_flight = request.flights.iter().flatten().count();
         let may_hedge = request.arrival.is_idempotent
             && !request.is_delivering
             && in_flight == 1
             && request.attempts < retry::MAX_ATTEMPTS;
-        if !may_hedge || self.waiting_by_rank.iter().any(|waiting| *waiting > 0) {
+        if !may_hedge || has_waiting {
             return;
         }
         let first = request.flights.iter().flatten().next().copied();
--- a/src/routing/engine/tick.rs
+++ b/src/routing/engine/tick.rs
@@ -16,8 +16,7 @@
 impl Engine {
     /// When [`Engine::tick`] is due; `None` if nothing depends on time.
     pub fn next_tick_ms(&self, now_ms: u64) -> Option<u64> {
-        let waits = self.waiting_by_rank.iter().any(|waiting| *waiting > 0);
-        let look_ms = waits.then_some(now_ms + PERIOD_MS);
+        let look_ms = self.has_waiting().then_some(now_ms + PERIOD_MS);
         let pause_ms = self.pauses.iter().map(|(until_ms, _)| *until_ms).min();
         [look_ms, pause_ms, self.demand.next_ms()].into_iter().flatten().min()
     }
--- /dev/null
+++ b/src/traffic/driver.rs
@@ -0,0 +1,44 @@
+//! The task that drives what depends on time.
+
+use std::sync::atomic::Ordering;
+
+use crate::ids::ModelRef;
+use crate::traffic::shared::Shared;
+
+/// Time between two looks at the route table while requests are in flight.
+const TABLE_PERIOD_MS: u64 = 250;
+
+impl Shared {
+    /// Makes sure that the driver looks again within `period_ms`.
+    pub(super) fn wake_within(&self, period_ms: u64) {
+        if self.next_wake_ms.load(Ordering::Relaxed) > self.now_ms() + period_ms {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Drives what depends on time, until it is dropped.
+    pub async fn drive(&self) {
+        loop {
+            // While it is awake it needs no waking.
+            self.next_wake_ms.store(0, Ordering::Relaxed);
+            let ready_at = |model: &ModelRef| self.placement.ready_at_ms(model);
+            let next_ms = self.step(|engine, cx| {
+                engine.tick(cx, ready_at);
+                let look_ms = (engine.requests() > 0).then_some(cx.now_ms + TABLE_PERIOD_MS);
+                let tick_ms = engine.next_tick_ms(cx.now_ms);
+                [look_ms, tick_ms].into_iter().flatten().min()
+            });
+            self.next_wake_ms.store(next_ms.unwrap_or(u64::MAX), Ordering::Relaxed);
+            let sleep = async {
+                match next_ms {
+                    Some(at_ms) => tokio::time::sleep_until(self.clock.instant(at_ms)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+}
--- a/src/traffic/edge.rs
+++ b/src/traffic/edge.rs
@@ -12,7 +12,8 @@
 use crate::ids::{ClassName, IdempotencyKey, ModelRef, TenantId};
 use crate::routing::affinity::Conversation;
 use crate::routing::refusal::{Code, Refusal};
-use crate::traffic::shared::{Limits, Shared};
+use crate::traffic::limits::Limits;
+use crate::traffic::shared::Shared;
 
 /// The result of reading a request.
 pub type Result<T> = std::result::Result<T, Refusal>;
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -3,8 +3,10 @@
 pub mod answer;
 pub mod call;
 pub mod clock;
+mod driver;
 pub mod edge;
 pub mod handle;
+pub mod limits;
 mod measure;
 pub mod once;
 pub mod poison;
--- a/src/traffic/shared.rs
+++ b/src/traffic/shared.rs
@@ -8,13 +8,14 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, oneshot};
 
-use crate::ids::{Digest, ModelRef, RequestId, TargetId, Zone};
+use crate::ids::{Digest, RequestId, TargetId, Zone};
 use crate::membership::table::{Entry, Table};
 use crate::routing::demand::Demand;
 use crate::routing::engine::{self, Action, Context, Engine, Start, Ticket};
 use crate::routing::refusal::Refusal;
 use crate::target::Target;
 use crate::traffic::clock::Clock;
+use crate::traffic::limits::Limits;
 use crate::traffic::once::{self, Once};
 use crate::traffic::poison::{self, Poison};
 use crate::traffic::policy::{self, Placement, Policy};
@@ -22,52 +23,11 @@
 /// Finds the port to a target.
 pub type Targets = Arc<dyn Fn(&Entry) -> Arc<dyn Target> + Send + Sync>;
 
-/// Time between two looks at the route table while requests are in flight.
-const TABLE_PERIOD_MS: u64 = 250;
 /// Time within which a waiting request must be looked at.
 const WAIT_PERIOD_MS: u64 = 20;
 /// Time within which demand must be reported.
 const DEMAND_PERIOD_MS: u64 = 1000;
 
-/// Limits at the edge.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Largest head of a request.
-    pub head_bytes: usize,
-    /// Longest time in which the head of a request must arrive.
-    pub head_timeout_ms: u64,
-    /// Largest body of any request.
-    pub body_bytes: usize,
-    /// Longest time in which a body must arrive.
-    pub body_timeout_ms: u64,
-    /// Deepest nesting of JSON.
-    pub json_depth: u32,
-    /// Longest time for which a caller may leave a stream unread.
-    pub stalled_reader_ms: u64,
-    /// Largest plain answer that is held back until it is whole.
-    pub held_answer_bytes: usize,
-    /// Longest deadline that a caller may ask for.
-    pub deadline_ms: u64,
-    /// Connections at once.
-    pub connections: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            head_bytes: 32 << 10,
-            head_timeout_ms: 10_000,
-            body_bytes: 8 << 20,
-            body_timeout_ms: 15_000,
-            json_depth: 64,
-            stalled_reader_ms: 60_000,
-            held_answer_bytes: 1 << 20,
-            deadline_ms: 24 * 3_600_000,
-            connections: 20_000,
-        }
-    }
-}
-
 struct Decisions {
     engine: Engine,
     rng: SmallRng,
@@ -110,8 +70,8 @@
     request_prefix: String,
     next_request: AtomicU64,
     is_draining: AtomicBool,
-    wake: Notify,
-    next_wake_ms: AtomicU64,
+    pub(super) wake: Notify,
+    pub(super) next_wake_ms: AtomicU64,
     active: AtomicUsize,
     idle: Notify,
 }
@@ -220,7 +180,7 @@
         let decisions = &mut *guard;
         let value = self.apply(decisions, event);
         let told = decisions.carry_out(None).1;
-        let is_pending = decisions.engine.waiting() > 0;
+        let is_pending = decisions.engine.has_waiting();
         drop(guard);
         self.wake_within(if is_pending { WAIT_PERIOD_MS } else { DEMAND_PERIOD_MS });
         self.tell(told);
@@ -271,39 +231,6 @@
             }
         }
     }
-
-    /// Makes sure that the driver looks again within `period_ms`.
-    fn wake_within(&self, period_ms: u64) {
-        if self.next_wake_ms.load(Ordering::Relaxed) > self.now_ms() + period_ms {
-            self.wake.notify_one();
-        }
-    }
-
-    /// Drives what depends on time, until it is dropped.
-    pub async fn drive(&self) {
-        loop {
-            // While it is awake it needs no waking.
-            self.next_wake_ms.store(0, Ordering::Relaxed);
-            let ready_at = |model: &ModelRef| self.placement.ready_at_ms(model);
-            let next_ms = self.step(|engine, cx| {
-                engine.tick(cx, ready_at);
-                let look_ms = (engine.requests() > 0).then_some(cx.now_ms + TABLE_PERIOD_MS);
-                let tick_ms = engine.next_tick_ms(cx.now_ms);
-                [look_ms, tick_ms].into_iter().flatten().min()
-            });
-            self.next_wake_ms.store(next_ms.unwrap_or(u64::MAX), Ordering::Relaxed);
-            let sleep = async {
-                match next_ms {
-                    Some(at_ms) => tokio::time::sleep_until(self.clock.instant(at_ms)).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                () = sleep => {}
-                () = self.wake.notified() => {}
-            }
-        }
-    }
 }
 
 /// What others are told once the lock is free.
--- a/tests/traffic_callers.rs
+++ b/tests/traffic_callers.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use fescuebay::ids::Incarnation;
 use fescuebay::membership::table::Standing;
-use fescuebay::traffic::shared::Limits;
+use fescuebay::traffic::limits::Limits;
 use futures::stream::StreamExt;
 use http_body_util::BodyExt;
 use tokio::time::{Instant, sleep};
--- a/tests/traffic_server.rs
+++ b/tests/traffic_server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fescuebay::traffic::limits::Limits;
 use fescuebay::traffic::{serve, shared};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,7 +19,7 @@
     bench: Bench,
 }
 
-async fn served(limits: shared::Limits) -> Served {
+async fn served(limits: Limits) -> Served {
     let fake = Fake::new("runner-1", &["quill"], &["adoption"], Script::events(40));
     let adjust = |builder: shared::Builder| builder.limits(limits).balancer_notice_ms(100);
     let bench = Bench::with(vec![fake], adjust);
@@ -53,8 +54,7 @@
 
 #[tokio::test]
 async fn connections_that_misbehave_do_not_stop_the_daemon() {
-    let limits =
-        shared::Limits { head_timeout_ms: 200, body_timeout_ms: 200, ..shared::Limits::default() };
+    let limits = Limits { head_timeout_ms: 200, body_timeout_ms: 200, ..Limits::default() };
     let served = served(limits).await;
     let large_head = format!("GET /healthz HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(200 << 10));
     let many_heads = format!("GET /healthz HTTP/1.1\r\n{}\r\n", "x: y\r\n".repeat(300));
@@ -79,7 +79,7 @@
 
 #[tokio::test]
 async fn a_stop_finishes_streams_and_takes_what_the_balancer_still_sends() {
-    let Served { address, stop, ended, bench } = served(shared::Limits::default()).await;
+    let Served { address, stop, ended, bench } = served(Limits::default()).await;
     let stream =
         tokio::spawn(async move { exchange(address, request("hola", true).as_bytes()).await });
     while bench.fakes[0].calls() == 0 {
