--- a/src/control/records/query.rs
+++ b/src/control/records/query.rs
@@ -84,9 +84,16 @@
             View::Record(record.map(|record| row(record, context)))
         }
         Query::List { after, max_rows, only_unknown } => {
-            let rows = state.records().after(*after).map(|record| row(record, context));
-            let wanted = rows.filter(|r| !only_unknown || matches!(r.status, Status::Unknown(_)));
-            View::Page(wanted.take((*max_rows).min(MAX_ROWS)).collect())
+            let max_rows = (*max_rows).min(MAX_ROWS);
+            let rows = if *only_unknown {
+                let open = state.open_after(*after).map(|record| row(record, context));
+                let unknown = open.filter(|row| matches!(row.status, Status::Unknown(_)));
+                unknown.take(max_rows).collect()
+            } else {
+                let records = state.records().after(*after).take(max_rows);
+                records.map(|record| row(record, context)).collect()
+            };
+            View::Page(rows)
         }
         Query::Count => View::Count(state.len()),
     }
@@ -95,7 +102,7 @@
 fn row(record: &record::Record, context: &Context<'_>) -> Row {
     let (status, attempt) = match state::status(record, context) {
         record::Status::Pending(attempt) => (Status::Pending, Some(attempt)),
-        record::Status::Answered(answered) => (Status::Answered(answered.1.status), None),
+        record::Status::Answered(kept) => (Status::Answered(kept.read().1.status), None),
         record::Status::Unknown(attempt, cause) => (Status::Unknown(cause), Some(attempt)),
         record::Status::Released(_) => (Status::Released, None),
         record::Status::Settled(settled) => (Status::Settled { ran: settled.ran }, None),
--- a/src/traffic/driver.rs
+++ b/src/traffic/driver.rs
@@ -22,13 +22,16 @@
             // While it is awake it needs no waking.
             self.next_wake_ms.store(0, Ordering::Relaxed);
             let ready_at = |model: &ModelRef| self.placement.ready_at_ms(model);
-            let next_ms = self.step(|engine, cx| {
+            let next_ms = self.decide(|engine, cx| {
                 engine.tick(cx, ready_at);
                 let look_ms = (engine.requests() > 0).then_some(cx.now_ms + TABLE_PERIOD_MS);
                 let tick_ms = engine.next_tick_ms(cx.now_ms);
-                [look_ms, tick_ms].into_iter().flatten().min()
+                let next_ms = [look_ms, tick_ms].into_iter().flatten().min();
+                // Stored under the lock: an event that comes later finds it and wakes the driver.
+                self.next_wake_ms.store(next_ms.unwrap_or(u64::MAX), Ordering::Relaxed);
+                next_ms
             });
-            self.next_wake_ms.store(next_ms.unwrap_or(u64::MAX), Ordering::Relaxed);
+            self.looks.fetch_add(1, Ordering::Relaxed);
             let sleep = async {
                 match next_ms {
                     Some(at_ms) => tokio::time::sleep_until(self.clock.instant(at_ms)).await,
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod driver;
 pub mod edge;
 pub mod handle;
+pub mod jobs;
 pub mod limits;
 mod measure;
 pub mod once;
--- a/src/traffic/shared.rs
+++ b/src/traffic/shared.rs
@@ -72,6 +72,7 @@
     is_draining: AtomicBool,
     pub(super) wake: Notify,
     pub(super) next_wake_ms: AtomicU64,
+    pub(super) looks: AtomicU64,
     active: AtomicUsize,
     idle: Notify,
 }
@@ -115,6 +116,7 @@
             is_draining: AtomicBool::new(false),
             wake: Notify::new(),
             next_wake_ms: AtomicU64::new(0),
+            looks: AtomicU64::new(0),
             active: AtomicUsize::new(0),
             idle: Notify::new(),
         };
@@ -135,6 +137,11 @@
         self.clock.now_ms()
     }
 
+    /// How often the driver has looked at what depends on time.
+    pub fn looks(&self) -> u64 {
+        self.looks.load(Ordering::Relaxed)
+    }
+
     /// Whether the daemon is about to stop.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
@@ -176,13 +183,21 @@
 
     /// Tells the engine of an event, and carries out what it decides.
     pub(super) fn step<T>(&self, event: impl FnOnce(&mut Engine, &mut Context<'_>) -> T) -> T {
+        let (value, is_pending) = self.decide(|engine, cx| {
+            let value = event(engine, cx);
+            (value, engine.has_waiting())
+        });
+        self.wake_within(if is_pending { WAIT_PERIOD_MS } else { DEMAND_PERIOD_MS });
+        value
+    }
+
+    /// Tells the engine of an event and carries out what it decides, without waking the driver.
+    pub(super) fn decide<T>(&self, event: impl FnOnce(&mut Engine, &mut Context<'_>) -> T) -> T {
         let mut guard = self.lock();
         let decisions = &mut *guard;
         let value = self.apply(decisions, event);
         let told = decisions.carry_out(None).1;
-        let is_pending = decisions.engine.has_waiting();
         drop(guard);
-        self.wake_within(if is_pending { WAIT_PERIOD_MS } else { DEMAND_PERIOD_MS });
         self.tell(told);
         value
     }
