--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -3,9 +3,11 @@
 pub mod answer;
 pub mod call;
 pub mod clock;
+mod driver;
 pub mod edge;
 pub mod handle;
 pub mod jobs;
+pub mod limits;
 mod measure;
 pub mod once;
 pub mod poison;
