--- a/benches/records.rs
+++ b/benches/records/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Prints one line for each figure. Bounds are those of the design.
 
+mod voters;
+
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
@@ -18,6 +20,10 @@
 const SIZES: [u64; 3] = [100_000, 300_000, 1_000_000];
 /// Calls or jobs of which a rate is measured.
 const CALLS: u64 = 50_000;
+/// Calls of which a rate through three voters is measured.
+const VOTED: u64 = 5_000;
+/// Entries on their way at once.
+const AT_ONCE: usize = 512;
 /// Body of a kept answer: a reservation's number and a short text.
 const ANSWER_BYTES: usize = 64;
 /// Longest time that the control thread may be stalled.
@@ -26,6 +32,10 @@
 const MIN_RECORDS_PER_SECOND: f64 = 5_000.0;
 
 fn main() {
+    // `cargo bench --bench records -- voters` measures the voters alone.
+    if std::env::args().any(|arg| arg == "voters") {
+        return three_voters();
+    }
     let mut machine = machine();
     let mut calls = 0;
     let before_bytes = resident_bytes();
@@ -49,6 +59,34 @@
         calls += snapshot_meanwhile(&mut machine, calls);
     }
     jobs_rate();
+    three_voters();
+}
+
+fn three_voters() {
+    for snapshot_every in [1_000, 1_000_000] {
+        println!("== three synced voters, a snapshot after {snapshot_every} entries ==");
+        voters::run(snapshot_every, voted);
+    }
+}
+
+/// Records through three voters: alone, many at once, and while the state grows.
+async fn voted(voters: voters::Voters) {
+    let limits = Command::SetLimits(Box::new(limits()));
+    voters.commit_all(1, std::iter::once(limits)).await;
+    let mut alone = voters.commit_all(1, (0..500).map(begin)).await;
+    print_quantiles("one record, committed alone", &mut alone);
+    let mut first = 500;
+    for _ in 0..4 {
+        let start = Instant::now();
+        let commands = (first..first + VOTED).flat_map(|number| [begin(number), finish(number)]);
+        let mut times = voters.commit_all(AT_ONCE, commands).await;
+        first += VOTED;
+        let per_second = VOTED as f64 / start.elapsed().as_secs_f64();
+        println!("calls a second with {first:6} records     {per_second:8.0}  (two entries each)");
+        print_quantiles("  one entry", &mut times);
+        verdict("  records a second", 2.0 * per_second >= MIN_RECORDS_PER_SECOND);
+    }
+    println!("commands sent again for a lost leader {:8}", voters.resent());
 }
 
 fn per_100k(bytes: u64, records: u64) -> f64 {
@@ -57,13 +95,18 @@
 
 fn machine() -> Machine {
     let mut machine = Machine::default();
+    let command = Command::SetLimits(Box::new(limits()));
+    machine.execute(Entry { now_ms: 1, command });
+    machine
+}
+
+fn limits() -> Limits {
     let mut limits = Limits::default();
     limits.records.max_records = 2_000_000;
     limits.records.max_records_per_tenant = 2_000_000;
     limits.records.max_answers_bytes = 1 << 30;
     limits.jobs.max_bytes = 1 << 30;
-    machine.execute(Entry { now_ms: 1, command: Command::SetLimits(Box::new(limits)) });
-    machine
+    limits
 }
 
 /// Applies one encoded entry and returns how long that took.
--- a/tests/jobs_shell.rs
+++ b/tests/jobs_shell.rs
@@ -30,6 +30,24 @@
 struct Executor {
     acts: Mutex<BTreeMap<String, Vec<Act>>>,
     executions: Arc<Mutex<BTreeMap<String, u32>>>,
+    /// Runs that are under way.
+    running: Arc<AtomicU64>,
+}
+
+/// Counts a run as under way until it ends or is dropped.
+struct Running(Arc<AtomicU64>);
+
+impl Running {
+    fn new(running: &Arc<AtomicU64>) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(running))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Executor {
@@ -51,7 +69,9 @@
         if !matches!(act, Act::Unreachable) {
             *self.executions.lock().unwrap().entry(id.clone()).or_default() += 1;
         }
+        let running = Running::new(&self.running);
         Box::pin(async move {
+            let _running = running;
             match act {
                 Act::Answer { after_ms } => {
                     tokio::time::sleep(Duration::from_millis(after_ms)).await;
@@ -214,6 +234,7 @@
     group.commit(Command::Jobs(jobs::Command::Cancel { tenant, id }));
     pass(&group, 15).await;
     assert_eq!(status(&group, "third"), Status::Ended(End::Answered(answer("third"))));
+    assert_eq!(executor.running.load(Ordering::Relaxed), 1, "only the job `next` still runs");
     daemon.task.abort();
 }
 
