--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,7 +5,6 @@
 //! are the clients that drive it.
 
 pub mod answer;
-pub mod clock;
 pub mod commands;
 pub mod jobs;
 pub mod machine;
--- a/src/control/outcomes/collector.rs
+++ b/src/control/outcomes/collector.rs
@@ -1,9 +1,21 @@
 //! What one daemon counts until it is committed.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{LazyLock, Mutex, MutexGuard, PoisonError};
 
 use crate::control::outcomes::batch::{Batch, Tally};
 
+static OF_THIS_PROCESS: LazyLock<Collector> = LazyLock::new(Collector::default);
+
+/// The collector of this process, as the metrics are those of the process.
+pub fn collector() -> &'static Collector {
+    &OF_THIS_PROCESS
+}
+
+/// Counts something in the collector of this process.
+pub fn count(count: impl FnOnce(&mut Tally)) {
+    collector().count(count);
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     tally: Tally,
--- a/src/control/outcomes/mod.rs
+++ b/src/control/outcomes/mod.rs
@@ -4,10 +4,11 @@
 
 mod batch;
 mod collector;
+pub mod commit;
 mod promise;
 mod state;
 
 pub use batch::{Batch, Breach, Count, Refused, Tally, Waited};
-pub use collector::Collector;
+pub use collector::{Collector, collector, count};
 pub use promise::Promise;
 pub use state::{Command, Hour, Outcome, Query, State, answer};
--- a/src/traffic/measure.rs
+++ b/src/traffic/measure.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of traffic.
 
+use crate::control::outcomes;
 use crate::routing::engine::Start;
 use crate::routing::refusal::Refusal;
 use crate::traffic::call::Call;
@@ -16,6 +17,10 @@
 pub(super) fn waited(call: &Call, start: &Start) {
     let labels = labels(call);
     metrics::histogram!("fescuebay_queue_wait_seconds", &labels).record(seconds(start.waited_ms));
+    let (tenant, class) = (call.tenant().clone(), call.class().clone());
+    outcomes::count(|tally| {
+        tally.waited(outcomes::Waited { wait_ms: start.waited_ms, tenant, class });
+    });
     if let Some(predicted_ms) = start.predicted_ms {
         let error = seconds(start.waited_ms) - seconds(predicted_ms);
         metrics::histogram!("fescuebay_queue_wait_error_seconds", &labels).record(error);
@@ -38,6 +43,7 @@
     let labels = labels(call);
     metrics::histogram!("fescuebay_answer_seconds", &labels).record(seconds(elapsed_ms));
     metrics::counter!("fescuebay_answers_total", &labels).increment(1);
+    outcomes::count(|tally| tally.answered += 1);
 }
 
 /// Counts a refusal of a request that had a tenant and a class.
@@ -45,12 +51,14 @@
     let [tenant, class] = labels(call);
     let labels = [tenant, class, ("code", refusal.code.to_string())];
     metrics::counter!("fescuebay_refusals_total", &labels).increment(1);
+    outcomes::count(|tally| tally.refuse(refusal.code.as_str(), 1));
 }
 
 /// Counts a refusal at the edge.
 pub(super) fn refused_at_edge(refusal: &Refusal) {
     let labels = [("code", refusal.code.to_string())];
     metrics::counter!("fescuebay_edge_refusals_total", &labels).increment(1);
+    outcomes::count(|tally| tally.refuse(refusal.code.as_str(), 1));
 }
 
 /// Counts streams that were resumed, broken off, or left by their callers.
--- a/tests/control_report.rs
+++ b/tests/control_report.rs
@@ -2,7 +2,7 @@
 
 mod control_fakes;
 
-use control_fakes::{Group, answer, client, owner, request};
+use control_fakes::{Fault, Group, answer, client, owner, request};
 use fescuebay::control::commands::{Command, Outcome};
 use fescuebay::control::outcomes::{self, Collector, Hour, Promise, Tally, Waited};
 use fescuebay::control::{queries, records};
@@ -55,6 +55,23 @@
     assert_eq!(whole(&group).answered, 15);
 }
 
+#[tokio::test(start_paused = true)]
+async fn what_a_daemon_counts_is_committed_once_through_lost_outcomes_and_when_it_leaves() {
+    let group = Group::new();
+    let collector: &'static Collector = Box::leak(Box::default());
+    let (leaving, left) = tokio::sync::watch::channel(false);
+    let log = std::sync::Arc::clone(&group) as std::sync::Arc<dyn fescuebay::control::port::Log>;
+    let commits = tokio::spawn(outcomes::commit::run(log, owner(1, 1), collector, left));
+    collector.count(|tally| tally.answered += 1);
+    group.script([Fault::LostAfter, Fault::NotProposed, Fault::LostBefore, Fault::LostAfter]);
+    tokio::time::sleep(std::time::Duration::from_secs(60)).await;
+    assert_eq!(whole(&group).answered, 1);
+    collector.count(|tally| tally.answered += 10);
+    leaving.send(true).unwrap();
+    commits.await.unwrap();
+    assert_eq!(whole(&group).answered, 11);
+}
+
 #[test]
 fn hours_are_kept_apart_for_eight_days_and_stay_small() {
     let group = Group::new();
@@ -170,6 +187,23 @@
     }
 }
 
+#[test]
+fn no_line_is_too_wide_whatever_the_words() {
+    let now_ms = 200 * HOUR_MS;
+    for first in 1..45_usize {
+        for second in 1..45_usize {
+            let reason = format!("{} {}", "x".repeat(first), "y".repeat(second));
+            let mut input = input(now_ms);
+            let tally = &mut input.hours[0].tally;
+            tally.check(now_ms, Promise::GracefulStop, Err(reason.clone()));
+            input.exceptions[0].what = reason;
+            let text = Text.render(&Report::new(input));
+            let widest = text.lines().map(|line| line.chars().count()).max();
+            assert!(widest <= Some(COLUMNS), "words of {first} and {second}:\n{text}");
+        }
+    }
+}
+
 #[test]
 fn an_empty_ledger_claims_nothing() {
     let mut input = input(200 * HOUR_MS);
