Split the checks of a whole fleet from those of its edits

Change: config/consistency.rs; the help of 'records list' names the states that there are; the page says that heartbeat is what targets are set to.

Measured: the five test files of this part: 35 passed. Conclusion: no behaviour changed.

--- a/src/cli/work.rs
+++ b/src/cli/work.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, clap::Args)]
 #[command(after_help = "Example:\n  fescuebay records list --state unknown")]
 pub(super) struct RecordsListArgs {
-    /// Only in this state: recorded, dispatched, answered or unknown
+    /// Only in this state: pending, answered, unknown, released or settled
     #[arg(long)]
     state: Option<String>,
     /// Only of this tenant
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -2,10 +2,9 @@
 
 use super::catalogue::{Adapter, Class, Model};
 use super::change::{Change, Edit, Problem};
-use super::resolve::resolve;
-use super::scope::{self, Mask, Scope, Subject};
-use super::{Fleet, Key, NewException, Reach, Setting, Value};
-use crate::ids::{ExceptionId, ModelRef, TargetId, TenantId, Zone};
+use super::scope::{self, Mask, Scope};
+use super::{Fleet, Key, NewException, Reach, Setting, Value, consistency};
+use crate::ids::{ExceptionId, TargetId, TenantId, Zone};
 use crate::units::Bytes;
 
 /// The most edits of one change.
@@ -95,21 +94,16 @@
     }
     next.derive();
     // What was wrong before, as when an exception ended or a zone was lost, must not stop a change.
-    let before = contradictions(fleet, facts, now_ms);
-    let after = contradictions(&next, facts, now_ms);
+    let before = consistency::contradictions(fleet, facts, now_ms);
+    let after = consistency::contradictions(&next, facts, now_ms);
     found.edit = 0;
     after.into_iter().filter(|what| !before.contains(what)).for_each(|what| found.add(what));
-    check_memory(fleet, &next, facts, now_ms, &mut found);
+    if let Some(what) = consistency::overcommitment(fleet, &next, facts, now_ms) {
+        found.add(what);
+    }
     problems
 }
 
-/// What contradicts itself in a whole fleet.
-fn contradictions(fleet: &Fleet, facts: &Facts, now_ms: u64) -> Vec<String> {
-    let mut found = crossed_limits(fleet, now_ms);
-    found.extend(unplaceable(fleet, facts, now_ms));
-    found
-}
-
 fn check_edit(fleet: &Fleet, edit: &Edit, facts: &Facts, now_ms: u64, found: &mut Found<'_>) {
     match edit {
         Edit::SetDefault(Setting { key, .. }) if key.reach() == Reach::Targets => {
@@ -329,92 +323,3 @@
         _ => Ok(()),
     }
 }
-
-/// Limits of replicas that contradict each other.
-fn crossed_limits(fleet: &Fleet, now_ms: u64) -> Vec<String> {
-    let whole = Subject { now_ms, ..Subject::default() };
-    let mut found = crossed(fleet, &whole, "the defaults");
-    let limits = [Key::MinReplicas, Key::MaxReplicas, Key::KeepWarm];
-    for exception in fleet.exceptions().iter().filter(|other| other.is_in_force(now_ms)) {
-        if exception.settings.iter().any(|setting| limits.contains(&setting.key)) {
-            let of = format!("exception {} for {}", exception.id, exception.scope);
-            found.extend(crossed(fleet, &exception.scope.subject(now_ms), &of));
-        }
-    }
-    found
-}
-
-fn crossed(fleet: &Fleet, subject: &Subject<'_>, of: &str) -> Vec<String> {
-    let effective = resolve(fleet, subject);
-    let (min, max) = (effective.min_replicas, effective.max_replicas);
-    let mut found = Vec::new();
-    if min > max {
-        found.push(format!("with {of}, min_replicas {min} is above max_replicas {max}"));
-    }
-    if max == 0 && !effective.keep_warm.is_empty() {
-        let windows = &effective.keep_warm;
-        found.push(format!("with {of}, keep_warm {windows} contradicts max_replicas 0"));
-    }
-    found
-}
-
-/// Replicas kept at any demand that a change adds and that would not fit.
-fn check_memory(fleet: &Fleet, next: &Fleet, facts: &Facts, now_ms: u64, found: &mut Found<'_>) {
-    let Some(capacity) = facts.memory_bytes else { return };
-    let kept_bytes = |fleet: &Fleet| -> u64 {
-        maybe_kept(fleet).iter().map(|model| kept(fleet, model, now_ms)).sum()
-    };
-    let after = kept_bytes(next);
-    if after > capacity.0 && after > kept_bytes(fleet) {
-        found.add(format!(
-            "replicas kept at any demand would take {}, all targets have {capacity}",
-            Bytes(after)
-        ));
-    }
-}
-
-/// The models and adapters that may have replicas at no demand: all of them if a default says so,
-/// else those that an exception names. Most of a large fleet is neither.
-fn maybe_kept(fleet: &Fleet) -> Vec<ModelRef> {
-    let base = fleet.base();
-    if base.min_replicas > 0 || !base.keep_warm.is_empty() {
-        let models = fleet.catalogue().models.iter();
-        return models.flat_map(|model| model.refs()).collect();
-    }
-    let keeps = |setting: &Setting| matches!(setting.key, Key::MinReplicas | Key::KeepWarm);
-    let exceptions = fleet.exceptions().iter();
-    let exceptions = exceptions.filter(|exception| exception.settings.iter().any(keeps));
-    let named = exceptions.filter_map(|exception| exception.scope.model_ref());
-    let mut models: Vec<ModelRef> = named.collect();
-    models.sort_unstable();
-    models.dedup();
-    models
-}
-
-/// Memory of the replicas of a model that are kept, at the time of day with the most.
-fn kept(fleet: &Fleet, model: &ModelRef, now_ms: u64) -> u64 {
-    let Some((_, memory_bytes)) = fleet.catalogue().weights(model) else { return 0 };
-    let effective = resolve(fleet, &Subject::model(model, now_ms));
-    let warm = u32::from(!effective.keep_warm.is_empty());
-    u64::from(effective.min_replicas.max(warm)) * memory_bytes.0
-}
-
-/// Models that may be placed nowhere.
-fn unplaceable(fleet: &Fleet, facts: &Facts, now_ms: u64) -> Vec<String> {
-    let Some(zones) = &facts.zones else { return Vec::new() };
-    let forbids =
-        |setting: &Setting| setting.key == Key::Placeable && setting.value == Value::Flag(false);
-    if !fleet.exceptions().iter().any(|exception| exception.settings.iter().any(forbids)) {
-        return Vec::new();
-    }
-    let is_unplaceable = |model: &ModelRef| {
-        let subject = Subject::model(model, now_ms);
-        !zones.iter().any(|zone| resolve(fleet, &subject.in_zone(zone)).is_placeable)
-    };
-    let models = fleet.catalogue().models.iter();
-    let bases = models.map(|model| ModelRef { model: model.name.clone(), adapter: None });
-    bases
-        .filter(is_unplaceable)
-        .map(|model| format!("no availability zone would be left for {model}"))
-        .collect()
-}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,6 +7,7 @@
 pub mod catalogue;
 pub mod change;
 mod check;
+mod consistency;
 mod exception;
 mod fleet;
 mod index;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -258,7 +258,7 @@
 /// The side towards targets.
 #[derive(Clone, Debug)]
 pub struct Targets {
-    /// How often a target announces itself.
+    /// How often targets are set to announce themselves. The other two times must be longer.
     pub heartbeat_ms: Millis,
     /// Silence after which a target gets work only if no other can do it.
     pub suspect_ms: Millis,
