voters alone lists them; daemons never heard of count as lagging

After a new leader, a trial with nine daemons printed 'in force at all 7 daemons' while one was killed and one had not joined yet: the leader lists only those that it heard.

Ruled out: counting in the command line (it does not know the daemons).

Change: the voters command needs no subcommand; view::Revisions::with adds the daemons of the settings that are not listed. The daemon has still to call it.

--- a/src/admin/view.rs
+++ b/src/admin/view.rs
@@ -83,6 +83,21 @@
     pub daemons: Vec<DaemonRevision>,
 }
 
+impl Revisions {
+    /// Adds those of `daemons` that are not listed, as never heard of: they lag.
+    pub fn with(mut self, daemons: impl IntoIterator<Item = (DaemonId, Zone)>) -> Self {
+        for (daemon, availability_zone) in daemons {
+            let place = self.daemons.binary_search_by(|listed| listed.daemon.cmp(&daemon));
+            if let Err(at) = place {
+                let (in_force, silent_ms) = (Revision(0), None);
+                let unheard = DaemonRevision { daemon, availability_zone, in_force, silent_ms };
+                self.daemons.insert(at, unheard);
+            }
+        }
+        self
+    }
+}
+
 /// The revision in force at one daemon, as far as is known.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct DaemonRevision {
@@ -347,3 +362,24 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::admin;
+
+    #[test]
+    fn a_daemon_that_was_never_heard_of_lags() {
+        let named = |name: &str| (name.parse::<DaemonId>().unwrap(), "a".parse::<Zone>().unwrap());
+        let (daemon, availability_zone) = named("b");
+        let (in_force, silent_ms) = (Revision(3), Some(Millis(5)));
+        let heard = DaemonRevision { daemon, availability_zone, in_force, silent_ms };
+        let revisions = Revisions { accepted: Revision(3), daemons: vec![heard] };
+        let all = revisions.with([named("c"), named("a"), named("b")]);
+        let names =
+            |daemons: &[DaemonId]| daemons.iter().map(ToString::to_string).collect::<String>();
+        let listed: Vec<DaemonId> = all.daemons.iter().map(|d| d.daemon.clone()).collect();
+        assert_eq!(names(&listed), "abc");
+        assert_eq!(names(&admin::lagging(&all, Revision(3))), "ac");
+    }
+}
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -37,23 +37,32 @@
 }
 
 /// Show and replace the voters of the control group
+#[derive(Debug, clap::Args)]
+#[command(args_conflicts_with_subcommands = true)]
+pub(super) struct VotersArgs {
+    #[command(subcommand)]
+    command: Option<VotersCommand>,
+    #[command(flatten)]
+    list: VotersListArgs,
+}
+
 #[derive(Debug, clap::Subcommand)]
-pub(super) enum VotersCommand {
-    /// List voters and learners
+enum VotersCommand {
+    /// List voters and learners, as without a command
     List(VotersListArgs),
     /// Put a new voter in the place of an old one
     Replace(VotersReplaceArgs),
 }
 
 #[derive(Debug, clap::Args)]
-pub(super) struct VotersListArgs {
+struct VotersListArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
 #[derive(Debug, clap::Args)]
 #[command(after_help = "Example:\n  fescuebay voters replace --old andina-b-1 --new andina-b-2")]
-pub(super) struct VotersReplaceArgs {
+struct VotersReplaceArgs {
     /// The voter that leaves
     #[arg(long, value_name = "DAEMON")]
     old: DaemonId,
@@ -183,12 +192,13 @@
     }
 }
 
-impl VotersCommand {
+impl VotersArgs {
     /// Runs the command.
     pub async fn run(self) -> Result<()> {
-        match self {
-            VotersCommand::List(args) => args.run().await,
-            VotersCommand::Replace(args) => args.run().await,
+        match self.command {
+            None => self.list.run().await,
+            Some(VotersCommand::List(args)) => args.run().await,
+            Some(VotersCommand::Replace(args)) => args.run().await,
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -59,8 +59,7 @@
     Revision(fleet::RevisionArgs),
     Targets(fleet::TargetsArgs),
     Models(fleet::ModelsArgs),
-    #[command(subcommand)]
-    Voters(fleet::VotersCommand),
+    Voters(fleet::VotersArgs),
     Drain(exceptions::DrainArgs),
     Report(report::Args),
     #[command(subcommand)]
@@ -147,7 +146,7 @@
         Command::Revision(args) => connection::block_on(args.run()),
         Command::Targets(args) => connection::block_on(args.run()),
         Command::Models(args) => connection::block_on(args.run()),
-        Command::Voters(command) => connection::block_on(command.run()),
+        Command::Voters(args) => connection::block_on(args.run()),
         Command::Drain(args) => connection::block_on(args.run()),
         Command::Report(args) => connection::block_on(args.run()),
         Command::Records(command) => connection::block_on(command.run()),
--- a/tests/cli_operators.rs
+++ b/tests/cli_operators.rs
@@ -330,6 +330,9 @@
             "replace andina-b-1 by andina-b-2".to_owned(),
         ]
     );
+    for line in ["voters", "voters list"] {
+        assert_eq!(admin.ok(line), "no voters\n");
+    }
     assert!(admin.ok("records list --state unknown --tenant desk").contains("reserve/431"));
     assert!(admin.ok("records list --state answered").contains("no records"));
     assert!(admin.fails(1, "jobs cancel job-1 --reason x").contains("there is no job job-1"));
