Nine daemons: without a quorum a reservation is refused, and truly not run

Cause: 'a refusal that says not run is true' had no proof at the level of processes. Change: a black-box case kills two of three voters, sends ten reservations and a look-up. Measured: ten refusals with ran: no, no execution, the look-up answered. Conclusion: holds.

--- a/tests/nine_daemons.rs
+++ b/tests/nine_daemons.rs
@@ -230,3 +230,28 @@
     let unexpected: Vec<_> = target.all_executions().into_iter().filter(|(_, n)| *n > 1).collect();
     assert_eq!(unexpected, []);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn without_a_quorum_reservations_are_truly_not_run_and_look_ups_go_on() {
+    let _turn = TURN.lock().await;
+    let mut cluster = Cluster::start("no-quorum").await;
+    let services = vec!["desk".parse().unwrap()];
+    let target = cluster.target(0, |settings| settings.token_ms(5).services(services)).await;
+    let revision = cluster.change(&cluster.daemons[0], "service", cluster::service("desk")).await;
+    cluster.in_force(revision).await;
+    cluster.offers("desk").await;
+    cluster.daemons[0].kill();
+    cluster.daemons[1].kill();
+
+    let router = cluster.daemons[5].traffic();
+    for n in 0..10 {
+        let key = format!("weathercock-{n}");
+        let url = format!("http://{router}/services/desk/orders");
+        let headers = [("idempotency-key", key.as_str())];
+        let answer = web::call("POST", &url, &headers, "{}").await.expect("a refusal is an answer");
+        assert_eq!((answer.status, answer.ran.as_deref()), (503, Some("no")), "{}", answer.body);
+        assert_eq!(target.executions(&key), 0, "{key} was called not run, and was run");
+    }
+    let look_up = web::call("GET", &format!("http://{router}/services/desk/ready"), &[], "").await;
+    assert_eq!(look_up.map(|answer| answer.status), Some(200), "idempotent work goes on");
+}
