--- a/src/consensus/node/handle.rs
+++ b/src/consensus/node/handle.rs
@@ -14,6 +14,10 @@
 use crate::consensus::message::Message;
 use crate::ids::{DaemonId, LogIndex};
 
+/// The largest command, in bytes: one must fit into a message between daemons.
+pub const MAX_COMMAND_BYTES: usize = 8 * 1024 * 1024;
+/// Most proposals that wait at once.
+const MAX_WAITING: usize = 100_000;
 /// How often a learner is looked at while it catches up, in milliseconds.
 const CATCH_UP_POLL_MS: u64 = 50;
 
@@ -46,6 +50,10 @@
     /// replaced. [`Error::Unknown`]: it may yet be committed.
     pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>> {
         metrics::counter!("consensus_proposals_total").increment(1);
+        if command.len() > MAX_COMMAND_BYTES {
+            let reason = format!("the command is over {MAX_COMMAND_BYTES} bytes");
+            return Err(Report::new(Error::Unavailable(reason)));
+        }
         self.commit(|core| core.propose(command.into())).await
     }
 
@@ -186,6 +194,10 @@
     ) -> Result<Vec<u8>> {
         let answered = {
             let mut shared = self.shared.borrow_mut();
+            if shared.waiting_count() >= MAX_WAITING {
+                let reason = "too many proposals wait for a commit";
+                return Err(Report::new(Error::Unavailable(reason.to_owned())));
+            }
             let proposed = propose(shared.core_mut()?).map_err(Error::from)?;
             shared.wait_for(proposed)
         };
--- a/src/consensus/node/mod.rs
+++ b/src/consensus/node/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::ids::DaemonId;
 
-pub use handle::Handle;
+pub use handle::{Handle, MAX_COMMAND_BYTES};
 pub use settings::{Opened, Settings, start};
 pub use shell::{Leadership, Status};
 
--- a/src/consensus/node/settings.rs
+++ b/src/consensus/node/settings.rs
@@ -16,7 +16,7 @@
 use crate::consensus::log::Log;
 use crate::consensus::timing::Timing;
 use crate::ids::{DaemonId, GroupId, Incarnation};
-use crate::storage::disk::Folder;
+use crate::storage::disk::{Disk, Folder};
 use crate::storage::store::{Owner, Store};
 
 /// How many entries a restart replays at most.
@@ -76,10 +76,19 @@
     ///
     /// # Errors
     /// The folder cannot be used, or the times break a rule.
-    pub fn open(self) -> Result<Opened> {
-        self.timing.check().change_context(Error::Start("check the times".to_owned()))?;
+    pub fn open(self) -> Result<Opened<Folder>> {
         let step = || Error::Start(format!("open the data folder {}", self.folder.display()));
         let disk = Folder::open(&self.folder).change_context_lazy(step)?;
+        self.open_on(disk)
+    }
+
+    /// Reads a folder that is open already.
+    ///
+    /// # Errors
+    /// As for [`Settings::open`].
+    pub fn open_on<D: Disk>(self, disk: D) -> Result<Opened<D>> {
+        self.timing.check().change_context(Error::Start("check the times".to_owned()))?;
+        let step = || Error::Start(format!("read the data folder {}", self.folder.display()));
         let opened = Store::open(disk, &self.owner, self.new_incarnation);
         let (store, stored) = opened.change_context_lazy(step)?;
         let id = store.voter_id(&self.owner.daemon);
@@ -88,14 +97,14 @@
 }
 
 /// A voter whose folder is open and which does not run yet.
-pub struct Opened {
+pub struct Opened<D> {
     settings: Settings,
-    store: Store<Folder>,
+    store: Store<D>,
     stored: Stored,
     id: VoterId,
 }
 
-impl Opened {
+impl<D: Disk + 'static> Opened<D> {
     /// Its id.
     pub fn voter_id(&self) -> &VoterId {
         &self.id
--- a/src/consensus/node/shell.rs
+++ b/src/consensus/node/shell.rs
@@ -94,6 +94,10 @@
         answered
     }
 
+    pub(super) fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub(super) fn next_ticket(&mut self) -> u64 {
         self.next_ticket += 1;
         self.next_ticket
--- a/src/consensus/timing.rs
+++ b/src/consensus/timing.rs
@@ -58,3 +58,23 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_that_make_leases_unsound_are_refused() {
+        let good = Timing::default();
+        assert!(good.check().is_ok());
+        let bad = [
+            Timing { heartbeat_ms: 0, ..good },
+            Timing { heartbeat_ms: good.election_ms, ..good },
+            Timing { election_jitter_ms: 0, ..good },
+            Timing { lease_ms: good.election_ms * 91 / 100, ..good },
+        ];
+        for timing in bad {
+            assert!(timing.check().is_err(), "{timing:?}");
+        }
+    }
+}
