Placement: a silent known target holds a new leader up for a bounded time only

Cause: a target that the former leader knew and that neither announces itself nor is told to be gone would have kept a new leader from giving any order. Change: the bound for unread targets (14.5 s by default) covers it too.

--- a/src/placement/planner/mod.rs
+++ b/src/placement/planner/mod.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// Assistant runners that the former leader knew. Given first, so that no order is given before
-    /// each of them was heard of or is gone.
+    /// each of them was heard of or is gone, for a bounded time.
     Known(Vec<TargetId>),
     /// A target announced itself, perhaps some time ago.
     TargetState(order::State),
--- a/src/placement/planner/round.rs
+++ b/src/placement/planner/round.rs
@@ -87,12 +87,12 @@
         }
     }
 
-    /// Begins to give orders once all targets were heard of and read. One that announces itself but
-    /// can't be read holds this up for a bounded time; what it tells that it holds is counted.
+    /// Begins to give orders once all known targets were heard of and read, or are gone. One that
+    /// is silent or can't be read holds this up for a bounded time; what it announced that it holds
+    /// is counted.
     fn take_over(&mut self) -> bool {
         let started_ms = self.started_ms.unwrap_or(self.now_ms);
-        let is_early = self.now_ms < started_ms + self.settings.takeover_ms;
-        if is_early || !self.awaited.is_empty() {
+        if self.now_ms < started_ms + self.settings.takeover_ms {
             return false;
         }
         let settings = &self.settings;
@@ -100,7 +100,8 @@
             settings.lease_ms + READ_TRIES * settings.order_limit_ms + settings.clock_skew_ms;
         let is_patient = self.now_ms < started_ms + patience_ms;
         let is_unread = |a: &ledger::Account| a.standing == ledger::Standing::Unread;
-        if is_patient && self.ledger.accounts().iter().any(is_unread) {
+        let has_unread = self.ledger.accounts().iter().any(is_unread);
+        if is_patient && (has_unread || !self.awaited.is_empty()) {
             return false;
         }
         self.is_acting = true;
