--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -4,6 +4,7 @@
 //! reason, or its cancellation. A lease that ends lets another daemon run it again.
 
 mod command;
+mod index;
 mod job;
 mod limits;
 mod query;
--- a/src/control/jobs/state.rs
+++ b/src/control/jobs/state.rs
@@ -1,6 +1,5 @@
 //! The job store and what commands do to it.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -9,6 +8,7 @@
 use crate::control::jobs::command::{
     Cancelled, Command, Completed, Failure, Grant, Outcome, Renewal, Submitted,
 };
+use crate::control::jobs::index::Index;
 use crate::control::jobs::job::{self, End, Job, Lease, Phase, Ran, Reason, Submission};
 use crate::control::jobs::limits::Limits;
 use crate::control::machine::Context;
@@ -22,55 +22,6 @@
 /// Expired timers that one command looks at.
 const MAX_TIMERS: usize = 1_000;
 
-/// The place of a waiting job: rank, latest start, submission order.
-type Turn = (u8, u64, u64, shards::Key);
-
-/// Indexes of the table, built anew after a restore. Trees, because they grow and shrink at the
-/// rate of the jobs.
-#[derive(Debug, Default)]
-struct Index {
-    waiting: BTreeSet<Turn>,
-    timers: BTreeSet<(u64, shards::Key)>,
-    leases: BTreeSet<(owner::Owner, shards::Key)>,
-    tenants: BTreeMap<TenantId, usize>,
-    stored_bytes: u64,
-}
-
-impl Index {
-    fn turn(job: &Job) -> Turn {
-        (job.submission.rank, job.latest_start_ms(), job.order, job.key)
-    }
-
-    fn add(&mut self, job: &Job) {
-        match &job.phase {
-            Phase::Waiting => drop(self.waiting.insert(Self::turn(job))),
-            Phase::Leased(lease) => drop(self.leases.insert((lease.owner.clone(), job.key))),
-            Phase::Ended(_) => {}
-        }
-        self.timers.extend(job.timer_ms().map(|at_ms| (at_ms, job.key)));
-        *self.tenants.entry(job.submission.tenant.clone()).or_default() += 1;
-        self.stored_bytes += job.stored_bytes();
-    }
-
-    fn remove(&mut self, job: &Job) {
-        match &job.phase {
-            Phase::Waiting => drop(self.waiting.remove(&Self::turn(job))),
-            Phase::Leased(lease) => drop(self.leases.remove(&(lease.owner.clone(), job.key))),
-            Phase::Ended(_) => {}
-        }
-        if let Some(at_ms) = job.timer_ms() {
-            self.timers.remove(&(at_ms, job.key));
-        }
-        if let Some(jobs) = self.tenants.get_mut(&job.submission.tenant) {
-            *jobs -= 1;
-            if *jobs == 0 {
-                self.tenants.remove(&job.submission.tenant);
-            }
-        }
-        self.stored_bytes -= job.stored_bytes();
-    }
-}
-
 /// The durable jobs.
 #[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct State {
