--- a/src/control/jobs/job.rs
+++ b/src/control/jobs/job.rs
@@ -92,11 +92,11 @@
     /// A short name for counters and reports.
     pub fn code(&self) -> &'static str {
         match self {
-            Self::NotInTime => "job_not_in_time",
-            Self::DeadlinePassed => "job_deadline_passed",
-            Self::LeasesLost => "job_leases_lost",
-            Self::TargetsDied => "job_targets_died",
-            Self::Refused(_) => "job_refused",
+            Self::NotInTime => "job-not-in-time",
+            Self::DeadlinePassed => "job-deadline-passed",
+            Self::LeasesLost => "job-leases-lost",
+            Self::TargetsDied => "job-targets-died",
+            Self::Refused(_) => "job-refused",
         }
     }
 }
--- a/tests/jobs_failures.rs
+++ b/tests/jobs_failures.rs
@@ -239,7 +239,7 @@
         .iter()
         .map(|refused| (refused.code.as_str(), refused.count))
         .collect();
-    assert_eq!(refused, [("job_deadline_passed", 1), ("job_not_in_time", 1)]);
+    assert_eq!(refused, [("job-deadline-passed", 1), ("job-not-in-time", 1)]);
 }
 
 #[test]
