Reports tell of seven promises; changes are checked by what the leader knows

Change: traffic, leader and followers count their checks, cold starts and idle accelerators, which are committed every 10 s and when a daemon stops; the leader checks a change against targets, zones and tenants; revisions list every daemon of the settings. Conclusion: 'not run is true' and 'none to leaving' still have no check while running, and the report says so.

--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -11,6 +11,7 @@
 use futures::future::LocalBoxFuture;
 use tokio::sync::Notify;
 
+use crate::config;
 use crate::consensus::node;
 use crate::control;
 use crate::control::{commands, machine, owner, port, queries};
@@ -18,7 +19,7 @@
 use crate::daemon::message::{self, Reply, Request};
 use crate::daemon::peers::{Failure, Peers};
 use crate::daemon::published::Published;
-use crate::ids::{DaemonId, Incarnation, ModelRef, TargetId, Term, Zone};
+use crate::ids::{DaemonId, Incarnation, ModelRef, TargetId, TenantId, Term, Zone};
 use crate::membership::targets::{Registry, Report, Taken};
 use crate::membership::{feed, home, targets};
 use crate::placement::demand;
@@ -56,6 +57,10 @@
     pub peers: Rc<dyn Peers>,
     /// Daemons that are asked who leads.
     pub voters: Vec<DaemonId>,
+    /// All daemons that the settings name, this one among them, with their zones.
+    pub daemons: Vec<(DaemonId, Zone)>,
+    /// All tenants that the settings name.
+    pub tenants: Vec<TenantId>,
     /// When a silent target is doubted and given up.
     pub silence: targets::Settings,
     /// What a leader's placement works with.
@@ -116,6 +121,12 @@
         &self.parts.owner.daemon
     }
 
+    /// The availability zone of a daemon that the settings name.
+    pub(super) fn zone_of(&self, daemon: &DaemonId) -> Option<Zone> {
+        let known = self.parts.daemons.iter().find(|(id, _)| id == daemon);
+        known.map(|(_, zone)| zone.clone())
+    }
+
     /// The time, as Unix time.
     pub fn now_ms(&self) -> u64 {
         self.parts.clock.now_ms()
@@ -181,6 +192,9 @@
 
     async fn propose_here(&self, command: commands::Command) -> Reply {
         let Some(node) = self.node() else { return self.not_leader() };
+        if let Some(outcome) = self.known_outcome(&command) {
+            return Reply::Outcome(Box::new(outcome));
+        }
         let entry = commands::Entry { now_ms: self.now_ms(), command };
         match node.propose(entry.encode()).await {
             Ok(bytes) => match commands::Outcome::decode(&bytes) {
@@ -196,6 +210,17 @@
         }
     }
 
+    /// The outcome of a change that needs no commit, such as a refusal by what only the leader
+    /// knows of the targets.
+    fn known_outcome(&self, command: &commands::Command) -> Option<commands::Outcome> {
+        let commands::Command::Config(command) = command else { return None };
+        let config::Command::Change(change) = &**command;
+        let facts = self.leading()?.facts(self);
+        let outcome =
+            self.with_state(|state| state.config.check(change, &facts, self.now_ms()))??;
+        Some(commands::Outcome::Config(Box::new(outcome)))
+    }
+
     fn node_failure(&self, error: &node::Error) -> Reply {
         match error {
             node::Error::NotLeader(leader) => Reply::NotLeader(leader.clone()),
--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use crate::config;
+use crate::control::outcomes;
+use crate::control::outcomes::Promise;
 use crate::daemon::core::{ASK_LIMIT, Core};
 use crate::daemon::message::{FleetNews, News, Reply, Request, Watch};
 use crate::ids::Term;
@@ -13,6 +15,8 @@
 
 /// Time for which a leader holds a question without news.
 pub const HOLD: Duration = Duration::from_millis(900);
+/// Time within which an accepted change must be in force at a daemon.
+const IN_FORCE_MS: u64 = 9_000;
 /// Time for one question for news: the leader's hold and two ways.
 const WATCH_LIMIT: Duration = Duration::from_millis(1_900);
 /// Pause after a question without an answer.
@@ -97,6 +101,8 @@
     match news {
         FleetNews::Same => return published.confirm(asked_ms),
         FleetNews::Changes(changes) => {
+            let now_ms = core.now_ms();
+            changes.iter().for_each(|accepted| count_in_force(accepted, now_ms));
             let is_gap = |accepted| fleet.follow(accepted) == config::Followed::Gap;
             if changes.iter().any(is_gap) {
                 metrics::counter!("fescuebay_fleet_gaps_total").increment(1);
@@ -111,6 +117,17 @@
     published.confirm(asked_ms);
 }
 
+/// Counts whether a change came into force here within its bound.
+fn count_in_force(accepted: &config::Accepted, now_ms: u64) {
+    let after_ms = now_ms.saturating_sub(accepted.at_ms);
+    let is_in_time = after_ms <= IN_FORCE_MS;
+    let late = || format!("revision {} came into force after {after_ms} ms", accepted.revision);
+    outcomes::count(|tally| {
+        let held = is_in_time.then_some(()).ok_or_else(late);
+        tally.check(now_ms, Promise::ConfigurationInForce, held);
+    });
+}
+
 /// Watches the targets whose home this daemon is, until it is dropped.
 pub async fn look(core: Rc<Core>) {
     loop {
--- a/src/daemon/leader/mod.rs
+++ b/src/daemon/leader/mod.rs
@@ -2,6 +2,7 @@
 //! and daemons, feeds the route table to all, and decides placement.
 
 mod catalogue;
+mod checks;
 mod show;
 
 use std::cell::{Cell, RefCell};
@@ -13,6 +14,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
+use crate::config;
 use crate::control::{commands, owner};
 use crate::daemon::core::Core;
 use crate::daemon::follow;
@@ -24,7 +26,7 @@
 use crate::membership::feed::{Batch, Feed};
 use crate::membership::targets::Report;
 use crate::placement::planner::{Action, Event, Planner};
-use crate::placement::{demand, driver, settings};
+use crate::placement::{demand, driver, ledger, settings};
 use crate::target::Target;
 
 /// Time between two looks at the daemons and targets.
@@ -59,6 +61,8 @@
     catalogue: RefCell<catalogue::Sent>,
     news: watch::Sender<u64>,
     revision: Cell<Revision>,
+    cold: checks::Cold,
+    now_ms: Cell<u64>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
@@ -101,6 +105,8 @@
             catalogue: RefCell::default(),
             news: watch::Sender::new(0),
             revision: Cell::new(Revision(0)),
+            cold: checks::Cold::default(),
+            now_ms: Cell::new(now_ms),
             tasks: RefCell::default(),
         });
         sink.replace(Some(Rc::downgrade(&leader)));
@@ -183,6 +189,7 @@
     /// Takes the demand of a router, and tells when replicas are expected.
     pub fn demand(&self, now_ms: u64, from: &DaemonId, entries: Vec<demand::Entry>) -> Reply {
         let models: Vec<ModelRef> = entries.iter().map(|entry| entry.model.clone()).collect();
+        self.cold.note(now_ms, self.feed.borrow().table(), &entries);
         let report = demand::Report { daemon: from.clone(), entries };
         let _ = self.events.send(Event::Demand(report));
         let expected = self.expected.borrow();
@@ -203,6 +210,18 @@
         }
     }
 
+    /// What changes of the configuration are checked against.
+    pub fn facts(&self, core: &Core) -> config::Facts {
+        let planner = self.planner.borrow();
+        let memory = |account: &ledger::Account| {
+            let zone = account.availability_zone.clone();
+            (account.target.clone(), zone, account.capacity_bytes)
+        };
+        let targets: Vec<_> = planner.ledger().accounts().iter().map(memory).collect();
+        let zones = core.parts.daemons.iter().map(|(_, zone)| zone.clone()).collect();
+        config::Facts::new(targets, zones, core.parts.tenants.clone())
+    }
+
     /// Those who wait look again for news.
     fn tell(&self) {
         self.news.send_modify(|number| *number += 1);
@@ -226,8 +245,12 @@
         let mut changes = Vec::new();
         for effect in effects {
             match effect {
-                Effect::Table(change) => changes.push(change),
+                Effect::Table(change) => {
+                    self.cold.end(self.now_ms.get(), &change);
+                    changes.push(change);
+                }
                 Effect::State(mut state) => {
+                    checks::check_memory(&state, self.now_ms.get());
                     let announced = state.checks_fencing;
                     state.checks_fencing =
                         self.parts.fencing.is_checked_by(&state.target, announced);
@@ -300,6 +323,8 @@
 
     fn look(&self, core: &Rc<Core>) {
         let now_ms = core.now_ms();
+        let elapsed_ms = now_ms.saturating_sub(self.now_ms.replace(now_ms));
+        checks::check_replicas(&self.planner.borrow(), now_ms, elapsed_ms);
         let changes = self.daemons.borrow_mut().tick(now_ms);
         self.daemons_changed(core, changes);
         let effects = self.directory.borrow_mut().tick(now_ms);
--- a/src/daemon/leader/show.rs
+++ b/src/daemon/leader/show.rs
@@ -67,7 +67,8 @@
             in_force: member.last().revision,
             silent_ms: Some(Millis(now_ms.saturating_sub(member.heard_ms()))),
         });
-        view::Revisions { accepted: self.revision.get(), daemons: daemons.collect() }
+        let heard = view::Revisions { accepted: self.revision.get(), daemons: daemons.collect() };
+        heard.with(core.parts.daemons.iter().cloned())
     }
 
     fn voters(&self, core: &Core) -> Vec<view::Voter> {
@@ -84,7 +85,7 @@
                 () if is_voter => "follower",
                 () => "learner",
             };
-            let zone = known.map(|member| member.last().availability_zone.clone());
+            let zone = core.zone_of(&id.daemon);
             view::Voter {
                 daemon: id.daemon.clone(),
                 availability_zone: zone.unwrap_or_else(|| core.parts.availability_zone.clone()),
--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -15,13 +15,13 @@
 use crate::config;
 use crate::consensus::node;
 use crate::control::jobs::shell;
-use crate::control::{once, owner, port};
+use crate::control::{once, outcomes, owner, port};
 use crate::daemon::core::{self, Core};
 use crate::daemon::peers::{Answers, Peers, Pooled};
 use crate::daemon::published::Published;
 use crate::daemon::{Error, Result, announce, backend, bridge, follow, group, leader, policy};
 use crate::daemon::{once as records, poison, ports};
-use crate::ids::DaemonId;
+use crate::ids::{DaemonId, Zone};
 use crate::membership::targets;
 use crate::peer;
 use crate::peer::client;
@@ -56,6 +56,8 @@
     tasks: JoinSet<Result<()>>,
     traffic: tokio::task::JoinHandle<std::io::Result<()>>,
     jobs: tokio::task::JoinHandle<()>,
+    counts: tokio::task::JoinHandle<()>,
+    counts_stop: watch::Sender<bool>,
     bridge: bridge::Bridge,
     control_stop: oneshot::Sender<()>,
 }
@@ -73,6 +75,9 @@
         let finished = self.traffic.await;
         // Jobs that run are finished, others go to another daemon.
         let _ = self.jobs.await;
+        count_stop(&finished);
+        self.counts_stop.send_replace(true);
+        let _ = self.counts.await;
         self.tasks.shutdown().await;
         self.bridge.run(|core| Box::pin(hand_over(core))).await;
         let _ = self.control_stop.send(());
@@ -94,6 +99,17 @@
     }
 }
 
+/// Counts whether all that was in flight could be finished.
+fn count_stop(finished: &std::result::Result<std::io::Result<()>, tokio::task::JoinError>) {
+    let held = match finished {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(error)) => Err(format!("the listener failed: {error}")),
+        Err(error) => Err(format!("the traffic ended early: {error}")),
+    };
+    let now_ms = Clock::system().now_ms();
+    outcomes::count(|tally| tally.check(now_ms, outcomes::Promise::GracefulStop, held));
+}
+
 /// Hands leadership to another voter, if this daemon leads and there is one.
 async fn hand_over(core: Rc<Core>) {
     let Some(node) = core.node() else { return };
@@ -144,7 +160,12 @@
     let (control_stop, control_stopped) = oneshot::channel();
     let job_parts = job_parts(&shared, &log, &owner, clock);
     let control = start_control(
-        ControlParts { settings: settings.clone(), owner, clock, published: published.clone() },
+        ControlParts {
+            settings: settings.clone(),
+            owner: owner.clone(),
+            clock,
+            published: published.clone(),
+        },
         Arc::clone(&shared),
         receiver,
         first_change,
@@ -153,6 +174,10 @@
 
     let (stop, stopped) = watch::channel(false);
     let jobs = tokio::spawn(shell::run(job_parts, stopped.clone()));
+    let (counts_stop, counts_stopped) = watch::channel(false);
+    let collector = outcomes::collector();
+    let counts = outcomes::commit::run(Arc::clone(&log), owner.clone(), collector, counts_stopped);
+    let counts = tokio::spawn(counts);
     let mut tasks = JoinSet::new();
     let announce = announce::Shared { bridge: bridge.clone(), tokens: settings.tokens.clone() };
     tasks.spawn(serve_http(announcements, announce::router(Arc::new(announce))));
@@ -165,7 +190,18 @@
     };
     let traffic = tokio::spawn(traffic::serve(callers, shared, until_stopped));
     log::info!("daemon {} serves callers at {}", settings.daemon.id, addresses.traffic);
-    Ok(Daemon { addresses, stop, control, tasks, traffic, jobs, bridge, control_stop })
+    Ok(Daemon {
+        addresses,
+        stop,
+        control,
+        tasks,
+        traffic,
+        jobs,
+        counts,
+        counts_stop,
+        bridge,
+        control_stop,
+    })
 }
 
 async fn listen(address: SocketAddr, step: &'static str) -> Result<TcpListener> {
@@ -297,6 +333,8 @@
         published: Arc::clone(&parts.published),
         peers,
         voters: voters(settings),
+        daemons: daemons(settings),
+        tenants: settings.tokens.tenants(),
         silence: targets::Settings {
             suspect_ms: settings.targets.suspect_ms.0,
             dead_ms: settings.targets.dead_ms.0,
@@ -341,6 +379,13 @@
     group::run(core, parts).await
 }
 
+/// All daemons that the settings name, this one among them, with their zones.
+fn daemons(settings: &Settings) -> Vec<(DaemonId, Zone)> {
+    let own = (settings.daemon.id.clone(), settings.daemon.availability_zone.clone());
+    let peers = settings.cluster.peers.iter();
+    peers.map(|peer| (peer.id.clone(), peer.availability_zone.clone())).chain([own]).collect()
+}
+
 /// All voters that the settings name, this daemon among them if it is one; sorted.
 fn voters(settings: &Settings) -> Vec<DaemonId> {
     let mut voters: Vec<DaemonId> = settings.cluster.voters().map(|peer| peer.id.clone()).collect();
--- a/src/traffic/answer.rs
+++ b/src/traffic/answer.rs
@@ -130,7 +130,7 @@
     let begun = super::call::begin(shared, call).await?;
     let answered = read(shared, call, begun).await?;
     if matches!(answered, Answered::Whole(_)) {
-        measure::whole(call, shared.now_ms().saturating_sub(began_ms));
+        measure::whole(call, began_ms, shared.now_ms());
     }
     Ok(answered)
 }
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -36,6 +36,11 @@
 }
 
 impl Call {
+    /// When it must be answered, as Unix time.
+    pub fn deadline_ms(&self) -> u64 {
+        self.arrival.deadline_ms
+    }
+
     /// Who asks.
     pub fn tenant(&self) -> &TenantId {
         &self.arrival.tenant
--- a/src/traffic/handle.rs
+++ b/src/traffic/handle.rs
@@ -234,7 +234,7 @@
     match run(shared, prepared).await {
         Ok(response) => response,
         Err(refusal) => {
-            measure::refused(&labels, &refusal);
+            measure::refused(&labels, &refusal, shared.now_ms());
             problem::response(&refusal)
         }
     }
--- a/src/traffic/measure.rs
+++ b/src/traffic/measure.rs
@@ -1,10 +1,14 @@
 //! Counters and histograms of traffic.
 
 use crate::control::outcomes;
+use crate::control::outcomes::Promise;
 use crate::routing::engine::Start;
 use crate::routing::refusal::Refusal;
 use crate::traffic::call::Call;
 
+/// How long after its deadline a refusal still counts as in time.
+const LATE_MS: u64 = 500;
+
 fn labels(call: &Call) -> [(&'static str, String); 2] {
     [("tenant", call.tenant().to_string()), ("class", call.class().to_string())]
 }
@@ -38,20 +42,41 @@
     metrics::histogram!("fescuebay_first_token_seconds", &labels).record(seconds(elapsed_ms));
 }
 
-/// Records the time to the end of an answer.
-pub(super) fn whole(call: &Call, elapsed_ms: u64) {
+/// Records the end of a whole answer that began to be worked on at `began_ms`.
+pub(super) fn whole(call: &Call, began_ms: u64, now_ms: u64) {
+    let elapsed_ms = now_ms.saturating_sub(began_ms);
     let labels = labels(call);
     metrics::histogram!("fescuebay_answer_seconds", &labels).record(seconds(elapsed_ms));
     metrics::counter!("fescuebay_answers_total", &labels).increment(1);
-    outcomes::count(|tally| tally.answered += 1);
+    outcomes::count(|tally| {
+        tally.answered += 1;
+        tally.check(now_ms, Promise::ServedOrRefused, Ok(()));
+        tally.check(now_ms, Promise::WholeOwnAnswer, Ok(()));
+    });
 }
 
 /// Counts a refusal of a request that had a tenant and a class.
-pub(super) fn refused(call: &Call, refusal: &Refusal) {
+pub(super) fn refused(call: &Call, refusal: &Refusal, now_ms: u64) {
     let [tenant, class] = labels(call);
     let labels = [tenant, class, ("code", refusal.code.to_string())];
     metrics::counter!("fescuebay_refusals_total", &labels).increment(1);
-    outcomes::count(|tally| tally.refuse(refusal.code.as_str(), 1));
+    let late_ms = now_ms.saturating_sub(call.deadline_ms());
+    let in_time = if late_ms <= LATE_MS {
+        Ok(())
+    } else {
+        Err(format!("{} for {} came {late_ms} ms late", refusal.code, call.tenant()))
+    };
+    outcomes::count(|tally| {
+        tally.refuse(refusal.code.as_str(), 1);
+        tally.check(now_ms, Promise::ServedOrRefused, in_time);
+    });
+}
+
+/// Counts an answer that broke off after a part of it had reached the caller.
+pub(super) fn broken_off(call: &Call, refusal: &Refusal, now_ms: u64) {
+    stream(call, "broken-off");
+    let reason = format!("an answer for {} broke off: {}", call.tenant(), refusal.code);
+    outcomes::count(|tally| tally.check(now_ms, Promise::WholeOwnAnswer, Err(reason)));
 }
 
 /// Counts a refusal at the edge.
--- a/src/traffic/relay.rs
+++ b/src/traffic/relay.rs
@@ -225,14 +225,14 @@
     async fn run(mut self, first: Part) {
         match self.pass_on(first).await {
             Ok(()) => {
-                let elapsed_ms = self.shared.now_ms().saturating_sub(self.began_ms);
-                measure::whole(&self.call, elapsed_ms);
+                measure::whole(&self.call, self.began_ms, self.shared.now_ms());
                 self.seat.complete(self.attempt);
             }
             Err(Stop::Left) => measure::stream(&self.call, "left"),
             Err(Stop::Failed(refusal)) => {
-                measure::stream(&self.call, "broken-off");
-                measure::refused(&self.call, &refusal);
+                let now_ms = self.shared.now_ms();
+                measure::broken_off(&self.call, &refusal, now_ms);
+                measure::refused(&self.call, &refusal, now_ms);
                 let _ = self.caller.send(error_event(&refusal)).await;
                 self.caller.abort().await;
             }
@@ -330,6 +330,7 @@
     *response.headers_mut() = edge::passed_on(&headers);
     let active = shared.active();
     let silent_after = Duration::from_millis(crate::routing::stream::SILENT_CEILING_MS);
+    let shared = Arc::clone(shared);
     tokio::spawn(async move {
         let passed: Result<(), Stop> = async {
             caller.send(beginning).await?;
@@ -351,7 +352,9 @@
             Ok(()) => seat.complete(attempt),
             Err(Stop::Left) => measure::stream(&call, "left"),
             Err(Stop::Failed(refusal)) => {
-                measure::refused(&call, &refusal);
+                let now_ms = shared.now_ms();
+                measure::broken_off(&call, &refusal, now_ms);
+                measure::refused(&call, &refusal, now_ms);
                 caller.abort().await;
             }
         }
