Consensus: a replacement whose learner vanishes ends with an error

Cause: Handle::replace waited without end for a learner that never answers, so a voter that lost its folder twice could not be replaced while the same leader stayed: the repair waited for the first of its two new identities. Change: the wait lasts as long as the learner answers, and ends after 3 s of silence. Shown by: tests/consensus_node.rs replaces by a voter that is not there first.

--- a/src/consensus/core/changes.rs
+++ b/src/consensus/core/changes.rs
@@ -54,6 +54,12 @@
         Ok(proposed)
     }
 
+    /// When the last message was sent that a peer has answered, by the leader's clock.
+    pub fn answered_ms(&self, id: &VoterId) -> Option<u64> {
+        let Role::Leader(leader) = &self.role else { return None };
+        leader.peer(id)?.answered.map(|round| round.sent_ms)
+    }
+
     /// Whether a peer durably holds all that is committed.
     ///
     /// # Errors
--- a/src/consensus/node/handle.rs
+++ b/src/consensus/node/handle.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use error_stack::Report;
 use tokio::sync::watch;
@@ -20,6 +21,8 @@
 const MAX_WAITING: usize = 100_000;
 /// How often a learner is looked at while it catches up, in milliseconds.
 const CATCH_UP_POLL_MS: u64 = 50;
+/// A learner that has not answered for this long is given up, in milliseconds.
+const LEARNER_SILENCE_MS: u64 = 3000;
 
 /// A voter that runs on this thread.
 #[derive(Clone)]
@@ -130,7 +133,8 @@
     }
 
     /// Replaces a voter: adds `new` as a learner, waits until it durably holds the committed log,
-    /// promotes it, and only then removes `old`. May be called again after an error.
+    /// promotes it, and only then removes `old`. Ends with an error when `new` stops answering. May
+    /// be called again after an error, also with another `new`.
     ///
     /// # Errors
     /// As for [`Handle::propose`].
@@ -140,9 +144,7 @@
             self.add_learner(new.clone()).await?;
         }
         if !membership.is_voter(&new) {
-            while !self.is_caught_up(&new)? {
-                tokio::time::sleep(std::time::Duration::from_millis(CATCH_UP_POLL_MS)).await;
-            }
+            self.wait_for_catch_up(&new).await?;
             self.promote(new).await?;
         }
         if self.status().core.membership.is_voter(&old) {
@@ -151,6 +153,21 @@
         Ok(())
     }
 
+    /// Waits as long as the learner answers, since a large state takes its time.
+    async fn wait_for_catch_up(&self, learner: &VoterId) -> Result<()> {
+        let start_ms = self.shared.borrow().now_ms();
+        while !self.is_caught_up(learner)? {
+            tokio::time::sleep(Duration::from_millis(CATCH_UP_POLL_MS)).await;
+            let shared = self.shared.borrow();
+            let answered_ms = shared.core().answered_ms(learner).unwrap_or(0).max(start_ms);
+            if shared.now_ms() > answered_ms + LEARNER_SILENCE_MS {
+                let reason = format!("{learner} does not answer");
+                return Err(Report::new(Error::Unavailable(reason)));
+            }
+        }
+        Ok(())
+    }
+
     /// Whether a member durably holds all that is committed.
     ///
     /// # Errors
--- a/src/consensus/node/shell.rs
+++ b/src/consensus/node/shell.rs
@@ -71,6 +71,11 @@
         self.epoch.elapsed().as_millis() as u64
     }
 
+    /// The core, for a query.
+    pub(super) fn core(&self) -> &Core {
+        &self.core
+    }
+
     /// The daemon of this voter.
     pub(super) fn daemon(&self) -> &DaemonId {
         &self.core.id().daemon
--- a/tests/consensus_node.rs
+++ b/tests/consensus_node.rs
@@ -284,6 +284,10 @@
         let lost = names.iter().find(|name| daemon(name) != leader.status().id.daemon).unwrap();
         let handle = group.routes.borrow_mut().remove(&daemon(lost)).unwrap();
         handle.stop().await;
+        let leader = group.leader().await;
+        // Its first new folder is lost as well before it answered.
+        let gone = leader.replace(voter(lost, 1), voter(lost, 9)).await.unwrap_err();
+        assert!(matches!(gone.current_context(), Error::Unavailable(_)));
         group.start(lost, settings(lost, &folders[3]).new_incarnation(Incarnation(2)));
         let leader = group.leader().await;
         leader.replace(voter(lost, 1), voter(lost, 2)).await.unwrap();
