--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -8,6 +8,7 @@
 pub mod disk;
 pub mod frame;
 pub mod record;
+mod replay;
 pub mod store;
 pub mod writer;
 
--- /dev/null
+++ b/src/storage/replay.rs
@@ -0,0 +1,127 @@
+//! Rebuilds the log from its segments.
+
+use error_stack::{bail, ensure};
+
+use super::disk::Disk;
+use super::frame;
+use super::record::{Batch, Record};
+use super::store::{damaged, io_error, read};
+use super::{Error, Result};
+use crate::consensus::core::Stored;
+use crate::consensus::entry::{Entry, HardState, Snapshot};
+use crate::ids::{GroupId, LogIndex};
+
+/// Rebuilds the log from its segments.
+pub(super) struct Replay {
+    group: GroupId,
+    snapshot: LogIndex,
+    hard: HardState,
+    entries: Vec<Entry>,
+    /// The highest entry of the last segment that was read.
+    pub segment_end: LogIndex,
+    /// Entries that are missing, unless a reset makes them void.
+    gap: Option<Error>,
+}
+
+impl Replay {
+    pub(super) fn new(snapshot: &Snapshot, group: GroupId) -> Self {
+        Self {
+            group,
+            snapshot: snapshot.meta.index,
+            hard: HardState::default(),
+            entries: Vec::new(),
+            segment_end: LogIndex(0),
+            gap: None,
+        }
+    }
+
+    pub(super) fn segment(
+        &mut self,
+        disk: &mut impl Disk,
+        name: &str,
+        is_last: bool,
+    ) -> Result<()> {
+        let bytes = read(disk, name)?;
+        self.segment_end = LogIndex(0);
+        let mut offset = 0;
+        loop {
+            match frame::read(&bytes, offset) {
+                frame::Next::End => return Ok(()),
+                frame::Next::Frame { payload, end } => {
+                    self.batch(name, offset, payload)?;
+                    offset = end;
+                }
+                frame::Next::Bad if is_last && !frame::is_followed(&bytes, offset) => {
+                    return cut(disk, name, offset as u64);
+                }
+                frame::Next::Bad => bail!(damaged(name, offset, "the checksum does not match")),
+            }
+        }
+    }
+
+    fn batch(&mut self, name: &str, offset: usize, payload: &[u8]) -> Result<()> {
+        let Ok(batch) = postcard::from_bytes::<Batch>(payload) else {
+            bail!(damaged(name, offset, "the records cannot be read"))
+        };
+        ensure!(batch.group == self.group, damaged(name, offset, "a record of another group"));
+        for record in batch.records {
+            match record {
+                Record::Hard(hard) => self.hard = hard,
+                Record::Reset { .. } => self.reset(),
+                Record::Entry(entry) => self.entry(name, offset, entry),
+            }
+        }
+        Ok(())
+    }
+
+    fn reset(&mut self) {
+        self.entries.clear();
+        self.gap = None;
+    }
+
+    fn entry(&mut self, name: &str, offset: usize, entry: Entry) {
+        self.segment_end = self.segment_end.max(entry.index);
+        if let (Some(first), Some(last)) = (self.entries.first(), self.entries.last()) {
+            let is_before = entry.index < first.index;
+            let is_gap = entry.index > last.index.next();
+            if is_before || is_gap {
+                self.entries.clear();
+                // Removed segments may come back in part after a power loss; then the snapshot
+                // covers what lies between, or a reset follows.
+                if entry.index > self.snapshot.next() {
+                    let reason = "entries are missing before this one";
+                    self.gap = Some(damaged(name, offset, reason));
+                }
+            } else {
+                self.entries.truncate((entry.index.0 - first.index.0) as usize);
+            }
+        }
+        self.entries.push(entry);
+    }
+
+    /// Joins the entries to the snapshot.
+    pub(super) fn finish(mut self, snapshot: Snapshot) -> Result<Stored> {
+        if let Some(gap) = self.gap {
+            bail!(gap)
+        }
+        let meta = &snapshot.meta;
+        let at_snapshot = self.entries.iter().find(|entry| entry.index == meta.index);
+        let is_other = at_snapshot.is_some_and(|entry| entry.term != meta.term);
+        if is_other {
+            // A snapshot from the leader replaced a log that conflicts with it.
+            self.entries.clear();
+        }
+        self.entries.retain(|entry| entry.index > meta.index);
+        if let Some(first) = self.entries.first() {
+            let reason = "entries are missing after the snapshot";
+            ensure!(first.index == meta.index.next(), damaged("the log", 0, reason));
+        }
+        Ok(Stored { hard: self.hard, snapshot, entries: self.entries })
+    }
+}
+
+fn cut(disk: &mut impl Disk, name: &str, length_bytes: u64) -> Result<()> {
+    log::warn!("{name}: the last write was torn and is cut off at byte {length_bytes}");
+    disk.truncate(name, length_bytes).map_err(|error| io_error("cut", name, &error))?;
+    disk.sync(name).map_err(|error| io_error("sync", name, &error))
+}
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -7,9 +7,10 @@
 use super::disk::Disk;
 use super::frame;
 use super::record::{Batch, Record};
+use super::replay::Replay;
 use super::{Error, Result};
 use crate::consensus::core::Stored;
-use crate::consensus::entry::{Entry, HardState, Snapshot, VoterId};
+use crate::consensus::entry::{HardState, Snapshot, VoterId};
 use crate::ids::{DaemonId, GroupId, Incarnation, LogIndex};
 
 /// The newest format of the folder that this program reads and the one it writes.
@@ -122,6 +123,11 @@
         self.incarnation
     }
 
+    /// The id of the voter that this folder belongs to.
+    pub fn voter_id(&self, daemon: &DaemonId) -> VoterId {
+        VoterId { daemon: daemon.clone(), incarnation: self.incarnation }
+    }
+
     /// Writes and syncs records as one frame.
     ///
     /// # Errors
@@ -245,120 +251,11 @@
     }
 }
 
-/// Rebuilds the log from its segments.
-struct Replay {
-    group: GroupId,
-    snapshot: LogIndex,
-    hard: HardState,
-    entries: Vec<Entry>,
-    segment_end: LogIndex,
-    /// Entries that are missing, unless a reset makes them void.
-    gap: Option<Error>,
-}
-
-impl Replay {
-    fn new(snapshot: &Snapshot, group: GroupId) -> Self {
-        Self {
-            group,
-            snapshot: snapshot.meta.index,
-            hard: HardState::default(),
-            entries: Vec::new(),
-            segment_end: LogIndex(0),
-            gap: None,
-        }
-    }
-
-    fn segment(&mut self, disk: &mut impl Disk, name: &str, is_last: bool) -> Result<()> {
-        let bytes = read(disk, name)?;
-        self.segment_end = LogIndex(0);
-        let mut offset = 0;
-        loop {
-            match frame::read(&bytes, offset) {
-                frame::Next::End => return Ok(()),
-                frame::Next::Frame { payload, end } => {
-                    self.batch(name, offset, payload)?;
-                    offset = end;
-                }
-                frame::Next::Bad if is_last && !frame::is_followed(&bytes, offset) => {
-                    return cut(disk, name, offset as u64);
-                }
-                frame::Next::Bad => bail!(damaged(name, offset, "the checksum does not match")),
-            }
-        }
-    }
-
-    fn batch(&mut self, name: &str, offset: usize, payload: &[u8]) -> Result<()> {
-        let Ok(batch) = postcard::from_bytes::<Batch>(payload) else {
-            bail!(damaged(name, offset, "the records cannot be read"))
-        };
-        ensure!(batch.group == self.group, damaged(name, offset, "a record of another group"));
-        for record in batch.records {
-            match record {
-                Record::Hard(hard) => self.hard = hard,
-                Record::Reset { .. } => self.reset(),
-                Record::Entry(entry) => self.entry(name, offset, entry),
-            }
-        }
-        Ok(())
-    }
-
-    fn reset(&mut self) {
-        self.entries.clear();
-        self.gap = None;
-    }
-
-    fn entry(&mut self, name: &str, offset: usize, entry: Entry) {
-        self.segment_end = self.segment_end.max(entry.index);
-        if let (Some(first), Some(last)) = (self.entries.first(), self.entries.last()) {
-            let is_before = entry.index < first.index;
-            let is_gap = entry.index > last.index.next();
-            if is_before || is_gap {
-                self.entries.clear();
-                // Removed segments may come back in part after a power loss; then the snapshot
-                // covers what lies between, or a reset follows.
-                if entry.index > self.snapshot.next() {
-                    let reason = "entries are missing before this one";
-                    self.gap = Some(damaged(name, offset, reason));
-                }
-            } else {
-                self.entries.truncate((entry.index.0 - first.index.0) as usize);
-            }
-        }
-        self.entries.push(entry);
-    }
-
-    /// Joins the entries to the snapshot.
-    fn finish(mut self, snapshot: Snapshot) -> Result<Stored> {
-        if let Some(gap) = self.gap {
-            bail!(gap)
-        }
-        let meta = &snapshot.meta;
-        let at_snapshot = self.entries.iter().find(|entry| entry.index == meta.index);
-        let is_other = at_snapshot.is_some_and(|entry| entry.term != meta.term);
-        if is_other {
-            // A snapshot from the leader replaced a log that conflicts with it.
-            self.entries.clear();
-        }
-        self.entries.retain(|entry| entry.index > meta.index);
-        if let Some(first) = self.entries.first() {
-            let reason = "entries are missing after the snapshot";
-            ensure!(first.index == meta.index.next(), damaged("the log", 0, reason));
-        }
-        Ok(Stored { hard: self.hard, snapshot, entries: self.entries })
-    }
-}
-
-fn cut(disk: &mut impl Disk, name: &str, length_bytes: u64) -> Result<()> {
-    log::warn!("{name}: the last write was torn and is cut off at byte {length_bytes}");
-    disk.truncate(name, length_bytes).map_err(|error| io_error("cut", name, &error))?;
-    disk.sync(name).map_err(|error| io_error("sync", name, &error))
-}
-
-fn io_error(step: &'static str, file: &str, error: &io::Error) -> Report<Error> {
+pub(super) fn io_error(step: &'static str, file: &str, error: &io::Error) -> Report<Error> {
     Report::new(Error::Io { step, file: file.to_owned(), reason: error.to_string() })
 }
 
-fn damaged(file: &str, offset: usize, reason: &'static str) -> Error {
+pub(super) fn damaged(file: &str, offset: usize, reason: &'static str) -> Error {
     Error::Damaged { file: file.to_owned(), offset: offset as u64, reason }
 }
 
@@ -370,7 +267,7 @@
     bytes
 }
 
-fn read(disk: &impl Disk, name: &str) -> Result<Vec<u8>> {
+pub(super) fn read(disk: &impl Disk, name: &str) -> Result<Vec<u8>> {
     disk.read(name).map_err(|error| io_error("read", name, &error))
 }
 
@@ -473,10 +370,3 @@
         None => Ok(Snapshot::default()),
     }
 }
-
-impl<D> Store<D> {
-    /// The id of the voter that this folder belongs to.
-    pub fn voter_id(&self, daemon: &DaemonId) -> VoterId {
-        VoterId { daemon: daemon.clone(), incarnation: self.incarnation }
-    }
-}
