--- a/tests/placement_failures.rs
+++ b/tests/placement_failures.rs
@@ -286,6 +286,67 @@
     }
 }
 
+/// Eight models in the weight store, of which four load; the first on `runner-0`.
+fn store_is_full() -> World<Planner> {
+    let models: Vec<_> = (0..8).map(|at| spec(&format!("m{at}"), 14)).collect();
+    let mut world = World::new(1, nine(true), planner(1, 1_000_000, &models));
+    world.run_for(5_000);
+    for at in 0..4 {
+        world.tell(demand("d1", &format!("m{at}"), 1, FAR_MS));
+        world.run_for(400);
+    }
+    assert_eq!(world.loading(|replica| replica.is_from_store), 4);
+    world
+}
+
+#[test]
+fn a_load_counts_until_the_next_life_of_its_target_would_have_been_heard_of() {
+    let mut world = store_is_full();
+    world.run_for(12_000);
+    assert_eq!(world.loading(|replica| replica.is_from_store), 0);
+    // The order meets the next life of its target, which is heard of late.
+    world.fate = Box::new(|message, _| match message {
+        Message::Announcement(state) if state.incarnation.0 > 1 => vec![2_900],
+        _ => vec![1],
+    });
+    world.tell(demand("d1", "m4", 1, FAR_MS));
+    let target = world.orders(order::Action::Load).last().unwrap().1.clone();
+    let at = world.fakes.iter().position(|fake| fake.target == target).unwrap();
+    world.kill(at, 2);
+    world.restart(at);
+    for second in 0..8 {
+        (4..8).for_each(|m| world.tell(demand("d1", &format!("m{m}"), 1 + second, FAR_MS)));
+        world.run_for(1_000);
+    }
+    // World::check has seen at most four loads from the store throughout.
+    assert_eq!(world.fakes[at].incarnation, 2);
+}
+
+#[test]
+fn a_copy_in_memory_is_not_relied_on_while_an_unload_may_displace_it() {
+    let mut world = store_is_full();
+    let (old, held) = (spec("m5", 14), spec("m4", 14));
+    let fake = &mut world.fakes[8];
+    fake.cache(&old.weights(), order::Tier::Memory);
+    fake.cache(&spec("m6", 14).weights(), order::Tier::Memory);
+    let mut replica = rogue(&held);
+    replica.is_rogue = false;
+    fake.replicas.push(replica);
+    world.is_checked = false;
+    world.announce(8);
+    world.run_for(10);
+    world.is_checked = true;
+    assert_eq!(world.orders(order::Action::Unload).len(), 1, "nobody wants it");
+    // The order for the copy arrives when the unload has displaced it.
+    world.fate = Box::new(|message, _| match message {
+        Message::Order { .. } => vec![40],
+        _ => vec![1],
+    });
+    world.tell(demand("d1", "m5", 1, FAR_MS));
+    world.run_for(1_000);
+    assert_eq!(world.loading(|replica| replica.is_from_store), 4);
+}
+
 #[test]
 fn a_load_whose_demand_is_gone_is_cancelled() {
     let mut world = world(true);
@@ -384,8 +445,8 @@
     let ready = world.ready("quill:tower");
     assert_eq!(ready.len(), 1);
     assert_eq!(ready[0].target, world.ready("quill")[0].target);
-    world.tell(Event::ModelGone(name("quill:tower")));
     world.tell(Event::ModelGone(name("quill")));
+    world.tell(Event::ModelGone(name("quill:tower")));
     world.tell(demand("d1", "quill:tower", 0, FAR_MS));
     world.run_for(5_000);
     let unloads = world.orders(order::Action::Unload);
@@ -394,8 +455,13 @@
 }
 
 #[test]
-fn replicas_spread_over_zones_and_fill_targets_that_have_least_room() {
-    let mut world = world(true);
+fn replicas_spread_over_zones() {
+    let mut fakes = nine(true);
+    for (at, fake) in fakes.iter_mut().enumerate() {
+        fake.zone = name(["andina-a", "andina-b", "andina-c"][at / 3]);
+    }
+    let mut world = World::new(1, fakes, planner(1, 1_000_000, &models()));
+    world.run_for(5_000);
     world.tell(demand("d1", "quill", 80, world.now_ms + 20_000));
     world.run_for(12_000);
     let ready = world.ready("quill");
@@ -403,13 +469,19 @@
     zones.sort();
     zones.dedup();
     assert!(ready.len() >= 3 && zones.len() == 3, "{} replicas in {zones:?}", ready.len());
-    let used = ready[0].target.clone();
-    for _ in 0..20 {
-        world.tell(demand("d1", "reed", 1, FAR_MS));
-        world.run_for(1_000);
-    }
-    let reed = world.ready("reed")[0];
-    assert!(reed.find(&spec("quill", 14).weights()).is_some(), "{used} had room");
+}
+
+#[test]
+fn a_model_goes_where_it_leaves_the_least_memory_free() {
+    let mut world = world(true);
+    world.fakes[4].cache(&spec("quill", 14).weights(), order::Tier::Disk);
+    world.announce(4);
+    world.run_for(10);
+    ask_for(&mut world, 4);
+    assert_eq!(holder(&world, "quill"), 4);
+    world.tell(demand("d1", "reed", 1, FAR_MS));
+    world.run_for(9_000);
+    assert_eq!(holder(&world, "reed"), 4);
 }
 
 #[test]
@@ -419,18 +491,19 @@
     // Idle replicas cost nothing, so that only waiting work takes their memory.
     world.tell(Event::Fleet(policy::Fleet { idle_weight: 0.0, ..Default::default() }));
     world.run_for(5_000);
+    let ask_for = |world: &mut World<Planner>, models: std::ops::Range<usize>, seconds| {
+        for _ in 0..seconds {
+            let names = models.clone().map(|at| format!("m{at}"));
+            names.for_each(|name| world.tell(demand("d1", &name, 1, FAR_MS)));
+            world.run_for(1_000);
+        }
+    };
+    ask_for(&mut world, 0..9, 40);
     for at in 0..9 {
-        world.tell(demand("d1", &format!("m{at}"), 1, FAR_MS));
-    }
-    world.run_for(40_000);
-    for at in 0..8 {
-        world.tell(demand("d1", &format!("m{at}"), 0, FAR_MS));
-    }
-    for at in 9..12 {
-        world.tell(demand("d1", &format!("m{at}"), 1, FAR_MS));
+        assert_eq!(world.ready(&format!("m{at}")).len(), 1, "m{at}");
     }
-    world.tell(demand("d1", "m8", 1, FAR_MS));
-    world.run_for(9_900);
+    (0..8).for_each(|at| world.tell(demand("d1", &format!("m{at}"), 0, FAR_MS)));
+    ask_for(&mut world, 8..12, 12);
     for at in 8..12 {
         assert_eq!(world.ready(&format!("m{at}")).len(), 1, "m{at}");
     }
