Peer: half-open connections end by keepalive, requests have a largest size

Cause: a peer that vanished without a word left its accepted connection open for good; a request over the message limit would have closed a connection that others use. Shown by: tests/peer_calls.rs for the size. The keepalive, hours long, has no test.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -9,10 +9,13 @@
 use tokio::time::Instant;
 
 use super::link::{self, Ask, Link};
-use super::{Error, Identity, Result, Traffic};
+use super::{Error, Identity, MAX_MESSAGE_BYTES, Result, Traffic};
 use crate::consensus::node;
 use crate::ids::{DaemonId, GroupId};
 
+/// The largest request, in bytes: a larger message would close the connection.
+pub const MAX_REQUEST_BYTES: usize = MAX_MESSAGE_BYTES / 2;
+
 /// Connections to peers, made when they are first needed. Cheap to clone.
 #[derive(Clone)]
 pub struct Pool {
@@ -71,6 +74,10 @@
     /// The peer is unknown, was not reached, did not answer in time, or answered with an error.
     /// Only [`Error::Unanswered`] leaves it open whether the request ran.
     pub async fn ask(&self, peer: &DaemonId, request: Vec<u8>, timeout_ms: u64) -> Result<Vec<u8>> {
+        if request.len() > MAX_REQUEST_BYTES {
+            let error = Report::new(Error::NotSent(peer.clone()));
+            return Err(error.attach(format!("the request is over {MAX_REQUEST_BYTES} bytes")));
+        }
         let due = Instant::now() + Duration::from_millis(timeout_ms);
         let answered = {
             let links = self.shared.links.borrow();
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,13 +1,14 @@
 //! The accepting end of calls between daemons.
 
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use error_stack::ResultExt as _;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::compat::{TokioAsyncReadCompatExt as _, TokioAsyncWriteCompatExt as _};
 
@@ -18,6 +19,8 @@
 
 /// Most connections that are in their handshake at once; more are closed at the door.
 const MAX_HANDSHAKES: usize = 256;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
 /// Stands for an error without text, since empty text means that there is none.
 const UNNAMED_ERROR: &str = "an error without a reason";
 /// Pause after a failed accept, in milliseconds.
@@ -58,13 +61,26 @@
     identity: Identity,
     handler: Rc<H>,
 ) -> Result<Server> {
-    let listener = TcpListener::bind(listen).await.change_context(Error::Listen(listen))?;
+    let listener = listener(listen).change_context(Error::Listen(listen))?;
     let address = listener.local_addr().change_context(Error::Listen(listen))?;
     let counter = Counter::new("accepted");
     let task = tokio::task::spawn_local(accept(listener, identity, handler, counter.clone()));
     Ok(Server { address, counter, task })
 }
 
+/// A listener whose connections end some time after their peer is gone without a word: the
+/// system's keepalive closes them, where otherwise they would add up.
+fn listener(listen: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match listen {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_keepalive(true)?;
+    socket.bind(listen)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept<H: Handler>(
     listener: TcpListener,
     identity: Identity,
--- a/tests/peer_calls.rs
+++ b/tests/peer_calls.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use fescuebay::ids::{DaemonId, GroupId, Incarnation};
-use fescuebay::peer::client::Pool;
+use fescuebay::peer::client::{MAX_REQUEST_BYTES, Pool};
 use fescuebay::peer::{Error, Handler, Identity, Key, PeerId, handshake, server};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -81,6 +81,9 @@
         assert_eq!(*hung.current_context(), Error::Unanswered(daemon("b")));
         let unknown = pool.ask(&daemon("x"), Vec::new(), TIMEOUT_MS).await.unwrap_err();
         assert_eq!(*unknown.current_context(), Error::UnknownPeer(daemon("x")));
+        let large = ask(&vec![0; MAX_REQUEST_BYTES + 1], TIMEOUT_MS).await.unwrap_err();
+        assert_eq!(*large.current_context(), Error::NotSent(daemon("b")));
+        assert_eq!(ask(&vec![5; 20 << 20], TIMEOUT_MS).await.unwrap().len(), 20 << 20);
         for at in 0..100_u8 {
             pool.send_consensus(&daemon("b"), GroupId(3), vec![at]);
         }
