Placement: service time learned from what runs; planner split by subject

Change: Little's law over the reports gives the time once 16 requests have started; it stays between a quarter of the expected time and 32 times it. entries, timers, wanted and release are files of their own. Conclusion: kept, since a wrong constant errs by any factor; the estimate may err low where waiting requests are refused, and is to be looked at next.

--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -5,6 +5,12 @@
 
 /// Time in which a past arrival loses most of its weight in the arrival rate.
 const RATE_WINDOW_MS: f64 = 10_000.0;
+/// Requests that left the queue before their service time is believed.
+const MIN_STARTS: f64 = 16.0;
+/// Requests after which older ones count half.
+const MAX_STARTS: f64 = 256.0;
+/// The learned service time stays between a part of the expected one and a multiple of it.
+const SERVICE_RANGE: (u64, u64) = (4, 32);
 
 /// Demand as one daemon tells it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,15 +60,19 @@
     rate_ms: u64,
     last_arrival_ms: Option<u64>,
     last_sign_ms: Option<u64>,
+    /// Time that requests ran, summed, and the requests that left the queue meanwhile.
+    run_ms: f64,
+    starts: f64,
     gaps: gaps::Histogram,
 }
 
 impl Merged {
     /// Takes in what `daemon` tells. Returns the gap since the last arrival if one arrived.
     pub fn apply(&mut self, now_ms: u64, daemon: &DaemonId, entry: &Entry) -> Option<u64> {
-        self.last_sign_ms = Some(now_ms);
         let key = (daemon, &entry.model);
         let place = self.sources.binary_search_by(|s| (&s.daemon, &s.asked).cmp(&key));
+        self.observe(now_ms, place.ok(), entry);
+        self.last_sign_ms = Some(now_ms);
         if let Ok(at) = place {
             self.remove(at);
         }
@@ -86,6 +96,28 @@
         self.arrive(now_ms, entry.arrivals)
     }
 
+    /// Learns the service time by Little's law, from the requests that run and those that start.
+    fn observe(&mut self, now_ms: u64, place: Option<usize>, entry: &Entry) {
+        let elapsed_ms = now_ms - self.last_sign_ms.unwrap_or(now_ms);
+        self.run_ms += f64::from(self.in_flight) * elapsed_ms as f64;
+        let waited = place.map_or(0, |at| self.sources[at].waiting);
+        self.starts += f64::from((waited + entry.arrivals).saturating_sub(entry.waiting));
+        if self.starts > MAX_STARTS {
+            self.run_ms /= 2.0;
+            self.starts /= 2.0;
+        }
+    }
+
+    /// The time that a request takes, in milliseconds; `expected_ms` until it is learned.
+    pub fn service_ms(&self, expected_ms: u64) -> u64 {
+        if self.starts < MIN_STARTS {
+            return expected_ms;
+        }
+        let (part, multiple) = SERVICE_RANGE;
+        let learned_ms = (self.run_ms / self.starts) as u64;
+        learned_ms.clamp(expected_ms / part, expected_ms * multiple)
+    }
+
     fn arrive(&mut self, now_ms: u64, arrivals: u32) -> Option<u64> {
         if arrivals == 0 {
             return None;
@@ -195,6 +227,20 @@
         }
     }
 
+    #[test]
+    fn the_service_time_is_learned_from_what_runs() {
+        let daemon = "a".parse().unwrap();
+        let mut merged = Merged::default();
+        // Two requests arrive each second, and each runs for 4 s: 8 run at any time.
+        for second in 0..40 {
+            let running = Entry { in_flight: 8, arrivals: 2, ..entry("quill", 0, 0) };
+            merged.apply(second * 1_000, &daemon, &running);
+        }
+        let learned_ms = merged.service_ms(1_000);
+        assert!(learned_ms.abs_diff(4_000) < 400, "{learned_ms}");
+        assert_eq!(Merged::default().service_ms(1_000), 1_000);
+    }
+
     #[test]
     fn reports_of_daemons_add_up_and_replace_their_own() {
         let (a, b) = ("a".parse().unwrap(), "b".parse().unwrap());
--- a/src/placement/planner/mod.rs
+++ b/src/placement/planner/mod.rs
@@ -3,10 +3,14 @@
 //! [`Planner::on`] takes the time and an event, and returns what to do. One leader drives one
 //! planner from its control thread for as long as its term lasts.
 
+mod entries;
 mod models;
 mod orders;
+mod release;
 mod round;
 mod targets;
+mod timers;
+mod wanted;
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/placement/planner/targets.rs
+++ b/src/placement/planner/targets.rs
@@ -1,15 +1,11 @@
 //! Targets: what they announce, what they tell when asked, and when they are asked.
 
 use crate::ids::{Incarnation, ModelRef, TargetId};
-use crate::placement::planner::{Action, Planner};
+use crate::placement::planner::Planner;
 use crate::placement::{catalogue, ledger};
 use crate::target::order;
 use crate::units::Bytes;
 
-/// What a target that is gone held is forgotten after this time, in milliseconds.
-const FORGET_MS: u64 = 600_000;
-/// Time in which the next life of a target is heard of, in milliseconds.
-const NEXT_LIFE_MS: u64 = 3_000;
 /// Shortest time between two questions about a replica that changes, in milliseconds.
 const MIN_ASK_MS: u64 = 5;
 /// Longest time between two questions about a replica that changes, in milliseconds.
@@ -25,17 +21,6 @@
 /// Weights whose load hung on a target are not tried there again for this time, in milliseconds.
 pub(super) const AVOID_HUNG_MS: u64 = 600_000;
 
-/// What a timer of an account is for.
-enum Due {
-    Nothing(Option<u64>),
-    Ask,
-    OrderLost,
-    /// The next life of a target that is gone got no order, or was heard of by now.
-    Discount,
-    AskLost(order::Fencing),
-    Forget,
-}
-
 impl Planner {
     pub(super) fn on_announcement(&mut self, state: order::State) {
         let target = state.target.clone();
@@ -319,187 +304,4 @@
             self.set_due(&name, self.now_ms);
         }
     }
-
-    /// Adds or replaces an entry, and counts what follows from it.
-    pub(super) fn put(&mut self, target: &TargetId, entry: ledger::Entry) {
-        let Some(account) = self.ledger.find_mut(target) else { return };
-        let name = entry.weights.model.clone();
-        let is_adapter = name.is_adapter();
-        let (is_in_transit, source) = (entry.is_in_transit(), entry.source);
-        let is_loaded = entry.stage == ledger::Stage::Loaded;
-        let (since_ms, weights) = (entry.since_ms, entry.weights.clone());
-        let old = account.put(entry);
-        if is_in_transit {
-            self.limits.begin(is_adapter, source);
-        }
-        if let Some(old) = old.filter(|old| old.is_in_transit()) {
-            self.limits.end(is_adapter, old.source);
-            let is_from_store = !is_adapter && source == catalogue::Source::Store;
-            if is_loaded && is_from_store {
-                self.learn(&weights, self.now_ms.saturating_sub(since_ms));
-            }
-            if !is_in_transit {
-                self.place_soon();
-            }
-        }
-        let model = self.models.entry(name.clone()).or_default();
-        if let Err(at) = model.sites.binary_search(target) {
-            model.sites.insert(at, target.clone());
-        }
-        self.note_decided(&name);
-    }
-
-    fn learn(&mut self, weights: &catalogue::Weights, took_ms: u64) {
-        let spec = self.models.get(&weights.model).and_then(|model| model.spec.as_ref());
-        if let Some(spec) = spec {
-            self.limits.learn(took_ms, spec.load.store_ms);
-        }
-    }
-
-    /// Removes an entry, and counts what follows from it.
-    pub(super) fn remove(&mut self, target: &TargetId, weights: &catalogue::Weights) {
-        let Some(account) = self.ledger.find_mut(target) else { return };
-        let Some(old) = account.remove(weights) else { return };
-        let has_other = !account.of_model(&weights.model).is_empty();
-        if old.is_in_transit() && account.is_counted {
-            self.limits.end(weights.model.is_adapter(), old.source);
-        }
-        if let Some(model) = self.models.get_mut(&weights.model)
-            && let Ok(at) = model.sites.binary_search(target)
-            && !has_other
-        {
-            model.sites.remove(at);
-        }
-        self.note_decided(&weights.model);
-        self.set_due(&weights.model, self.now_ms);
-        self.place_soon();
-    }
-
-    /// Does not try the weights on this target for a while.
-    pub(super) fn avoid(&mut self, target: &TargetId, weights: &catalogue::Weights, avoid_ms: u64) {
-        let now_ms = self.now_ms;
-        if let Some(account) = self.ledger.find_mut(target) {
-            account.avoid(weights.clone(), now_ms, now_ms + avoid_ms);
-        }
-    }
-
-    /// Sets the timer of an account.
-    pub(super) fn arm(&mut self, target: &TargetId) {
-        let now_ms = self.now_ms;
-        let due = self.due_of(target);
-        let Some(account) = self.ledger.find_mut(target) else { return };
-        let timer_ms = match due {
-            Due::Nothing(timer_ms) => timer_ms,
-            Due::Ask | Due::OrderLost | Due::Discount | Due::AskLost(_) | Due::Forget => {
-                Some(now_ms)
-            }
-        };
-        if let Some(old_ms) = std::mem::replace(&mut account.timer_ms, timer_ms) {
-            self.timers.remove(&(old_ms, target.clone()));
-        }
-        if let Some(timer_ms) = timer_ms {
-            self.timers.insert((timer_ms, target.clone()));
-        }
-    }
-
-    /// What is due at an account, or when something will be.
-    fn due_of(&self, target: &TargetId) -> Due {
-        let now_ms = self.now_ms;
-        let settings = &self.settings;
-        let Some(account) = self.ledger.find(target) else { return Due::Nothing(None) };
-        let or_later = |at_ms: u64, due: Due| {
-            if at_ms <= now_ms { due } else { Due::Nothing(Some(at_ms)) }
-        };
-        if let ledger::Standing::Gone { since_ms } = account.standing {
-            if !account.is_counted {
-                return or_later(since_ms + FORGET_MS, Due::Forget);
-            }
-            let expires_ms = account.pending.as_ref().map_or(0, |pending| pending.expires_ms);
-            let expired_ms = since_ms.max(expires_ms) + settings.clock_skew_ms + NEXT_LIFE_MS;
-            return or_later(expired_ms, Due::Discount);
-        }
-        if let Some(question) = account.question {
-            let lost_ms = question.asked_ms + 2 * settings.order_limit_ms;
-            return or_later(lost_ms, Due::AskLost(question.fencing));
-        }
-        let settled_ms = match &account.pending {
-            Some(pending) if !pending.is_lost => {
-                let bound_ms = settings.clock_skew_ms + settings.order_limit_ms;
-                return or_later(pending.expires_ms + bound_ms, Due::OrderLost);
-            }
-            // Until it has expired, the order may still come to a target that ignores fencing.
-            Some(pending) if !account.checks_fencing => pending.expires_ms + settings.clock_skew_ms,
-            Some(_) => now_ms,
-            None => 0,
-        };
-        let unread_ms = match account.standing {
-            ledger::Standing::Known => None,
-            _ if account.checks_fencing => Some(now_ms),
-            _ => Some(account.quiet_ms),
-        };
-        let is_changing = |entry: &&ledger::Entry| {
-            !matches!(entry.stage, ledger::Stage::Loaded | ledger::Stage::Retiring)
-        };
-        let progress = account.entries().iter().filter(is_changing).map(|entry| entry.ask_ms);
-        let pending_ms = account.pending.as_ref().map(|_| settled_ms);
-        let wishes = [account.read_ms, unread_ms, pending_ms].into_iter().flatten();
-        let Some(ask_ms) = wishes.chain(progress).min() else { return Due::Nothing(None) };
-        let ask_ms = ask_ms.max(account.retry_ms).max(settled_ms).max(unread_ms.unwrap_or(0));
-        or_later(ask_ms, Due::Ask)
-    }
-
-    /// Does what is due at accounts.
-    pub(super) fn run_timers(&mut self) {
-        while let Some((timer_ms, target)) = self.timers.first().cloned() {
-            if timer_ms > self.now_ms {
-                break;
-            }
-            self.timers.pop_first();
-            if let Some(account) = self.ledger.find_mut(&target) {
-                account.timer_ms = None;
-            }
-            self.run_timer(&target);
-        }
-    }
-
-    fn run_timer(&mut self, target: &TargetId) {
-        match self.due_of(target) {
-            Due::Nothing(_) => self.arm(target),
-            Due::Ask => self.ask(target),
-            Due::AskLost(fencing) => self.on_ask_lost(target, fencing),
-            Due::OrderLost => self.lose_pending(target),
-            Due::Discount => self.discount(target),
-            Due::Forget => self.forget(target),
-        }
-    }
-
-    fn ask(&mut self, target: &TargetId) {
-        let fencing = self.next_fencing();
-        let asked_ms = self.now_ms;
-        let Some(account) = self.ledger.find_mut(target) else { return };
-        account.question = Some(ledger::Question { fencing, asked_ms });
-        self.actions.push(Action::AskState { target: target.clone(), fencing });
-        self.arm(target);
-    }
-
-    /// Loads of a target that is gone no longer count: its next life would have been heard of.
-    fn discount(&mut self, target: &TargetId) {
-        let Some(account) = self.ledger.find_mut(target) else { return };
-        account.pending = None;
-        account.is_counted = false;
-        for entry in account.entries().iter().filter(|entry| entry.is_in_transit()) {
-            self.limits.end(entry.weights.model.is_adapter(), entry.source);
-        }
-        self.place_soon();
-        self.arm(target);
-    }
-
-    fn forget(&mut self, target: &TargetId) {
-        let Some(account) = self.ledger.find(target) else { return };
-        let held: Vec<_> = account.entries().iter().map(|entry| entry.weights.clone()).collect();
-        for weights in &held {
-            self.remove(target, weights);
-        }
-        self.ledger.remove(target);
-    }
 }
--- /dev/null
+++ b/src/placement/planner/wanted.rs
@@ -0,0 +1,144 @@
+//! How many replicas of a model are wanted, with demand and without.
+
+use crate::ids::ModelRef;
+use crate::placement::planner::Planner;
+use crate::placement::planner::models::Census;
+use crate::placement::{catalogue, ledger, replicas};
+use crate::units::Bytes;
+
+/// A replica is held for this long after the last sign of demand, in milliseconds.
+const IDLE_GRACE_MS: u64 = 2_000;
+/// Gaps between requests that are seen before a model is loaded ahead of a request.
+pub(super) const PRELOAD_GAPS: u32 = 2;
+/// A model is loaded ahead of a request only if that is worth its price this many times.
+const PRELOAD_MARGIN: f32 = 1.5;
+/// A load whose demand is gone is finished if less than one part in so many of its time is left.
+const FINISH_SHARE: u64 = 4;
+
+/// What becomes of the last replica of a model that nobody asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hold {
+    /// It stays as it is.
+    Keep,
+    /// One is loaded, or goes on loading, ahead of the next request.
+    Preload,
+    /// Loads are cancelled; what is ready stays.
+    CancelLoads,
+    /// It goes.
+    LetGo,
+}
+
+impl Planner {
+    /// Counts the replicas wanted.
+    pub(super) fn update_wanted(&mut self, name: &ModelRef, census: &Census) {
+        let now_ms = self.now_ms;
+        let minute = self.fleet.minute_of_day(now_ms);
+        let stale_ms = now_ms.saturating_sub(self.settings.demand_limit_ms);
+        let Some(model) = self.models.get_mut(name) else { return };
+        model.demand.forget_stale(stale_ms);
+        let Some(spec) = model.spec.clone() else {
+            model.wanted.set(now_ms, 0);
+            model.has_floor = false;
+            return;
+        };
+        let required = u32::from(model.required_ms > now_ms);
+        let floor = spec.policy.floor(minute).max(required).min(spec.policy.max_replicas);
+        model.has_floor = floor > 0;
+        let needed = self.needed(name, &spec).clamp(floor, spec.policy.max_replicas);
+        let hold = self.hold(name, &spec, census);
+        let started_ms = self.started_ms.unwrap_or(now_ms);
+        let Some(model) = self.models.get_mut(name) else { return };
+        let hazard_per_s = model.demand.hazard_per_s(now_ms, &self.fleet_gaps, started_ms);
+        model.loss_ms = replicas::loss_ms(hazard_per_s, spec.load.store_ms);
+        model.wanted.follow(now_ms, needed, self.settings.scale_down_ms);
+        if needed == 0 {
+            match hold {
+                Hold::Keep => {}
+                Hold::Preload => model.wanted.set(now_ms, 1.min(spec.policy.max_replicas)),
+                Hold::CancelLoads => model.wanted.set(now_ms, census.ready),
+                Hold::LetGo if model.wanted.count() <= 1 => model.wanted.set(now_ms, 0),
+                Hold::LetGo => {}
+            }
+        }
+        if model.wanted.count() > spec.policy.max_replicas {
+            model.wanted.set(now_ms, spec.policy.max_replicas);
+        }
+    }
+
+    fn needed(&self, name: &ModelRef, spec: &catalogue::Model) -> u32 {
+        let Some(model) = self.models.get(name) else { return 0 };
+        replicas::needed(&replicas::Demand {
+            waiting: model.demand.waiting(),
+            in_flight: model.demand.in_flight(),
+            rate_per_s: model.demand.rate_per_s(self.now_ms),
+            time_left_ms: model.demand.earliest_deadline_ms().saturating_sub(self.now_ms),
+            service_ms: model.demand.service_ms(spec.service_ms),
+            slots: spec.slots,
+            load_ms: self.limits.expected_ms(&spec.load, catalogue::Source::Store),
+            crest_weight: self.fleet.crest_weight,
+        })
+    }
+
+    /// What becomes of the last replica of a model that nobody asks for.
+    fn hold(&self, name: &ModelRef, spec: &catalogue::Model, census: &Census) -> Hold {
+        let Some(model) = self.models.get(name) else { return Hold::LetGo };
+        if !model.demand.is_idle() {
+            return Hold::Keep;
+        }
+        let now_ms = self.now_ms;
+        // A new leader knows no past: what it finds loaded counts as used when it started.
+        let started_ms = self.started_ms.unwrap_or(now_ms);
+        let idle_ms = now_ms - model.demand.idle_since_ms().unwrap_or(started_ms);
+        if idle_ms < IDLE_GRACE_MS {
+            return Hold::Keep;
+        }
+        let site = census.serving.first().and_then(|target| self.ledger.find(target));
+        let hazard_per_s = model.demand.hazard_per_s(now_ms, &self.fleet_gaps, started_ms);
+        let accelerators = self.accelerators(site, spec.memory_bytes);
+        // A copy in memory may be displaced before the next use, so it is valued as one on disk.
+        let source = self.nearest_source(spec).max(catalogue::Source::Disk);
+        let load_ms = self.limits.expected_ms(&spec.load, source);
+        let is_worth = |hazard_per_s: f32| {
+            replicas::is_worth_holding(hazard_per_s, load_ms, accelerators, &self.fleet)
+        };
+        if census.ready > 0 {
+            return if is_worth(hazard_per_s) { Hold::Keep } else { Hold::LetGo };
+        }
+        // A load that was begun goes on at a lower value than one has to have to begin.
+        let margin = if census.serving.is_empty() { PRELOAD_MARGIN } else { 1.0 };
+        let has_past = model.demand.gaps() >= PRELOAD_GAPS;
+        if has_past && is_worth(hazard_per_s / margin) {
+            return Hold::Preload;
+        }
+        if self.is_load_almost_done(name, census) { Hold::Keep } else { Hold::CancelLoads }
+    }
+
+    /// The fastest source of a model on any target.
+    fn nearest_source(&self, spec: &catalogue::Model) -> catalogue::Source {
+        if spec.model.is_adapter() {
+            return catalogue::Source::Store;
+        }
+        let weights = spec.weights();
+        let accounts = self.ledger.accounts().iter().filter(|account| account.is_there());
+        let nearest = accounts.map(|account| account.source(&weights)).min();
+        nearest.unwrap_or(catalogue::Source::Store)
+    }
+
+    /// The part of an accelerator that `memory` takes.
+    fn accelerators(&self, site: Option<&ledger::Account>, memory: Bytes) -> f64 {
+        let Some(account) = site.or_else(|| self.ledger.accounts().first()) else { return 1.0 };
+        let capacity = account.capacity_bytes.0.max(1) as f64;
+        memory.0 as f64 / capacity * f64::from(account.accelerators)
+    }
+
+    fn is_load_almost_done(&self, name: &ModelRef, census: &Census) -> bool {
+        census.serving.iter().any(|target| {
+            let Some(account) = self.ledger.find(target) else { return false };
+            account.of_model(name).iter().any(|entry| {
+                let whole_ms = entry.ready_ms.saturating_sub(entry.since_ms);
+                let left_ms = entry.ready_ms.saturating_sub(self.now_ms);
+                entry.stage == ledger::Stage::Loading && left_ms * FINISH_SHARE < whole_ms
+            })
+        })
+    }
+}
