--- a/src/consensus/node/shell.rs
+++ b/src/consensus/node/shell.rs
@@ -71,6 +71,11 @@
         self.epoch.elapsed().as_millis() as u64
     }
 
+    /// The core, for a query.
+    pub(super) fn core(&self) -> &Core {
+        &self.core
+    }
+
     /// The daemon of this voter.
     pub(super) fn daemon(&self) -> &DaemonId {
         &self.core.id().daemon
@@ -94,6 +99,10 @@
         answered
     }
 
+    pub(super) fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub(super) fn next_ticket(&mut self) -> u64 {
         self.next_ticket += 1;
         self.next_ticket
