--- a/src/consensus/node/handle.rs
+++ b/src/consensus/node/handle.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use error_stack::Report;
 use tokio::sync::watch;
@@ -10,11 +11,18 @@
 use super::{Error, Result};
 use crate::consensus::core::{Change, Core, Proposed, Refusal};
 use crate::consensus::entry::VoterId;
+use crate::consensus::formation::Seen;
 use crate::consensus::message::Message;
 use crate::ids::{DaemonId, LogIndex};
 
+/// The largest command, in bytes: one must fit into a message between daemons.
+pub const MAX_COMMAND_BYTES: usize = 8 * 1024 * 1024;
+/// Most proposals that wait at once.
+const MAX_WAITING: usize = 100_000;
 /// How often a learner is looked at while it catches up, in milliseconds.
 const CATCH_UP_POLL_MS: u64 = 50;
+/// A learner that has not answered for this long is given up, in milliseconds.
+const LEARNER_SILENCE_MS: u64 = 3000;
 
 /// A voter that runs on this thread.
 #[derive(Clone)]
@@ -45,6 +53,10 @@
     /// replaced. [`Error::Unknown`]: it may yet be committed.
     pub async fn propose(&self, command: Vec<u8>) -> Result<Vec<u8>> {
         metrics::counter!("consensus_proposals_total").increment(1);
+        if command.len() > MAX_COMMAND_BYTES {
+            let reason = format!("the command is over {MAX_COMMAND_BYTES} bytes");
+            return Err(Report::new(Error::Unavailable(reason)));
+        }
         self.commit(|core| core.propose(command.into())).await
     }
 
@@ -64,18 +76,13 @@
         answered.await.unwrap_or_else(|_| Err(Report::new(Error::NotLeader(None))))
     }
 
-    /// Takes a message from another daemon. One that cannot be read, or whose sender is not the
-    /// daemon that sent it, is dropped.
+    /// Takes a message from another daemon. One that cannot be read is dropped.
     pub fn receive(&self, from: &DaemonId, message: &[u8]) {
-        let Ok(message) = postcard::from_bytes::<Message>(message) else {
+        let mut shared = self.shared.borrow_mut();
+        let Some(message) = Message::decode(message, from, shared.daemon()) else {
             metrics::counter!("consensus_unreadable_messages_total").increment(1);
             return;
         };
-        if message.from.daemon != *from {
-            metrics::counter!("consensus_unreadable_messages_total").increment(1);
-            return;
-        }
-        let mut shared = self.shared.borrow_mut();
         let now_ms = shared.now_ms();
         if let Ok(core) = shared.core_mut() {
             core.receive(now_ms, message);
@@ -87,6 +94,15 @@
         self.shared.borrow().status()
     }
 
+    /// What the folder says, for voters that ask whether to form a group.
+    pub fn seen(&self) -> Seen {
+        let status = self.status();
+        match status.core.membership.voters.is_empty() {
+            true => Seen::Empty(status.id),
+            false => Seen::Formed(status.core.membership),
+        }
+    }
+
     /// Follows who leads.
     pub fn subscribe(&self) -> watch::Receiver<Leadership> {
         self.shared.borrow().subscribe()
@@ -117,7 +133,8 @@
     }
 
     /// Replaces a voter: adds `new` as a learner, waits until it durably holds the committed log,
-    /// promotes it, and only then removes `old`. May be called again after an error.
+    /// promotes it, and only then removes `old`. Ends with an error when `new` stops answering. May
+    /// be called again after an error, also with another `new`.
     ///
     /// # Errors
     /// As for [`Handle::propose`].
@@ -127,9 +144,7 @@
             self.add_learner(new.clone()).await?;
         }
         if !membership.is_voter(&new) {
-            while !self.is_caught_up(&new)? {
-                tokio::time::sleep(std::time::Duration::from_millis(CATCH_UP_POLL_MS)).await;
-            }
+            self.wait_for_catch_up(&new).await?;
             self.promote(new).await?;
         }
         if self.status().core.membership.is_voter(&old) {
@@ -138,6 +153,21 @@
         Ok(())
     }
 
+    /// Waits as long as the learner answers, since a large state takes its time.
+    async fn wait_for_catch_up(&self, learner: &VoterId) -> Result<()> {
+        let start_ms = self.shared.borrow().now_ms();
+        while !self.is_caught_up(learner)? {
+            tokio::time::sleep(Duration::from_millis(CATCH_UP_POLL_MS)).await;
+            let shared = self.shared.borrow();
+            let answered_ms = shared.core().answered_ms(learner).unwrap_or(0).max(start_ms);
+            if shared.now_ms() > answered_ms + LEARNER_SILENCE_MS {
+                let reason = format!("{learner} does not answer");
+                return Err(Report::new(Error::Unavailable(reason)));
+            }
+        }
+        Ok(())
+    }
+
     /// Whether a member durably holds all that is committed.
     ///
     /// # Errors
@@ -181,6 +211,10 @@
     ) -> Result<Vec<u8>> {
         let answered = {
             let mut shared = self.shared.borrow_mut();
+            if shared.waiting_count() >= MAX_WAITING {
+                let reason = "too many proposals wait for a commit";
+                return Err(Report::new(Error::Unavailable(reason.to_owned())));
+            }
             let proposed = propose(shared.core_mut()?).map_err(Error::from)?;
             shared.wait_for(proposed)
         };
--- a/src/consensus/node/settings.rs
+++ b/src/consensus/node/settings.rs
@@ -12,9 +12,11 @@
 use crate::consensus::Machine;
 use crate::consensus::core::{Config, Stored};
 use crate::consensus::entry::{Membership, Snapshot, SnapshotMeta, VoterId};
+use crate::consensus::formation::Seen;
+use crate::consensus::log::Log;
 use crate::consensus::timing::Timing;
 use crate::ids::{DaemonId, GroupId, Incarnation};
-use crate::storage::disk::Folder;
+use crate::storage::disk::{Disk, Folder};
 use crate::storage::store::{Owner, Store};
 
 /// How many entries a restart replays at most.
@@ -74,10 +76,19 @@
     ///
     /// # Errors
     /// The folder cannot be used, or the times break a rule.
-    pub fn open(self) -> Result<Opened> {
-        self.timing.check().change_context(Error::Start("check the times".to_owned()))?;
+    pub fn open(self) -> Result<Opened<Folder>> {
         let step = || Error::Start(format!("open the data folder {}", self.folder.display()));
         let disk = Folder::open(&self.folder).change_context_lazy(step)?;
+        self.open_on(disk)
+    }
+
+    /// Reads a folder that is open already.
+    ///
+    /// # Errors
+    /// As for [`Settings::open`].
+    pub fn open_on<D: Disk>(self, disk: D) -> Result<Opened<D>> {
+        self.timing.check().change_context(Error::Start("check the times".to_owned()))?;
+        let step = || Error::Start(format!("read the data folder {}", self.folder.display()));
         let opened = Store::open(disk, &self.owner, self.new_incarnation);
         let (store, stored) = opened.change_context_lazy(step)?;
         let id = store.voter_id(&self.owner.daemon);
@@ -86,19 +97,28 @@
 }
 
 /// A voter whose folder is open and which does not run yet.
-pub struct Opened {
+pub struct Opened<D> {
     settings: Settings,
-    store: Store<Folder>,
+    store: Store<D>,
     stored: Stored,
     id: VoterId,
 }
 
-impl Opened {
+impl<D: Disk + 'static> Opened<D> {
     /// Its id.
     pub fn voter_id(&self) -> &VoterId {
         &self.id
     }
 
+    /// What its folder says, for other voters that ask.
+    pub fn seen(&self) -> Seen {
+        if !self.is_formed() {
+            return Seen::Empty(self.id.clone());
+        }
+        let log = Log::new(&self.stored.snapshot.meta, self.stored.entries.clone());
+        Seen::Formed(log.membership().clone())
+    }
+
     /// Whether its folder knows a group, or it has learnt of one from a leader.
     pub fn is_formed(&self) -> bool {
         let has_members = !self.stored.snapshot.meta.membership.voters.is_empty();
@@ -121,7 +141,8 @@
         let membership = Membership::of_voters(voters);
         let meta = SnapshotMeta { membership, ..SnapshotMeta::default() };
         let snapshot = Snapshot { meta, ..Snapshot::default() };
-        self.store.save_snapshot(&snapshot).change_context_lazy(|| start("write the folder"))?;
+        let saved = self.store.snapshot_saver().save(&snapshot);
+        saved.change_context_lazy(|| start("write the folder"))?;
         self.stored.snapshot = snapshot;
         Ok(())
     }
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -7,9 +7,10 @@
 use super::disk::Disk;
 use super::frame;
 use super::record::{Batch, Record};
+use super::replay::Replay;
 use super::{Error, Result};
 use crate::consensus::core::Stored;
-use crate::consensus::entry::{Entry, HardState, Snapshot, VoterId};
+use crate::consensus::entry::{HardState, Snapshot, VoterId};
 use crate::ids::{DaemonId, GroupId, Incarnation, LogIndex};
 
 /// The newest format of the folder that this program reads and the one it writes.
@@ -74,7 +75,8 @@
         owner: &Owner,
         new_incarnation: Incarnation,
     ) -> Result<(Self, Stored)> {
-        let names = list(&mut disk)?;
+        remove_unfinished(&mut disk)?;
+        let names = list(&disk)?;
         let incarnation = match names.iter().any(|name| name == META_FILE) {
             true => read_meta(&disk, owner)?,
             false => create_meta(&mut disk, owner, new_incarnation, &names)?,
@@ -101,15 +103,31 @@
             current_bytes: 0,
             is_stopped: false,
         };
-        store.start_segment(&[])?;
+        store.start_anew(&stored)?;
         Ok((store, stored))
     }
 
+    /// Begins with a segment that holds all that is in force. Without it, entries that were set
+    /// aside because they conflict with the snapshot would come back before later ones.
+    fn start_anew(&mut self, stored: &Stored) -> Result<()> {
+        let meta = &stored.snapshot.meta;
+        let mut records = vec![Record::Reset { index: meta.index, term: meta.term }];
+        records.extend(stored.entries.iter().cloned().map(Record::Entry));
+        self.start_segment(&records)?;
+        self.closed.iter_mut().for_each(|segment| segment.end = LogIndex(0));
+        self.remove_covered(meta.index)
+    }
+
     /// The life of this folder, chosen when it was made.
     pub fn incarnation(&self) -> Incarnation {
         self.incarnation
     }
 
+    /// The id of the voter that this folder belongs to.
+    pub fn voter_id(&self, daemon: &DaemonId) -> VoterId {
+        VoterId { daemon: daemon.clone(), incarnation: self.incarnation }
+    }
+
     /// Writes and syncs records as one frame.
     ///
     /// # Errors
@@ -123,16 +141,17 @@
         })
     }
 
-    /// Saves a snapshot of the applied state and drops the segments that it covers.
+    /// A saver of snapshots for another thread.
+    pub fn snapshot_saver(&self) -> SnapshotSaver<D> {
+        SnapshotSaver { disk: self.disk.clone() }
+    }
+
+    /// Drops what a durable snapshot covers: older snapshots, and whole segments.
     ///
     /// # Errors
     /// As for [`Store::append`].
-    pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
-        self.guard(|store| {
-            store.write_snapshot(snapshot)?;
-            store.rotate(&[])?;
-            store.remove_covered(snapshot.meta.index)
-        })
+    pub fn drop_covered(&mut self, snapshot: LogIndex) -> Result<()> {
+        self.guard(|store| store.remove_covered(snapshot))
     }
 
     /// Saves a snapshot from the leader, after which the log begins anew.
@@ -141,7 +160,7 @@
     /// As for [`Store::append`].
     pub fn install(&mut self, snapshot: &Snapshot, hard: &HardState) -> Result<()> {
         self.guard(|store| {
-            store.write_snapshot(snapshot)?;
+            store.snapshot_saver().save(snapshot)?;
             store.hard = hard.clone();
             let meta = &snapshot.meta;
             store.rotate(&[Record::Reset { index: meta.index, term: meta.term }])?;
@@ -196,14 +215,9 @@
         self.sync_folder()
     }
 
-    fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
-        let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.meta.index.0);
-        write_whole(&mut self.disk, &name, snapshot)
-    }
-
     /// Removes older snapshots, and segments from the oldest on that hold nothing after `index`.
     fn remove_covered(&mut self, index: LogIndex) -> Result<()> {
-        let names = list(&mut self.disk)?;
+        let names = list(&self.disk)?;
         let snapshots = numbered(&names, SNAPSHOT_PREFIX);
         let old = snapshots.into_iter().filter(|(at, _)| *at < index.0).map(|(_, name)| name);
         let covered = self.closed.iter().take_while(|segment| segment.end <= index).count();
@@ -221,120 +235,27 @@
     }
 }
 
-/// Rebuilds the log from its segments.
-struct Replay {
-    group: GroupId,
-    snapshot: LogIndex,
-    hard: HardState,
-    entries: Vec<Entry>,
-    segment_end: LogIndex,
-    /// Entries that are missing, unless a reset makes them void.
-    gap: Option<Error>,
+/// Saves snapshots of the applied state while the log is written to.
+pub struct SnapshotSaver<D> {
+    disk: D,
 }
 
-impl Replay {
-    fn new(snapshot: &Snapshot, group: GroupId) -> Self {
-        Self {
-            group,
-            snapshot: snapshot.meta.index,
-            hard: HardState::default(),
-            entries: Vec::new(),
-            segment_end: LogIndex(0),
-            gap: None,
-        }
-    }
-
-    fn segment(&mut self, disk: &mut impl Disk, name: &str, is_last: bool) -> Result<()> {
-        let bytes = read(disk, name)?;
-        self.segment_end = LogIndex(0);
-        let mut offset = 0;
-        loop {
-            match frame::read(&bytes, offset) {
-                frame::Next::End => return Ok(()),
-                frame::Next::Frame { payload, end } => {
-                    self.batch(name, offset, payload)?;
-                    offset = end;
-                }
-                frame::Next::Bad if is_last && !frame::is_followed(&bytes, offset) => {
-                    return cut(disk, name, offset as u64);
-                }
-                frame::Next::Bad => bail!(damaged(name, offset, "the checksum does not match")),
-            }
-        }
-    }
-
-    fn batch(&mut self, name: &str, offset: usize, payload: &[u8]) -> Result<()> {
-        let Ok(batch) = postcard::from_bytes::<Batch>(payload) else {
-            bail!(damaged(name, offset, "the records cannot be read"))
-        };
-        ensure!(batch.group == self.group, damaged(name, offset, "a record of another group"));
-        for record in batch.records {
-            match record {
-                Record::Hard(hard) => self.hard = hard,
-                Record::Reset { .. } => self.reset(),
-                Record::Entry(entry) => self.entry(name, offset, entry),
-            }
-        }
-        Ok(())
-    }
-
-    fn reset(&mut self) {
-        self.entries.clear();
-        self.gap = None;
-    }
-
-    fn entry(&mut self, name: &str, offset: usize, entry: Entry) {
-        self.segment_end = self.segment_end.max(entry.index);
-        if let (Some(first), Some(last)) = (self.entries.first(), self.entries.last()) {
-            let is_before = entry.index < first.index;
-            let is_gap = entry.index > last.index.next();
-            if is_before || is_gap {
-                self.entries.clear();
-                // Removed segments may come back in part after a power loss; then the snapshot
-                // covers what lies between, or a reset follows.
-                if entry.index > self.snapshot.next() {
-                    let reason = "entries are missing before this one";
-                    self.gap = Some(damaged(name, offset, reason));
-                }
-            } else {
-                self.entries.truncate((entry.index.0 - first.index.0) as usize);
-            }
-        }
-        self.entries.push(entry);
-    }
-
-    /// Joins the entries to the snapshot.
-    fn finish(mut self, snapshot: Snapshot) -> Result<Stored> {
-        if let Some(gap) = self.gap {
-            bail!(gap)
-        }
-        let meta = &snapshot.meta;
-        let at_snapshot = self.entries.iter().find(|entry| entry.index == meta.index);
-        let is_other = at_snapshot.is_some_and(|entry| entry.term != meta.term);
-        if is_other {
-            // A snapshot from the leader replaced a log that conflicts with it.
-            self.entries.clear();
-        }
-        self.entries.retain(|entry| entry.index > meta.index);
-        if let Some(first) = self.entries.first() {
-            let reason = "entries are missing after the snapshot";
-            ensure!(first.index == meta.index.next(), damaged("the log", 0, reason));
-        }
-        Ok(Stored { hard: self.hard, snapshot, entries: self.entries })
+impl<D: Disk> SnapshotSaver<D> {
+    /// Saves a snapshot: once this returns, it is durable.
+    ///
+    /// # Errors
+    /// The system refuses.
+    pub fn save(&mut self, snapshot: &Snapshot) -> Result<()> {
+        let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.meta.index.0);
+        write_whole(&mut self.disk, &name, snapshot)
     }
 }
 
-fn cut(disk: &mut impl Disk, name: &str, length_bytes: u64) -> Result<()> {
-    log::warn!("{name}: the last write was torn and is cut off at byte {length_bytes}");
-    disk.truncate(name, length_bytes).map_err(|error| io_error("cut", name, &error))?;
-    disk.sync(name).map_err(|error| io_error("sync", name, &error))
-}
-
-fn io_error(step: &'static str, file: &str, error: &io::Error) -> Report<Error> {
+pub(super) fn io_error(step: &'static str, file: &str, error: &io::Error) -> Report<Error> {
     Report::new(Error::Io { step, file: file.to_owned(), reason: error.to_string() })
 }
 
-fn damaged(file: &str, offset: usize, reason: &'static str) -> Error {
+pub(super) fn damaged(file: &str, offset: usize, reason: &'static str) -> Error {
     Error::Damaged { file: file.to_owned(), offset: offset as u64, reason }
 }
 
@@ -346,19 +267,21 @@
     bytes
 }
 
-fn read(disk: &impl Disk, name: &str) -> Result<Vec<u8>> {
+pub(super) fn read(disk: &impl Disk, name: &str) -> Result<Vec<u8>> {
     disk.read(name).map_err(|error| io_error("read", name, &error))
 }
 
-/// The names in the folder, without those that were being written.
-fn list(disk: &mut impl Disk) -> Result<Vec<String>> {
-    let names = disk.list().map_err(|error| io_error("list", "the folder", &error))?;
-    let is_unfinished = |name: &String| name.ends_with(UNFINISHED_SUFFIX);
-    let (unfinished, names): (Vec<_>, Vec<_>) = names.into_iter().partition(is_unfinished);
-    for name in unfinished {
-        disk.remove(&name).map_err(|error| io_error("remove", &name, &error))?;
+/// The names in the folder.
+fn list(disk: &impl Disk) -> Result<Vec<String>> {
+    disk.list().map_err(|error| io_error("list", "the folder", &error))
+}
+
+/// Removes files that were being written when the last process ended.
+fn remove_unfinished(disk: &mut impl Disk) -> Result<()> {
+    for name in list(disk)?.iter().filter(|name| name.ends_with(UNFINISHED_SUFFIX)) {
+        disk.remove(name).map_err(|error| io_error("remove", name, &error))?;
     }
-    Ok(names)
+    Ok(())
 }
 
 /// The files `prefix-NUMBER`, by rising number.
@@ -447,10 +370,3 @@
         None => Ok(Snapshot::default()),
     }
 }
-
-impl<D> Store<D> {
-    /// The id of the voter that this folder belongs to.
-    pub fn voter_id(&self, daemon: &DaemonId) -> VoterId {
-        VoterId { daemon: daemon.clone(), incarnation: self.incarnation }
-    }
-}
