--- a/benches/consensus.rs
+++ b/benches/consensus.rs
@@ -91,6 +91,7 @@
     pool: Pool,
     server: server::Server,
     receiver: Rc<Receiver>,
+    machine: Rc<RefCell<Counter>>,
 }
 
 /// Three voters in one process, over loopback and with real files.
@@ -116,7 +117,8 @@
             let listen = SocketAddr::new(OWN_IP, 0);
             let server = server::serve(listen, identity.clone(), receiver.clone()).await.unwrap();
             let pool = Pool::new(identity, OWN_IP);
-            members.insert(daemon(name), Member { pool, server, receiver });
+            let machine = Rc::new(RefCell::new(Counter::default()));
+            members.insert(daemon(name), Member { pool, server, receiver, machine });
         }
         let addresses: Vec<(DaemonId, SocketAddr)> =
             members.iter().map(|(id, member)| (id.clone(), member.server.address())).collect();
@@ -127,7 +129,7 @@
             let settings = Settings::new("bench", GROUP, daemon(name), folder.0.clone())
                 .initial_voters(voters.clone());
             let transport = GroupTransport { pool: member.pool.clone(), group: GROUP };
-            let machine = Rc::new(RefCell::new(Counter::default()));
+            let machine = member.machine.clone();
             let rng = StdRng::seed_from_u64(rand::random());
             let handle = node::start(settings, machine, transport, rng).unwrap();
             *member.receiver.handle.borrow_mut() = Some(handle);
@@ -150,6 +152,22 @@
         }
     }
 
+    /// All voters come to hold exactly the acknowledged records, equal at each.
+    async fn check_records(&self, total: u64) {
+        for member in self.members.values() {
+            while member.machine.borrow().records < total {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        let mut states = self.members.values().map(|member| {
+            let machine = member.machine.borrow();
+            (machine.records, machine.digest)
+        });
+        let first = states.next();
+        assert_eq!(first.map(|(records, _)| records), Some(total));
+        assert!(states.all(|state| Some(state) == first), "the voters differ");
+    }
+
     fn sent_bytes(&self, name: &str) -> u64 {
         let member = &self.members[&daemon(name)];
         let peers = self.names.iter().map(|peer| member.pool.traffic(&daemon(peer)).sent_bytes);
@@ -180,7 +198,7 @@
 }
 
 /// Many callers propose at once, each one record after the other.
-async fn records_a_second(leader: &Handle, callers: usize) -> f64 {
+async fn records_a_second(leader: &Handle, callers: usize) -> (u64, f64) {
     const WINDOW: Duration = Duration::from_secs(3);
     let start = Instant::now();
     let one = || {
@@ -195,15 +213,18 @@
         }
     };
     let done = futures::future::join_all((0..callers).map(|_| one())).await;
-    done.iter().sum::<u64>() as f64 / start.elapsed().as_secs_f64()
+    let done = done.iter().sum::<u64>();
+    (done, done as f64 / start.elapsed().as_secs_f64())
 }
 
 async fn throughput() -> Vec<Measure> {
     let group = Group::start().await;
     let leader = group.leader().await;
     let mut measures = Vec::new();
+    let mut total = 0;
     for callers in [1, 64, 512] {
-        let value = records_a_second(&leader, callers).await;
+        let (done, value) = records_a_second(&leader, callers).await;
+        total += done;
         let what = format!("synced records a second, 3 voters, {callers} callers");
         if callers == 512 {
             measures.push(Measure { what, value, bound: 5000.0, is_at_least: true });
@@ -211,6 +232,7 @@
             println!("{what:<58} {value:>10.1}");
         }
     }
+    group.check_records(total).await;
     measures
 }
 
