--- a/src/placement/planner/orders.rs
+++ b/src/placement/planner/orders.rs
@@ -274,7 +274,10 @@
             self.limits.learn_hang();
         }
         metrics::counter!("placement_loads_hung").increment(1);
-        self.avoid(target, weights, targets::AVOID_HUNG_MS);
+        // An adapter can only go where its base is ready, which may be on this target alone.
+        let is_adapter = weights.model.is_adapter();
+        let avoid_ms = if is_adapter { targets::AVOID_MS } else { targets::AVOID_HUNG_MS };
+        self.avoid(target, weights, avoid_ms);
         self.cancel(target, weights);
         self.set_reason(&weights.model, Some(Reason::Hung));
         self.set_due(&weights.model, self.now_ms);
--- a/src/placement/planner/targets.rs
+++ b/src/placement/planner/targets.rs
@@ -85,6 +85,7 @@
             }
         }
         account.standing = ledger::Standing::Unread;
+        account.avoided.clear();
         account.retry_ms = 0;
         account.failures = 0;
         self.set_due_on(target);
--- a/tests/placement_failures.rs
+++ b/tests/placement_failures.rs
@@ -381,6 +381,20 @@
     assert_ne!(loads[0].1, loads[1].1);
 }
 
+#[test]
+fn an_adapter_that_hung_is_tried_again_where_its_base_is_ready() {
+    let mut world = world(true);
+    ask_for(&mut world, 10);
+    let at = holder(&world, "quill");
+    world.fakes[at].is_stuck = true;
+    for second in 0..20 {
+        world.fakes[at].is_stuck = second < 5;
+        ask_for(&mut world, 1);
+        world.tell(demand("d1", "quill:tower", 1, FAR_MS));
+    }
+    assert_eq!(world.ready("quill:tower").len(), 1);
+}
+
 #[test]
 fn a_new_version_is_loaded_beside_the_old_one_which_then_goes() {
     let mut world = world(true);
