A new leader names the runners that it waits for, and the times it goes by

Cause: a new leader could give orders before a late announcement, and then hold more replicas than decided (the property tests of placement show it); lease and order time were the planner's guesses. Change: the runners of the adopted route table are the planner's first event; lease and order time come from where they are set; the only voter of a new group takes over at once.

--- a/src/daemon/leader/mod.rs
+++ b/src/daemon/leader/mod.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use crate::config;
+use crate::consensus;
 use crate::control::{commands, owner};
 use crate::daemon::core::Core;
 use crate::daemon::follow;
@@ -27,7 +28,7 @@
 use crate::membership::targets::Report;
 use crate::placement::planner::{Action, Event, Planner};
 use crate::placement::{demand, driver, ledger, settings};
-use crate::target::Target;
+use crate::target::{Target, order};
 
 /// Time between two looks at the daemons and targets.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
@@ -72,7 +73,7 @@
         let now_ms = core.now_ms();
         let entries = core.feed.borrow().table().entries().to_vec();
         let directory = Directory::adopt(now_ms, &entries);
-        let planner = Rc::new(RefCell::new(Planner::new(term, placement_settings(core))));
+        let planner = Rc::new(RefCell::new(Planner::new(term, placement_settings(core, term))));
         let ports = Rc::new(Ports::new(
             core.parts.placement.own_ip,
             core.parts.placement.order_token.clone(),
@@ -110,6 +111,12 @@
             tasks: RefCell::default(),
         });
         sink.replace(Some(Rc::downgrade(&leader)));
+        // Their states are waited for before the first order: a replica that this leader does not
+        // know of would not be counted.
+        let runners = leader.feed.borrow().table().entries().to_vec();
+        let runners = runners.into_iter().filter(|entry| entry.kind == order::Kind::Assistant);
+        let known = runners.map(|entry| entry.target).collect();
+        let _ = leader.events.send(Event::Known(known));
         leader.take_fleet(core);
         let driving = tokio::task::spawn_local(driver.run());
         let looking = tokio::task::spawn_local(look(Rc::clone(core), Rc::clone(&leader)));
@@ -417,10 +424,15 @@
     })
 }
 
-fn placement_settings(core: &Core) -> settings::Settings {
+fn placement_settings(core: &Core, term: Term) -> settings::Settings {
     let base = core.with_state(|state| state.config.fleet().base().clone()).unwrap_or_default();
     let starts_per_s = base.store_starts_per_s.0.ceil().max(1.0) as usize;
-    settings::Settings::new()
+    let settings = settings::Settings::new()
         .store(starts_per_s, base.store_at_once)
         .adapters_in_transit(base.adapters_in_transit)
+        .lease_ms(consensus::timing::Timing::default().lease_ms)
+        .order_limit_ms(ORDER_LIMIT.as_millis() as u64);
+    // The only voter in the first term of its group follows no other leader.
+    let is_first = core.parts.voters.len() == 1 && term == Term(1);
+    if is_first { settings.takeover_ms(0) } else { settings }
 }
