--- a/src/admin/problem.rs
+++ b/src/admin/problem.rs
@@ -12,7 +12,8 @@
 pub(super) const MEDIA_TYPE: &str = "application/problem+json";
 
 /// An error as it is sent.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Problem {
     /// The HTTP status.
     pub status: u16,
--- a/src/admin/view.rs
+++ b/src/admin/view.rs
@@ -12,7 +12,8 @@
 use crate::units::{Bytes, Millis};
 
 /// A change as an operator sends it; the token tells the author.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NewChange {
     /// The same when the change is sent again.
@@ -27,7 +28,8 @@
 }
 
 /// A change that was accepted.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Made {
     /// The revision that it made.
     pub revision: Revision,
@@ -36,7 +38,8 @@
 }
 
 /// A key of the fleet defaults with all that is known of it.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct DefaultLine {
     /// The key and the value in force.
     #[serde(flatten)]
@@ -48,7 +51,8 @@
 }
 
 /// The fleet defaults.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Defaults {
     /// The revision in force at the daemon that answers.
     pub revision: Revision,
@@ -57,7 +61,8 @@
 }
 
 /// The exceptions.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Exceptions {
     /// The revision in force at the daemon that answers.
     pub revision: Revision,
@@ -66,7 +71,8 @@
 }
 
 /// Which line decided each value for one subject.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Explanation {
     /// The revision in force at the daemon that answers.
     pub revision: Revision,
@@ -75,7 +81,8 @@
 }
 
 /// The newest accepted revision, and the one in force at each daemon.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Revisions {
     /// The newest accepted revision.
     pub accepted: Revision,
@@ -99,7 +106,8 @@
 }
 
 /// The revision in force at one daemon, as far as is known.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct DaemonRevision {
     /// The daemon.
     pub daemon: DaemonId,
@@ -112,7 +120,8 @@
 }
 
 /// A target.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Target {
     /// Its id.
     pub target: TargetId,
@@ -137,7 +146,8 @@
 }
 
 /// A replica at a target.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Replica {
     /// The model or adapter.
     pub model: ModelRef,
@@ -148,7 +158,8 @@
 }
 
 /// A model or adapter that is wanted or loaded somewhere.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Model {
     /// The model or adapter.
     pub model: ModelRef,
@@ -167,7 +178,8 @@
 }
 
 /// A voter or learner of the control group.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Voter {
     /// The daemon that it runs in.
     pub daemon: DaemonId,
@@ -184,7 +196,8 @@
 }
 
 /// Puts a new voter in the place of an old one.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Replacement {
     /// The voter that leaves.
@@ -194,7 +207,8 @@
 }
 
 /// Which records are asked for.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RecordFilter {
     /// Only in this state, such as `unknown`.
     pub state: Option<String>,
@@ -206,7 +220,8 @@
 }
 
 /// The most items of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Limit(pub usize);
 
@@ -217,7 +232,8 @@
 }
 
 /// The record of an idempotency key.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Record {
     /// The tenant that used the key.
     pub tenant: TenantId,
@@ -234,7 +250,8 @@
 }
 
 /// How an operator settles a call that may have run.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settlement {
     /// What the operator found.
@@ -244,7 +261,8 @@
 }
 
 /// What an operator found out about a call that may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Finding {
     /// It ran: its key is closed.
@@ -254,7 +272,8 @@
 }
 
 /// A durable job.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Job {
     /// Its id.
     pub job: JobId,
@@ -275,7 +294,8 @@
 }
 
 /// A request that is suspected to crash targets, or closed for it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Poison {
     /// Digest of its model and content.
     pub digest: Digest,
@@ -288,7 +308,8 @@
 }
 
 /// The reason of a command, where nothing else is said.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Reason {
     /// Why.
@@ -296,7 +317,8 @@
 }
 
 /// The time that a report covers, ending now.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Window {
     /// The last hour.
@@ -343,7 +365,8 @@
 }
 
 /// How a report is written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Format {
     /// Plain text within 40 columns.
--- a/src/cli/changes.rs
+++ b/src/cli/changes.rs
@@ -14,7 +14,8 @@
 use crate::logging;
 
 /// List changes, or make one that is written as JSON
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub(super) enum Command {
     /// List accepted changes, the oldest first
     List(ListArgs),
@@ -22,7 +23,8 @@
     Make(MakeArgs),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay changes list --after 120 --limit 10")]
 pub(super) struct ListArgs {
     /// Only those after this revision
@@ -35,7 +37,8 @@
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  \
     fescuebay changes make --edits examples/sanctuary/catalogue.json --reason 'first models'\n\n\
     An edit is one of: set_default, reset_default, add_exception, remove_exception, put_model,\n\
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -10,7 +10,8 @@
 use crate::settings::{self, Settings};
 
 /// Print every problem of a settings file with its line
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay check --settings examples/sanctuary/andina-a-1.ini")]
 pub(super) struct Args {
     /// The settings file of one daemon
--- a/src/cli/connection.rs
+++ b/src/cli/connection.rs
@@ -19,7 +19,8 @@
 const TOKEN_VARIABLE: &str = "FESCUEBAY_TOKEN";
 
 /// Which daemon is asked, and as whom.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(next_help_heading = "Connection")]
 pub(super) struct Connection {
     /// Address and operators' port of any daemon
@@ -56,7 +57,8 @@
 }
 
 /// How a change is made.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(next_help_heading = "Change")]
 pub(super) struct ChangeArgs {
     /// The revision that the change is based on; else the one in force at the daemon
--- a/src/cli/defaults.rs
+++ b/src/cli/defaults.rs
@@ -7,7 +7,8 @@
 use crate::config;
 
 /// Show, set and explain the fleet defaults
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub(super) enum Command {
     /// Show every key with its value and meaning
     Show(ShowArgs),
@@ -19,13 +20,15 @@
     Explain(ExplainArgs),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct ShowArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay defaults set 'deadline=45 s' max_waiting=500 --wait")]
 pub(super) struct SetArgs {
     /// Keys and values
@@ -40,7 +43,8 @@
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay defaults reset deadline")]
 pub(super) struct ResetArgs {
     /// Keys
@@ -55,7 +59,8 @@
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Examples:\n  \
     fescuebay defaults explain --for tenant=adoption-desk,class=contract-draft,model=quill\n  \
     fescuebay defaults explain --for model=quill,zone=andina-a deadline keep_warm")]
--- a/src/cli/exceptions.rs
+++ b/src/cli/exceptions.rs
@@ -14,7 +14,8 @@
 use crate::units::Millis;
 
 /// List, add and remove exceptions to the fleet defaults
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub(super) enum Command {
     /// List exceptions with their reasons
     List(ListArgs),
@@ -24,13 +25,15 @@
     Remove(RemoveArgs),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct ListArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Examples:\n  \
     Keep a model loaded in the evening:\n    \
     fescuebay exceptions add --for model=quill --set keep_warm=18:00-24:00 \\\n      \
@@ -58,7 +61,8 @@
 }
 
 /// When an exception ends by itself.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 struct EndArgs {
     /// End it by itself after this time, such as '3 d'
     #[arg(long, value_name = "TIME", conflicts_with = "until")]
@@ -74,7 +78,8 @@
     }
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay exceptions remove 12 --reason 'the fair is over'")]
 pub(super) struct RemoveArgs {
     /// Exceptions, as `exceptions list` numbers them
@@ -93,7 +98,8 @@
 ///
 /// Replicas are rebuilt elsewhere first where there is memory; what runs is finished. It is an
 /// exception like others and stays until it is removed or ends.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Examples:\n  \
     fescuebay drain runner-7 --reason 'fan is loud'\n  \
     fescuebay drain --zone andina-c --lasting '6 h' --reason 'power works'\n  \
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -9,35 +9,40 @@
 use crate::units::Millis;
 
 /// Show what the fleet serves: models, plain services and classes of work
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct CatalogueArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
 /// Show the revision in force at each daemon
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct RevisionArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
 /// Show the targets
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct TargetsArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
 /// Show the models that are wanted or loaded, and why
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct ModelsArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
 /// Show and replace the voters of the control group
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(args_conflicts_with_subcommands = true)]
 pub(super) struct VotersArgs {
     #[command(subcommand)]
@@ -46,7 +51,8 @@
     list: VotersListArgs,
 }
 
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 enum VotersCommand {
     /// List voters and learners, as without a command
     List(VotersListArgs),
@@ -54,13 +60,15 @@
     Replace(VotersReplaceArgs),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 struct VotersListArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay voters replace --old andina-b-1 --new andina-b-2")]
 struct VotersReplaceArgs {
     /// The voter that leaves
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -33,7 +33,8 @@
   6  done, but not in force everywhere yet (--wait)";
 
 /// Serves rarely used models: routes requests, places replicas, keeps control state.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "fescuebay", version, after_help = EXIT_CODES)]
 struct Cli {
     #[command(subcommand)]
@@ -43,7 +44,8 @@
     verbose: u8,
 }
 
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 enum Command {
     Serve(serve::Args),
     Dev(serve::DevArgs),
@@ -72,7 +74,8 @@
 }
 
 /// Print completions for a shell
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay completions bash > ~/.bash_completion.d/fescuebay")]
 struct CompletionsArgs {
     /// The shell
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -6,7 +6,8 @@
 use crate::admin::view::{Format, Window};
 
 /// Print a short report: what held, what did not, and why
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Examples:\n  fescuebay report\n  \
     fescuebay report --window week --html > report.html")]
 pub(super) struct Args {
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -20,7 +20,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
 /// Run the daemon of this VM until SIGTERM or SIGINT, then stop gracefully
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay serve --settings /etc/fescuebay/andina-a-1.ini")]
 pub(super) struct Args {
     /// The settings file of this daemon
@@ -29,7 +30,8 @@
 }
 
 /// Run one daemon with three stand-in targets, to try things out
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Prints what to try. Ctrl-C stops it and removes its data folder.")]
 pub(super) struct DevArgs {}
 
--- a/src/cli/token.rs
+++ b/src/cli/token.rs
@@ -7,7 +7,8 @@
 /// Print a new bearer token, and the hash of it for settings files
 ///
 /// Only the hash goes into a settings file; the token goes to whom it is for.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay token\n\n\
     Two tokens of one owner may stand in one line, so that they can be changed one by one:\n  \
     [tenants]\n  adoption-desk = OLD_HASH, NEW_HASH")]
--- a/src/cli/work.rs
+++ b/src/cli/work.rs
@@ -9,7 +9,8 @@
 use crate::logging;
 
 /// List and settle records of idempotency keys
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub(super) enum RecordsCommand {
     /// List records, the oldest first
     List(RecordsListArgs),
@@ -17,7 +18,8 @@
     Settle(RecordsSettleArgs),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay records list --state unknown")]
 pub(super) struct RecordsListArgs {
     /// Only in this state: pending, answered, unknown, released or settled
@@ -33,7 +35,8 @@
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  \
     fescuebay records settle adoption-desk reserve-431 --ran \\\n    \
     --reason 'the desk shows the reservation'")]
@@ -56,7 +59,8 @@
 }
 
 /// List and cancel durable jobs
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub(super) enum JobsCommand {
     /// List jobs, the oldest first
     List(JobsListArgs),
@@ -64,7 +68,8 @@
     Cancel(JobsCancelArgs),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct JobsListArgs {
     /// At most so many
     #[arg(long, value_name = "COUNT", default_value = "100")]
@@ -73,7 +78,8 @@
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay jobs cancel job-71 --reason 'sent by mistake'")]
 pub(super) struct JobsCancelArgs {
     /// The job
@@ -86,7 +92,8 @@
 }
 
 /// List and lift requests that are refused because targets crashed under them
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub(super) enum PoisonCommand {
     /// List suspected and closed requests
     List(PoisonListArgs),
@@ -94,13 +101,15 @@
     Lift(PoisonLiftArgs),
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(super) struct PoisonListArgs {
     #[command(flatten)]
     connection: Connection,
 }
 
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(after_help = "Example:\n  fescuebay poison lift DIGEST --reason 'engine was mended'")]
 pub(super) struct PoisonLiftArgs {
     /// The digest, as `poison list` prints it
--- a/src/config/catalogue.rs
+++ b/src/config/catalogue.rs
@@ -6,7 +6,8 @@
 use crate::units::{Bytes, Millis};
 
 /// An adapter of a model.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Adapter {
     /// Its name, unique within the model.
     pub name: AdapterName,
@@ -17,7 +18,8 @@
 }
 
 /// A model.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Model {
     /// Its name.
     pub name: ModelName,
@@ -50,7 +52,8 @@
 }
 
 /// A method and path of a plain service that may be called again.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Route {
     /// The HTTP method, in capitals.
     pub method: String,
@@ -59,7 +62,8 @@
 }
 
 /// A plain service beside the model engines.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
@@ -76,7 +80,8 @@
 }
 
 /// A class of work.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Class {
     /// Its name.
     pub name: ClassName,
@@ -91,7 +96,8 @@
 }
 
 /// What the fleet serves. Every list is sorted by name. Models are shared between revisions.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Catalogue {
     /// The models.
     pub models: Vec<Arc<Model>>,
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -9,7 +9,8 @@
 };
 
 /// One step of a change.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Edit {
     /// Sets a fleet default.
@@ -39,7 +40,8 @@
 }
 
 /// What an operator asks for. All of it comes into force, or none.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Change {
     /// The same when the change is sent again.
     pub id: ChangeId,
@@ -54,14 +56,16 @@
 }
 
 /// What the control group replicates for the configuration.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Command {
     /// Make this change.
     Change(Change),
 }
 
 /// A change that is in force, as the audit trail and the routers get it.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Accepted {
     /// The revision that it made.
     pub revision: Revision,
@@ -72,7 +76,8 @@
 }
 
 /// What became of a change.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// It is accepted and will be in force everywhere within seconds.
@@ -97,7 +102,8 @@
 }
 
 /// Why a change cannot be made.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Problem {
     /// The place of the edit, from 1; 0 if it concerns the change as a whole.
     pub edit: u32,
--- a/src/config/exception.rs
+++ b/src/config/exception.rs
@@ -4,7 +4,8 @@
 use crate::ids::{ExceptionId, OperatorName};
 
 /// Other values for a part of the fleet, with a written reason.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Exception {
     /// Its id, never given twice.
     pub id: ExceptionId,
@@ -30,7 +31,8 @@
 }
 
 /// An exception that is asked for.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct NewException {
     /// What it applies to.
     pub scope: Scope,
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -11,7 +11,8 @@
 const LISTED_AFTER_END_MS: u64 = 86_400_000;
 
 /// Fleet defaults that differ from the built-in values, sorted by key.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Defaults {
     settings: Vec<Setting>,
@@ -44,7 +45,8 @@
 /// The configuration of one revision.
 ///
 /// The catalogue is shared between revisions that do not change it, so that a clone is cheap.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(from = "Stored")]
 pub struct Fleet {
     revision: Revision,
--- a/src/config/key.rs
+++ b/src/config/key.rs
@@ -8,7 +8,8 @@
 use crate::units::{Bytes, Millis, PerSecond};
 
 /// What a key governs, and so where an exception may set it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reach {
     /// Requests: exceptions by tenant, class, model, adapter or service.
@@ -213,7 +214,8 @@
 }
 
 /// A key and its value.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "Written", into = "Written")]
 pub struct Setting {
     /// The key.
@@ -238,7 +240,8 @@
 }
 
 /// A setting as it stands in messages and files.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Written {
     key: String,
     value: String,
--- a/src/config/resolve.rs
+++ b/src/config/resolve.rs
@@ -14,7 +14,8 @@
 use crate::ids::{ClassName, ExceptionId};
 
 /// The line that a value comes from.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Source {
     /// The program itself.
@@ -39,7 +40,8 @@
 }
 
 /// Why one value applies.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Explained {
     /// The key and the value that applies.
     #[serde(flatten)]
--- a/src/config/scope.rs
+++ b/src/config/scope.rs
@@ -11,9 +11,8 @@
 /// What an exception applies to: everything that matches each of the fields that are set.
 ///
 /// Written as `tenant=desk,model=quill`, or `adapter=quill:tower-7` for an adapter of a model.
-#[derive(
-    Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Scope {
     /// Requests of a tenant.
--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -16,14 +16,16 @@
 pub const CONFLICT_CHANGES: usize = 20;
 
 /// An accepted change with the exceptions that it added.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Made {
     accepted: Accepted,
     exceptions: Vec<ExceptionId>,
 }
 
 /// A change that was not accepted.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct NotMade {
     id: ChangeId,
     digest: Digest,
@@ -31,7 +33,8 @@
 }
 
 /// The replicated configuration. Equal commands in equal order give equal states.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     fleet: Fleet,
     trail: VecDeque<Made>,
--- a/src/config/value.rs
+++ b/src/config/value.rs
@@ -128,9 +128,8 @@
 }
 
 /// A part of a whole, written as `50 %`.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Share {
     percent: f64,
 }
@@ -166,18 +165,8 @@
 }
 
 /// A difference from UTC in minutes, written as `-05:00`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct UtcOffset(pub i32);
 
--- a/src/consensus/entry.rs
+++ b/src/consensus/entry.rs
@@ -8,9 +8,8 @@
 
 /// One voter or learner. A daemon whose data folder was lost gets a new incarnation, so that
 /// it is never taken for the voter that made the earlier promises.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct VoterId {
     /// The daemon that runs it.
     pub daemon: DaemonId,
@@ -25,7 +24,8 @@
 }
 
 /// Who takes part in a group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Membership {
     /// Those whose votes and copies count, in order.
     pub voters: Vec<VoterId>,
@@ -63,7 +63,8 @@
 }
 
 /// The content of an entry.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Payload {
     /// The first entry of a leader, which commits the entries of earlier terms.
     Blank,
@@ -74,7 +75,8 @@
 }
 
 /// One entry of the log.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// Its place, from 1.
     pub index: LogIndex,
@@ -96,7 +98,8 @@
 }
 
 /// The term and vote of a voter; durable before anything that follows from them is sent.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct HardState {
     /// The highest term seen.
     pub term: Term,
@@ -105,7 +108,8 @@
 }
 
 /// What a snapshot covers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SnapshotMeta {
     /// The last entry that it covers.
     pub index: LogIndex,
@@ -116,7 +120,8 @@
 }
 
 /// The state of the replicated machine after an entry.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Snapshot {
     /// What it covers.
     pub meta: SnapshotMeta,
--- a/src/consensus/formation.rs
+++ b/src/consensus/formation.rs
@@ -11,7 +11,8 @@
 use crate::ids::DaemonId;
 
 /// What a voter's folder says.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Seen {
     /// It knows no group.
     Empty(VoterId),
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -21,7 +21,8 @@
 }
 
 /// A message as it travels: the names of the daemons are known from the connection.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Wire {
     group: GroupId,
     from: Incarnation,
@@ -50,18 +51,8 @@
 }
 
 /// Identifies the leader's broadcast that a reply answers.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Round {
     /// Rises with every read that needs a quorum round.
     pub number: u64,
@@ -70,9 +61,8 @@
 }
 
 /// The last entry of a candidate's log, by which its log is compared.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct LastEntry {
     /// Its term, compared first.
     pub term: Term,
@@ -81,7 +71,8 @@
 }
 
 /// The kinds of message.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Body {
     /// Asks whether an election in `next_term` could be won, without changing any term.
     PreVote {
--- a/src/control/answer.rs
+++ b/src/control/answer.rs
@@ -5,7 +5,8 @@
 use crate::ids::Digest;
 
 /// The body of a kept answer.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Body {
     /// The whole body.
     Kept(Bytes),
@@ -19,7 +20,8 @@
 }
 
 /// An answer as it is kept.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// The HTTP status.
     pub status: u16,
--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -4,7 +4,8 @@
 use crate::control::{jobs, outcomes, owner, poison, records};
 
 /// An entry of the log. New variants of its enums go at the end: entries outlive a release.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// Unix time at the leader that proposed it.
     pub now_ms: u64,
@@ -20,7 +21,8 @@
 }
 
 /// A change of the control state.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Command {
     /// Lets time pass. The leader proposes one a second while anything waits for time.
     Tick,
@@ -41,7 +43,8 @@
 }
 
 /// What a command led to.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Outcome {
     /// Done; there is nothing to tell.
     Done,
@@ -67,7 +70,8 @@
 }
 
 /// Limits of the state: part of the state, so that all voters decide alike.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Limits {
     /// Idempotency records.
     pub records: records::Limits,
--- a/src/control/jobs/command.rs
+++ b/src/control/jobs/command.rs
@@ -6,7 +6,8 @@
 use crate::ids::{JobId, TenantId};
 
 /// A change of the job store.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Command {
     /// Takes a job in.
     Submit(Box<Submission>),
@@ -54,7 +55,8 @@
 }
 
 /// How a lease ended without an answer.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Failure {
     /// Nothing of it was written to a target: it may be leased again.
     NotRun,
@@ -72,7 +74,8 @@
 }
 
 /// What a command led to.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Outcome {
     /// Of [`Command::Submit`].
     Submitted(Submitted),
@@ -87,7 +90,8 @@
 }
 
 /// Whether a job was taken in.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Submitted {
     /// It was, or had been before.
     Accepted,
@@ -106,7 +110,8 @@
 }
 
 /// The right to run a job once.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Grant {
     /// The number of the lease.
     pub lease: u32,
@@ -119,7 +124,8 @@
 }
 
 /// The answer to a wish for more time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Renewal {
     /// The lease lasts until this Unix time.
     Until(u64),
@@ -128,7 +134,8 @@
 }
 
 /// Whether the end of a lease was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Completed {
     /// It was.
     Taken,
@@ -141,7 +148,8 @@
 }
 
 /// Whether a job was cancelled.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Cancelled {
     /// It is, now or since before.
     Done {
--- a/src/control/jobs/job.rs
+++ b/src/control/jobs/job.rs
@@ -22,7 +22,8 @@
 }
 
 /// What is to be run: a call as a target gets it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Work {
     /// The HTTP method.
     pub method: String,
@@ -39,7 +40,8 @@
 }
 
 /// A job as it is submitted.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Submission {
     /// The job's id, the same when it is submitted again.
     pub id: JobId,
@@ -62,9 +64,8 @@
 }
 
 /// Whether any of a job may have run.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
     /// Nothing of it was run.
@@ -74,7 +75,8 @@
 }
 
 /// Why a job ended as refused.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Reason {
     /// It could not be begun early enough to be done by its deadline.
     NotInTime,
@@ -114,7 +116,8 @@
 }
 
 /// How a job ended.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum End {
     /// By its answer.
     Answered(Answer),
@@ -133,7 +136,8 @@
 }
 
 /// A daemon's right to run a job.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Lease {
     pub(super) owner: owner::Owner,
     /// Rises with each lease of the job, from 1.
@@ -143,7 +147,8 @@
     pub(super) nonce: u64,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) enum Phase {
     Waiting,
     Leased(Lease),
@@ -151,7 +156,8 @@
 }
 
 /// A job in the table.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Job {
     pub(super) key: shards::Key,
     /// Rises with each submission.
--- a/src/control/jobs/limits.rs
+++ b/src/control/jobs/limits.rs
@@ -3,7 +3,8 @@
 const HOUR_MS: u64 = 3_600_000;
 
 /// Limits of the job store.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Limits {
     /// Jobs kept in all, ended ones too.
     pub max_jobs: usize,
--- a/src/control/jobs/query.rs
+++ b/src/control/jobs/query.rs
@@ -9,7 +9,8 @@
 const MAX_ROWS: usize = 1_000;
 
 /// A question about durable jobs.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Query {
     /// One job of a tenant, with its end.
     Job(TenantId, JobId),
@@ -27,7 +28,8 @@
 }
 
 /// How far a job is.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Status {
     /// It waits for a daemon.
     Waiting,
@@ -40,7 +42,8 @@
 }
 
 /// A job as callers and operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Row {
     /// The job.
     pub id: JobId,
@@ -59,7 +62,8 @@
 }
 
 /// The answer to a query.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum View {
     /// One job, if the tenant has it.
     Job(Option<Box<Row>>),
--- a/src/control/jobs/state.rs
+++ b/src/control/jobs/state.rs
@@ -23,7 +23,8 @@
 const MAX_TIMERS: usize = 1_000;
 
 /// The durable jobs.
-#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     limits: Limits,
     jobs: shards::Table<Job>,
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -21,7 +21,8 @@
 }
 
 /// The control state.
-#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     now_ms: u64,
     gone: owner::Gone,
--- a/src/control/outcomes/batch.rs
+++ b/src/control/outcomes/batch.rs
@@ -11,7 +11,8 @@
 const MAX_REASON_BYTES: usize = 200;
 
 /// How often a promise was checked, and how often it was broken.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Count {
     /// Checks.
     pub checks: u64,
@@ -22,7 +23,8 @@
 }
 
 /// A promise that did not hold.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Breach {
     /// Unix time at which it was found.
     pub at_ms: u64,
@@ -31,7 +33,8 @@
 }
 
 /// Refusals under one code.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Refused {
     /// The code that callers are told.
     pub code: String,
@@ -40,7 +43,8 @@
 }
 
 /// Work that waited long.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Waited {
     /// How long it waited.
     pub wait_ms: u64,
@@ -51,7 +55,8 @@
 }
 
 /// Counts that can be added to others.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Tally {
     /// One count for each of [`Promise::ALL`].
     pub promises: [Count; 9],
@@ -146,7 +151,8 @@
 }
 
 /// What one daemon counted since its last batch.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Batch {
     /// Rises with each batch of one life of the daemon, from 1; the same when it is sent again.
     pub sequence: u64,
--- a/src/control/outcomes/promise.rs
+++ b/src/control/outcomes/promise.rs
@@ -3,9 +3,8 @@
 use std::fmt;
 
 /// What must always hold.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Promise {
     /// No more replicas of a model are loaded than were decided.
--- a/src/control/outcomes/state.rs
+++ b/src/control/outcomes/state.rs
@@ -12,7 +12,8 @@
 const MAX_HOURS: usize = 8 * 24;
 
 /// A change of the ledger.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Command {
     /// Adds what a daemon counted.
     Add {
@@ -24,7 +25,8 @@
 }
 
 /// What a command led to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Outcome {
     /// The batch is in the ledger, now or since before.
     Added {
@@ -34,7 +36,8 @@
 }
 
 /// A question about the ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Query {
     /// The hours that any part of this span of Unix time falls into.
     Hours {
@@ -46,7 +49,8 @@
 }
 
 /// What was counted in one hour.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Hour {
     /// Unix time at which it began.
     pub from_ms: u64,
@@ -55,7 +59,8 @@
 }
 
 /// The last batch of a daemon.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Last {
     daemon: DaemonId,
     incarnation: Incarnation,
@@ -64,7 +69,8 @@
 }
 
 /// The ledger of outcomes.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     hours: Vec<Hour>,
     lasts: Vec<Last>,
--- a/src/control/owner.rs
+++ b/src/control/owner.rs
@@ -5,9 +5,8 @@
 use crate::ids::{DaemonId, Incarnation};
 
 /// One life of a daemon.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Owner {
     /// The daemon.
     pub daemon: DaemonId,
@@ -22,7 +21,8 @@
 }
 
 /// The last life of a daemon that is known to be over.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Ended {
     daemon: DaemonId,
     incarnation: Incarnation,
@@ -30,7 +30,8 @@
 }
 
 /// Lives of daemons that are over, sorted by daemon.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Gone {
     ended: Vec<Ended>,
 }
--- a/src/control/poison/command.rs
+++ b/src/control/poison/command.rs
@@ -4,7 +4,8 @@
 use crate::ids::{Digest, Incarnation, ModelRef, TargetId, TenantId};
 
 /// A request that was in flight at a target when it died.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Flight {
     /// The digest of its model and content.
     pub digest: Digest,
@@ -15,7 +16,8 @@
 }
 
 /// A change of the list.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Command {
     /// A target died with these requests in flight from one daemon.
     TargetDied {
@@ -58,7 +60,8 @@
 }
 
 /// What a command led to.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Outcome {
     /// Done; there is nothing to tell.
     Done,
@@ -69,7 +72,8 @@
 }
 
 /// Whether a suspect may be tried.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Trial {
     /// It may, on this target, once.
     Granted,
@@ -87,7 +91,8 @@
 }
 
 /// Whether a digest was taken off the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Lifted {
     /// It was.
     Done,
--- a/src/control/poison/feed.rs
+++ b/src/control/poison/feed.rs
@@ -5,7 +5,8 @@
 use crate::ids::Digest;
 
 /// How a digest is treated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Standing {
     /// Like any other.
     Clear,
@@ -19,7 +20,8 @@
 }
 
 /// A question about the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Query {
     /// What changed since this revision of the list.
     Since(u64),
@@ -28,7 +30,8 @@
 }
 
 /// What changed in the list.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Feed {
     /// The revision that it leads to.
     pub revision: u64,
@@ -41,7 +44,8 @@
 }
 
 /// A digest on the list as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Row {
     /// The digest, whose request it is, and its model.
     pub flight: Flight,
@@ -56,7 +60,8 @@
 }
 
 /// The answer to a query.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Answer {
     /// Of [`Query::Since`].
     Feed(Feed),
--- a/src/control/poison/limits.rs
+++ b/src/control/poison/limits.rs
@@ -3,7 +3,8 @@
 const MINUTE_MS: u64 = 60_000;
 
 /// Limits on the list of suspects and closed digests.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Limits {
     /// Digests in the list. When it is full, the suspect that would leave it first goes.
     pub max_digests: usize,
--- a/src/control/poison/state.rs
+++ b/src/control/poison/state.rs
@@ -13,7 +13,8 @@
 const MAX_LIFTS: usize = 100;
 
 /// A target that died with a request in flight.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Death {
     /// The target.
     pub target: TargetId,
@@ -24,7 +25,8 @@
 }
 
 /// A digest that an operator took off the list.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Lift {
     /// The digest.
     pub digest: Digest,
@@ -36,7 +38,8 @@
     pub at_ms: u64,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Running {
     pub(super) target: TargetId,
     pub(super) owner: owner::Owner,
@@ -45,7 +48,8 @@
 }
 
 /// A digest on the list.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Entry {
     pub(super) flight: Flight,
     pub(super) deaths: Vec<Death>,
@@ -67,7 +71,8 @@
 }
 
 /// The list of suspects and closed digests, sorted by digest.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     limits: Limits,
     pub(super) revision: u64,
--- a/src/control/port.rs
+++ b/src/control/port.rs
@@ -9,7 +9,8 @@
 use crate::ids::DaemonId;
 
 /// What became of a command whose outcome did not come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Fate {
     /// It was not proposed and never takes effect.
     NotProposed,
--- a/src/control/queries.rs
+++ b/src/control/queries.rs
@@ -5,7 +5,8 @@
 use crate::ids::Revision;
 
 /// A question about the control state.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Query {
     /// Idempotency records.
     Records(records::Query),
@@ -25,7 +26,8 @@
 }
 
 /// The answer to a query.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Answer {
     /// Idempotency records.
     Records(records::View),
--- a/src/control/records/command.rs
+++ b/src/control/records/command.rs
@@ -8,7 +8,8 @@
 pub use crate::control::records::record::Settlement;
 
 /// A change of the idempotency records.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Command {
     /// Asks for the right to dispatch a call once.
     Begin {
@@ -46,7 +47,8 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum End {
     /// The target answered.
     Answered(Answer),
@@ -57,7 +59,8 @@
 }
 
 /// What a command led to.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Outcome {
     /// Of [`Command::Begin`].
     Begun(Begun),
@@ -68,7 +71,8 @@
 }
 
 /// Whether a call may be dispatched. Only [`Begun::Recorded`] says that it may.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Begun {
     /// The record is this attempt's: dispatch it, once.
     Recorded,
@@ -103,7 +107,8 @@
 }
 
 /// Whether an end was taken into the record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Finished {
     /// It is the record's end.
     Recorded,
@@ -116,7 +121,8 @@
 }
 
 /// Whether an operator's word was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Settled {
     /// It was.
     Done,
--- a/src/control/records/limits.rs
+++ b/src/control/records/limits.rs
@@ -4,7 +4,8 @@
 const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
 
 /// Limits of the idempotency records.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Limits {
     /// Records kept in all. A call that would need one more is refused.
     pub max_records: usize,
--- a/src/control/records/query.rs
+++ b/src/control/records/query.rs
@@ -11,7 +11,8 @@
 const MAX_ROWS: usize = 1_000;
 
 /// A question about the idempotency records.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Query {
     /// The record of one key.
     Key(TenantId, IdempotencyKey),
@@ -29,7 +30,8 @@
 }
 
 /// What is known of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Status {
     /// Recorded, and perhaps dispatched.
     Pending,
@@ -47,7 +49,8 @@
 }
 
 /// A record as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Row {
     /// Its place in the table.
     pub at: shards::Key,
@@ -66,7 +69,8 @@
 }
 
 /// The answer to a query.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum View {
     /// The record of a key, if there is one.
     Record(Option<Row>),
--- a/src/control/records/record.rs
+++ b/src/control/records/record.rs
@@ -7,9 +7,8 @@
 use crate::ids::{Digest, IdempotencyKey, TenantId};
 
 /// Tells the attempts under one key apart; drawn at random by the daemon that begins one.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Nonce(pub u64);
 
@@ -19,7 +18,8 @@
 }
 
 /// Who called, and under which key.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Attempt {
     /// The caller's key.
     pub key: IdempotencyKey,
@@ -30,7 +30,8 @@
 }
 
 /// Why it is unknown whether a call has run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Cause {
     /// Its daemon died or was lost.
     DaemonGone,
@@ -41,7 +42,8 @@
 }
 
 /// An operator's word on a call that may have run.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Settlement {
     /// Whether it ran.
     pub ran: bool,
@@ -52,7 +54,8 @@
 }
 
 /// What is known of a call.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) enum Status {
     /// Recorded; its daemon may have dispatched it.
     Pending(Arc<Attempt>),
@@ -67,7 +70,8 @@
 }
 
 /// The record of a key.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Record {
     pub(super) key: shards::Key,
     pub(super) tenant: TenantId,
@@ -112,7 +116,8 @@
 }
 
 /// A key whose record is gone, kept so that the key is refused and not run again.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Tombstone {
     pub(super) key: shards::Key,
     pub(super) expires_ms: u64,
--- a/src/control/records/state.rs
+++ b/src/control/records/state.rs
@@ -26,7 +26,8 @@
 }
 
 /// The idempotency records.
-#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     limits: Limits,
     records: shards::Table<Record>,
--- a/src/control/shards.rs
+++ b/src/control/shards.rs
@@ -16,9 +16,8 @@
 const SHARD_BITS: u32 = 12;
 
 /// The key of an item: the first half of a SHA-256.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Key([u8; 16]);
 
 impl Key {
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -254,7 +254,7 @@
         let status = node.status();
         Reply::Status(Box::new(message::Status {
             voter: status.id,
-            group: status.core.membership.voters.clone(),
+            seen: node.seen(),
             leader: status.core.leader.map(|leader| leader.daemon),
             term: status.core.term,
             commit: status.core.commit,
--- a/src/daemon/group.rs
+++ b/src/daemon/group.rs
@@ -11,6 +11,7 @@
 
 use crate::config;
 use crate::consensus::entry::VoterId;
+use crate::consensus::formation;
 use crate::consensus::node;
 use crate::control;
 use crate::control::commands;
@@ -77,35 +78,30 @@
     lead(core, node, parts.first_change).await
 }
 
-/// Asks the other voters until they all are without a group like this one, or one of them knows a
-/// group. `None`: there is a group that this voter has to be added to.
+/// Asks the other voters until it is known whether to form a group or to join one. `None`: there
+/// is a group that this voter has to be added to.
 async fn find_group(core: &Rc<Core>, own: &VoterId, voters: &[DaemonId]) -> Option<Vec<VoterId>> {
     core.unformed.replace(Some(Status {
         voter: own.clone(),
-        group: Vec::new(),
+        seen: formation::Seen::Empty(own.clone()),
         leader: None,
         term: Term(0),
         commit: LogIndex(0),
         last: LogIndex(0),
     }));
     loop {
-        let mut found = vec![own.clone()];
+        let mut seen = Vec::new();
         for daemon in voters.iter().filter(|daemon| **daemon != own.daemon) {
-            let Some(status) = ask_status(core, daemon).await else { continue };
-            if status.group.contains(own) {
-                return Some(status.group);
-            }
-            if !status.group.is_empty() {
+            seen.extend(ask_status(core, daemon).await.map(|status| status.seen));
+        }
+        match formation::decide(own, voters, &seen) {
+            formation::Next::Form(group) => return Some(group),
+            formation::Next::Join => {
                 log::warn!("the group exists; this voter waits to be added as {own}");
                 return None;
             }
-            found.push(status.voter);
-        }
-        if found.len() == voters.len() {
-            found.sort_unstable();
-            return Some(found);
+            formation::Next::Wait => tokio::time::sleep(FORM_PAUSE).await,
         }
-        tokio::time::sleep(FORM_PAUSE).await;
     }
 }
 
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -4,6 +4,7 @@
 
 use crate::config;
 use crate::consensus::entry::VoterId;
+use crate::consensus::formation;
 use crate::control::{commands, poison, port, queries};
 use crate::ids::{DaemonId, Incarnation, LogIndex, ModelRef, TargetId, Term, Zone};
 use crate::membership::daemons::Heartbeat;
@@ -13,7 +14,8 @@
 use crate::target::order;
 
 /// A question to another daemon.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Request {
     /// To the leader: a heartbeat, and what the sender has; answered when there is news or after
     /// a while.
@@ -41,7 +43,8 @@
 }
 
 /// What operators are shown, known to the leader alone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Show {
     /// The targets, with their memory.
     Targets,
@@ -54,7 +57,8 @@
 }
 
 /// A heartbeat, and how far the sender is with everything that it follows.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Watch {
     /// The heartbeat. Its revision is the one that the sender has in force.
     pub heartbeat: Heartbeat,
@@ -67,18 +71,8 @@
 }
 
 /// The version of a list that a leader keeps. Versions of different terms are never equal.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Version {
     /// The term of the leader.
     pub term: Term,
@@ -87,7 +81,8 @@
 }
 
 /// A daemon that takes part, and where it runs.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Place {
     /// The daemon.
     pub daemon: DaemonId,
@@ -98,7 +93,8 @@
 }
 
 /// The daemons that take part, sorted.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Places {
     /// The version of the list.
     pub version: Version,
@@ -107,7 +103,8 @@
 }
 
 /// An answer of another daemon.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Reply {
     /// Done; there is nothing to tell.
     Done,
@@ -132,7 +129,8 @@
 }
 
 /// When a replica of a model is expected.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Expected {
     /// The model or adapter.
     pub model: ModelRef,
@@ -141,12 +139,13 @@
 }
 
 /// How the log stands at a voter.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Status {
     /// The voter, with the life of its folder.
     pub voter: VoterId,
-    /// The voters of its group in the membership that it holds; empty without a group.
-    pub group: Vec<VoterId>,
+    /// What its folder says of a group.
+    pub seen: formation::Seen,
     /// The daemon that it takes for the leader.
     pub leader: Option<DaemonId>,
     /// Its term.
@@ -158,7 +157,8 @@
 }
 
 /// What changed since the watcher's last question.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct News {
     /// The term of the leader that answers.
     pub term: Term,
@@ -173,7 +173,8 @@
 }
 
 /// Changes of the configuration.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum FleetNews {
     /// The watcher's revision is the newest.
     Same,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -191,9 +191,8 @@
     Sequence, "sequence number");
 
 /// A model, or an adapter on a model: `name` or `name:adapter`.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct ModelRef {
     /// The base model.
@@ -251,9 +250,8 @@
 }
 
 /// SHA-256 of a request: of its model or path, and its content.
-#[derive(
-    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Digest(pub [u8; 32]);
 
--- a/src/membership/daemons.rs
+++ b/src/membership/daemons.rs
@@ -25,7 +25,8 @@
 pub struct Gone;
 
 /// What a daemon tells with each heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Heartbeat {
     /// The daemon.
     pub daemon: DaemonId,
--- a/src/membership/feed.rs
+++ b/src/membership/feed.rs
@@ -9,18 +9,8 @@
 const KEPT_CHANGES: usize = 4_096;
 
 /// How far a follower is: sequence numbers count from 1 in each term.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Cursor {
     /// The term of the leader whose feed it is.
     pub term: Term,
@@ -29,7 +19,8 @@
 }
 
 /// What a follower gets.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Batch {
     /// The follower has all.
     Nothing,
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -6,9 +6,8 @@
 use crate::target::order::Kind;
 
 /// Whether a target may get new work.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Standing {
     /// Takes work.
     Up,
@@ -19,7 +18,8 @@
 }
 
 /// A replica that is ready for work.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Replica {
     /// The model or adapter.
     pub model: ModelRef,
@@ -28,7 +28,8 @@
 }
 
 /// A target as routers know it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// The target's id.
     pub target: TargetId,
@@ -51,7 +52,8 @@
 }
 
 /// One change of the route table.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Change {
     /// A target is new or differs.
     Put(Entry),
--- a/src/membership/targets.rs
+++ b/src/membership/targets.rs
@@ -42,7 +42,8 @@
 }
 
 /// A change of state to pass on.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Report {
     /// The target is new or its state differs. Load alone is not a difference.
     State(Box<order::State>, Standing),
@@ -51,7 +52,8 @@
 }
 
 /// What the daemon answers to an announcement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Taken {
     /// It is the newest of this target.
     New,
--- a/src/placement/demand.rs
+++ b/src/placement/demand.rs
@@ -22,7 +22,8 @@
 }
 
 /// Demand for one model at one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// The model or adapter that is asked for.
     pub model: ModelRef,
--- a/src/report/span.rs
+++ b/src/report/span.rs
@@ -11,7 +11,8 @@
 const NIGHT_HOURS: u64 = 14;
 
 /// The span of time that a report tells of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Span {
     /// The last 60 minutes.
@@ -58,7 +59,8 @@
 }
 
 /// A span of Unix time, without its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Window {
     /// Its beginning.
     pub from_ms: u64,
--- a/src/report/summary.rs
+++ b/src/report/summary.rs
@@ -7,7 +7,8 @@
 const ENDS_SOON_MS: u64 = 24 * 3_600_000;
 
 /// An exception to the fleet's defaults, as reports name it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Exception {
     /// What it changes, and for whom.
     pub what: String,
@@ -37,7 +38,8 @@
 }
 
 /// One promise in a report.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Line {
     /// The promise.
     pub promise: Promise,
@@ -61,7 +63,8 @@
 }
 
 /// A report.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Report {
     /// The span that it tells of.
     pub span: Span,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -37,7 +37,8 @@
 const FIRST_CHANGE: &str = "settings";
 
 /// One problem in a settings file.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize)]
 pub struct Problem {
     /// The line, from 1; 0 if it concerns the file as a whole.
     pub line: u32,
--- a/src/storage/record.rs
+++ b/src/storage/record.rs
@@ -4,7 +4,8 @@
 use crate::ids::{GroupId, LogIndex, Term};
 
 /// One record. A later record overrides an earlier one that it contradicts.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Record {
     /// Term and vote from here on.
     Hard(HardState),
@@ -20,7 +21,8 @@
 }
 
 /// The records of one write.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Batch {
     /// The group that they belong to.
     pub group: GroupId,
--- a/src/target/order.rs
+++ b/src/target/order.rs
@@ -8,19 +8,8 @@
 use crate::units::Bytes;
 
 /// Orders the orders: a target that checks it refuses one lower than the highest it has seen.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Fencing {
     /// The term of the leader that gave the order.
     pub term: Term,
@@ -35,7 +24,8 @@
 }
 
 /// What an order asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Action {
     /// Load the weights; the target reports `Loading` and then `Loaded`.
@@ -47,7 +37,8 @@
 }
 
 /// One order to one target.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Order {
     /// Fences off the orders of an earlier leader.
     pub fencing: Fencing,
@@ -66,7 +57,8 @@
 }
 
 /// A target's answer to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reply {
     /// Taken; the state tells when it is done. Also the answer to a repeat.
@@ -82,9 +74,8 @@
 }
 
 /// How far a replica on a target is.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// Weights are on their way; memory is taken.
@@ -96,7 +87,8 @@
 }
 
 /// A replica on a target.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Held {
     /// The model or adapter.
     pub model: ModelRef,
@@ -109,9 +101,8 @@
 }
 
 /// Where a target keeps a copy of weights that are not loaded.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Tier {
     /// In the VM's memory.
@@ -121,7 +112,8 @@
 }
 
 /// A copy of weights that a target has at hand.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Cached {
     /// The model or adapter.
     pub model: ModelRef,
@@ -132,7 +124,8 @@
 }
 
 /// Load as the target reports it, which lags behind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Load {
     /// Calls that run.
     pub running: u32,
@@ -143,9 +136,8 @@
 }
 
 /// What kind of target it is.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// An assistant runner: model engines on accelerators.
@@ -155,7 +147,8 @@
 }
 
 /// What a target tells of itself, when it announces itself and when it is asked.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     /// The target's id; also part of the path that it announces to.
     pub target: TargetId,
--- a/src/units.rs
+++ b/src/units.rs
@@ -52,19 +52,8 @@
 }
 
 /// A number of bytes.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Bytes(pub u64);
 
@@ -95,19 +84,8 @@
 }
 
 /// A length of time in milliseconds.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
@@ -136,9 +114,8 @@
 }
 
 /// A number of events a second.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct PerSecond(pub f64);
 
