A daemon that was only cut off may record calls again

Cause: a daemon silent for 6 s counts as gone, and the replicated state refuses its life for good; after a freeze or a partition it answered every reservation as unavailable until it was restarted. Change: the leader takes back the end of a life that it hears of again; earlier lives stay over, leases that others took stay theirs, and a late try to end a life stops once it is heard of. Left: a call whose record an operator settled as not run while its router was frozen could still leave that router when it is continued.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -40,6 +40,9 @@
     Outcomes(Box<outcomes::Command>),
     /// The configuration.
     Config(Box<config::Command>),
+    /// A life of a daemon that counted as over goes on: it was only cut off. Its calls under way
+    /// are its own again; leases that others took meanwhile are not.
+    DaemonReturned(owner::Owner),
 }
 
 /// What a command led to.
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -69,6 +69,10 @@
         let outcome = match command {
             Command::Tick => self.tick(),
             Command::DaemonGone(owner) => self.daemon_gone(&owner),
+            Command::DaemonReturned(owner) => {
+                self.gone.take_back(&owner);
+                Outcome::Done
+            }
             Command::SetLimits(limits) => self.set_limits(*limits),
             Command::Records(command) => Outcome::Records(self.records.apply(&context, command)),
             Command::Jobs(command) => Outcome::Jobs(self.jobs.apply(&context, command)),
--- a/src/control/owner.rs
+++ b/src/control/owner.rs
@@ -53,6 +53,20 @@
         }
     }
 
+    /// Takes back that this life is over. Earlier lives of its daemon stay over; a later one that
+    /// is over ends this one too.
+    pub fn take_back(&mut self, owner: &Owner) {
+        if let Ok(at) = self.place(&owner.daemon)
+            && self.ended[at].incarnation == owner.incarnation
+        {
+            let before = owner.incarnation.0.checked_sub(1).map(Incarnation);
+            match before {
+                Some(before) => self.ended[at].incarnation = before,
+                None => drop(self.ended.remove(at)),
+            }
+        }
+    }
+
     /// Whether this life is known to be over.
     pub fn contains(&self, owner: &Owner) -> bool {
         match self.place(&owner.daemon) {
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -170,7 +170,8 @@
         }
     }
 
-    fn leading(&self) -> Option<Rc<leader::Leader>> {
+    /// The leader's work, while this daemon leads.
+    pub(super) fn leading(&self) -> Option<Rc<leader::Leader>> {
         self.leader.borrow().clone()
     }
 
--- a/src/daemon/leader/mod.rs
+++ b/src/daemon/leader/mod.rs
@@ -143,6 +143,7 @@
     pub async fn watch(self: &Rc<Self>, core: &Rc<Core>, watch: Watch) -> Reply {
         let changes = self.daemons.borrow_mut().heard(core.now_ms(), watch.heartbeat.clone());
         self.daemons_changed(core, changes);
+        self.resume_life(core, &watch.heartbeat);
         let mut news = self.news.subscribe();
         let held = tokio::time::sleep(follow::HOLD);
         tokio::pin!(held);
@@ -345,6 +346,27 @@
         self.apply(effects);
     }
 
+    fn is_alive(&self, owner: &owner::Owner) -> bool {
+        self.daemons.borrow().life_of(&owner.daemon) == Some(owner.incarnation)
+    }
+
+    /// Takes back the end of a life that was only cut off, so that it may record calls again.
+    fn resume_life(&self, core: &Rc<Core>, heartbeat: &daemons::Heartbeat) {
+        let (daemon, incarnation) = (heartbeat.daemon.clone(), heartbeat.incarnation);
+        let known = self.daemons.borrow().life_of(&daemon);
+        let owner = owner::Owner { daemon, incarnation };
+        let is_over = core.with_state(|state| state.context().gone.contains(&owner));
+        if known != Some(incarnation) || is_over != Some(true) {
+            return;
+        }
+        log::info!("daemon {owner} was only cut off");
+        let core = Rc::clone(core);
+        tokio::task::spawn_local(async move {
+            // The next heartbeat tries again if this is not committed.
+            let _ = core.propose(commands::Command::DaemonReturned(owner)).await;
+        });
+    }
+
     /// Ends lives that have work under way and that this leader never heard of: they ended with
     /// the leader before.
     fn end_unknown_lives(&self, core: &Rc<Core>) {
@@ -424,8 +446,9 @@
 fn end_life(core: &Rc<Core>, owner: owner::Owner) {
     let core = Rc::clone(core);
     tokio::task::spawn_local(async move {
-        let command = commands::Command::DaemonGone(owner);
-        while core.leader.borrow().is_some() {
+        let command = commands::Command::DaemonGone(owner.clone());
+        // A life that is heard of again must not be ended by a late try.
+        while core.leading().is_some_and(|leader| !leader.is_alive(&owner)) {
             if core.propose(command.clone()).await.is_ok() {
                 return;
             }
--- a/src/membership/daemons.rs
+++ b/src/membership/daemons.rs
@@ -273,6 +273,13 @@
         changes
     }
 
+    /// The life of a daemon that goes on, if it is known to.
+    pub fn life_of(&self, daemon: &DaemonId) -> Option<Incarnation> {
+        let place = self.members.binary_search_by(|m| m.last().daemon.cmp(daemon)).ok()?;
+        let member = &self.members[place];
+        member.is_alive().then(|| member.last().incarnation)
+    }
+
     /// All daemons, sorted by id.
     pub fn members(&self) -> &[Member] {
         &self.members
--- a/tests/nine_daemons.rs
+++ b/tests/nine_daemons.rs
@@ -324,3 +324,34 @@
     let crashed = targets.iter().filter(|target| target.has_crashed()).count();
     assert!(crashed <= 2, "{crashed} targets died of one request");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_router_that_was_given_up_and_returns_takes_reservations_again() {
+    let _turn = TURN.lock().await;
+    let cluster = Cluster::start("returned").await;
+    let services = vec!["desk".parse().unwrap()];
+    let target = cluster.target(0, |settings| settings.token_ms(5).services(services)).await;
+    let revision = cluster.change(&cluster.daemons[0], "service", cluster::service("desk")).await;
+    cluster.in_force(revision).await;
+    cluster.offers("desk").await;
+    let frozen = &cluster.daemons[6];
+    frozen.signal("STOP");
+    cluster
+        .until("the leader gives the router up", async || {
+            let (_, seen) =
+                cluster.admin(&cluster.daemons[4], "GET", "/revision", Value::Null).await;
+            let daemons = seen["daemons"].as_array().cloned().unwrap_or_default();
+            daemons.iter().any(|d| d["daemon"] == frozen.name.as_str() && d["silent_ms"].is_null())
+        })
+        .await;
+    frozen.signal("CONT");
+    let url = format!("http://{}/services/desk/reservations", frozen.traffic());
+    cluster
+        .until("a reservation through the router that returned", async || {
+            let headers = [("idempotency-key", "lucero")];
+            let answer = web::call("POST", &url, &headers, "{}").await;
+            answer.is_some_and(|answer| answer.status == 201)
+        })
+        .await;
+    assert_eq!(target.executions("lucero"), 1);
+}
