--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -16,15 +16,15 @@
 use crate::consensus::node;
 use crate::control;
 use crate::control::{commands, machine, owner, port, queries};
+use crate::daemon::homes;
 use crate::daemon::leader;
 use crate::daemon::message::{self, Reply, Request};
 use crate::daemon::peers::{Failure, Peers};
 use crate::daemon::published::Published;
-use crate::ids::{DaemonId, Incarnation, ModelRef, TargetId, TenantId, Term, Zone};
+use crate::ids::{DaemonId, TenantId, Term, Zone};
 use crate::membership::targets::{Registry, Report, Taken};
-use crate::membership::{feed, home, targets};
+use crate::membership::{feed, targets};
 use crate::placement::demand;
-use crate::target::order;
 use crate::traffic::clock::Clock;
 
 /// Time for one question to another daemon.
@@ -88,13 +88,7 @@
     pub(super) report_wake: Notify,
     pub(super) demand: RefCell<Vec<demand::Entry>>,
     pub(super) demand_wake: Notify,
-    relayed: RefCell<Vec<Relayed>>,
-}
-
-/// The last whole announcement that this daemon passed on to a home daemon.
-struct Relayed {
-    home: DaemonId,
-    state: order::State,
+    pub(super) relayed: RefCell<Vec<homes::Relayed>>,
 }
 
 impl Core {
@@ -361,87 +355,6 @@
         }
     }
 
-    /// Takes an announcement of a target that came to this daemon, and brings it to its home.
-    /// `None` if no daemon could take it.
-    pub async fn announced(self: Rc<Self>, state: order::State) -> Option<Taken> {
-        let home = self.home_of(&state);
-        if home == *self.id() {
-            return Some(self.watched(targets::Event::Announced(state)));
-        }
-        if let Some(request) = self.short_announcement(&home, &state) {
-            match self.ask(&home, request, ASK_LIMIT).await {
-                Ok(Reply::Taken(Taken::Unknown)) | Err(_) => {}
-                Ok(Reply::Taken(taken)) => return Some(taken),
-                Ok(_) => return None,
-            }
-        }
-        let request = Request::Announced(Box::new(state.clone()));
-        match self.ask(&home, request, ASK_LIMIT).await {
-            Ok(Reply::Taken(taken)) => {
-                self.note_relayed(home, state);
-                Some(taken)
-            }
-            Ok(_) => None,
-            // Its home does not answer: until the list of daemons changes, this one watches it.
-            Err(_) => Some(self.watched(targets::Event::Announced(state))),
-        }
-    }
-
-    /// A target said that it is gone.
-    pub async fn left(self: Rc<Self>, target: TargetId, life: Incarnation) -> Option<Taken> {
-        let event = targets::Event::Left(target.clone(), life);
-        let zone = self.feed.borrow().table().find(&target).map(|e| e.availability_zone.clone());
-        let home = zone.and_then(|zone| self.home_in(&zone, &target));
-        match home {
-            Some(home) if home != *self.id() => {
-                match self.ask(&home, Request::Left(target, life), ASK_LIMIT).await {
-                    Ok(Reply::Taken(taken)) => Some(taken),
-                    _ => None,
-                }
-            }
-            _ => Some(self.watched(event)),
-        }
-    }
-
-    fn home_of(&self, state: &order::State) -> DaemonId {
-        let home = self.home_in(&state.availability_zone, &state.target);
-        home.unwrap_or_else(|| self.id().clone())
-    }
-
-    /// The home of a target: a daemon in its zone, or any where there is none.
-    fn home_in(&self, zone: &Zone, target: &TargetId) -> Option<DaemonId> {
-        let places = self.places.borrow();
-        let in_zone = places.list.iter().filter(|place| place.availability_zone == *zone);
-        let near = home::home_of(target, in_zone.map(|place| &place.daemon));
-        near.or_else(|| home::home_of(target, places.list.iter().map(|p| &p.daemon))).cloned()
-    }
-
-    /// Where the target of an announcement should announce itself from now on: its home, which
-    /// saves the way over this daemon.
-    pub fn home_address(&self, zone: &Zone, target: &TargetId) -> Option<SocketAddr> {
-        let home = self.home_in(zone, target)?;
-        let places = self.places.borrow();
-        let place = places.list.iter().find(|place| place.daemon == home);
-        place.map(|place| place.target_address)
-    }
-
-    fn short_announcement(&self, home: &DaemonId, state: &order::State) -> Option<Request> {
-        let relayed = self.relayed.borrow();
-        let place = relayed.binary_search_by(|known| known.state.target.cmp(&state.target));
-        let known = &relayed[place.ok()?];
-        let is_same = known.home == *home && targets::is_same_state(&known.state, state);
-        is_same.then(|| Request::Alive(state.target.clone(), state.incarnation, state.sequence))
-    }
-
-    fn note_relayed(&self, home: DaemonId, state: order::State) {
-        let mut relayed = self.relayed.borrow_mut();
-        let place = relayed.binary_search_by(|known| known.state.target.cmp(&state.target));
-        match place {
-            Ok(at) => relayed[at] = Relayed { home, state },
-            Err(at) => relayed.insert(at, Relayed { home, state }),
-        }
-    }
-
     /// Tells the registry of watched targets what happened.
     pub(super) fn watched(&self, event: targets::Event) -> Taken {
         let (taken, reports) = self.registry.borrow_mut().on(self.now_ms(), event);
@@ -480,11 +393,6 @@
         }
     }
 
-    /// The models that wait to be reported, for tests.
-    pub fn pending_demand(&self) -> Vec<ModelRef> {
-        self.demand.borrow().iter().map(|entry| entry.model.clone()).collect()
-    }
-
     /// The newest term that this daemon heard of in the feed.
     pub(super) fn feed_term(&self) -> Term {
         self.feed.borrow().cursor().term
--- a/src/daemon/group.rs
+++ b/src/daemon/group.rs
@@ -19,7 +19,7 @@
 use crate::daemon::leader::Leader;
 use crate::daemon::message::{Reply, Request, Status};
 use crate::daemon::{Error, Result};
-use crate::ids::{DaemonId, Incarnation, LogIndex, Revision, Term};
+use crate::ids::{DaemonId, LogIndex, Revision, Term};
 
 /// Pause between two rounds of asking the other voters for a group.
 const FORM_PAUSE: Duration = Duration::from_millis(200);
@@ -47,11 +47,6 @@
     }
 }
 
-/// The identity of the folder that an empty folder is given.
-pub fn new_incarnation(now_ms: u64) -> Incarnation {
-    Incarnation(now_ms)
-}
-
 /// Opens the folder, forms or finds the group, and runs the voter until it is dropped.
 ///
 /// # Errors
--- /dev/null
+++ b/src/daemon/homes.rs
@@ -0,0 +1,100 @@
+//! Announcements of targets on their way to the daemons that watch them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::daemon::core::{ASK_LIMIT, Core};
+use crate::daemon::message::{Reply, Request};
+use crate::ids::{DaemonId, Incarnation, TargetId, Zone};
+use crate::membership::targets::Taken;
+use crate::membership::{home, targets};
+use crate::target::order;
+
+/// The last whole announcement that this daemon passed on to a home daemon.
+pub(super) struct Relayed {
+    home: DaemonId,
+    state: order::State,
+}
+
+impl Core {
+    /// Takes an announcement of a target that came to this daemon, and brings it to its home.
+    /// `None` if no daemon could take it.
+    pub async fn announced(self: Rc<Self>, state: order::State) -> Option<Taken> {
+        let home = self.home_of(&state);
+        if home == *self.id() {
+            return Some(self.watched(targets::Event::Announced(state)));
+        }
+        if let Some(request) = self.short_announcement(&home, &state) {
+            match self.ask(&home, request, ASK_LIMIT).await {
+                Ok(Reply::Taken(Taken::Unknown)) | Err(_) => {}
+                Ok(Reply::Taken(taken)) => return Some(taken),
+                Ok(_) => return None,
+            }
+        }
+        let request = Request::Announced(Box::new(state.clone()));
+        match self.ask(&home, request, ASK_LIMIT).await {
+            Ok(Reply::Taken(taken)) => {
+                self.note_relayed(home, state);
+                Some(taken)
+            }
+            Ok(_) => None,
+            // Its home does not answer: until the list of daemons changes, this one watches it.
+            Err(_) => Some(self.watched(targets::Event::Announced(state))),
+        }
+    }
+
+    /// A target said that it is gone.
+    pub async fn left(self: Rc<Self>, target: TargetId, life: Incarnation) -> Option<Taken> {
+        let event = targets::Event::Left(target.clone(), life);
+        let zone = self.feed.borrow().table().find(&target).map(|e| e.availability_zone.clone());
+        let home = zone.and_then(|zone| self.home_in(&zone, &target));
+        match home {
+            Some(home) if home != *self.id() => {
+                match self.ask(&home, Request::Left(target, life), ASK_LIMIT).await {
+                    Ok(Reply::Taken(taken)) => Some(taken),
+                    _ => None,
+                }
+            }
+            _ => Some(self.watched(event)),
+        }
+    }
+
+    fn home_of(&self, state: &order::State) -> DaemonId {
+        let home = self.home_in(&state.availability_zone, &state.target);
+        home.unwrap_or_else(|| self.id().clone())
+    }
+
+    /// The home of a target: a daemon in its zone, or any where there is none.
+    fn home_in(&self, zone: &Zone, target: &TargetId) -> Option<DaemonId> {
+        let places = self.places.borrow();
+        let in_zone = places.list.iter().filter(|place| place.availability_zone == *zone);
+        let near = home::home_of(target, in_zone.map(|place| &place.daemon));
+        near.or_else(|| home::home_of(target, places.list.iter().map(|p| &p.daemon))).cloned()
+    }
+
+    /// Where the target of an announcement should announce itself from now on: its home, which
+    /// saves the way over this daemon.
+    pub fn home_address(&self, zone: &Zone, target: &TargetId) -> Option<SocketAddr> {
+        let home = self.home_in(zone, target)?;
+        let places = self.places.borrow();
+        let place = places.list.iter().find(|place| place.daemon == home);
+        place.map(|place| place.target_address)
+    }
+
+    fn short_announcement(&self, home: &DaemonId, state: &order::State) -> Option<Request> {
+        let relayed = self.relayed.borrow();
+        let place = relayed.binary_search_by(|known| known.state.target.cmp(&state.target));
+        let known = &relayed[place.ok()?];
+        let is_same = known.home == *home && targets::is_same_state(&known.state, state);
+        is_same.then(|| Request::Alive(state.target.clone(), state.incarnation, state.sequence))
+    }
+
+    fn note_relayed(&self, home: DaemonId, state: order::State) {
+        let mut relayed = self.relayed.borrow_mut();
+        let place = relayed.binary_search_by(|known| known.state.target.cmp(&state.target));
+        match place {
+            Ok(at) => relayed[at] = Relayed { home, state },
+            Err(at) => relayed.insert(at, Relayed { home, state }),
+        }
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod dev;
 pub mod follow;
 pub mod group;
+mod homes;
 pub mod leader;
 pub mod message;
 pub mod once;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -84,20 +84,3 @@
         Ok(message::encode(&reply))
     }
 }
-
-/// No other daemons.
-#[derive(Clone, Copy, Debug)]
-pub struct Alone;
-
-impl Peers for Alone {
-    fn ask<'a>(
-        &'a self,
-        _to: &'a DaemonId,
-        _request: Vec<u8>,
-        _limit: Duration,
-    ) -> LocalBoxFuture<'a, Result<Vec<u8>, Failure>> {
-        Box::pin(std::future::ready(Err(Failure::NotSent)))
-    }
-
-    fn send(&self, _to: &DaemonId, _message: Vec<u8>) {}
-}
--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -21,7 +21,7 @@
 use crate::daemon::published::Published;
 use crate::daemon::{Error, Result, announce, backend, bridge, follow, group, leader, policy};
 use crate::daemon::{once as records, poison, ports};
-use crate::ids::{DaemonId, Zone};
+use crate::ids::{DaemonId, Incarnation, Zone};
 use crate::membership::targets;
 use crate::peer;
 use crate::peer::client;
@@ -377,7 +377,7 @@
     let cluster = &settings.cluster;
     let node =
         node::Settings::new(cluster.id.as_str(), cluster.group, settings.daemon.id.clone(), folder)
-            .new_incarnation(group::new_incarnation(core.now_ms()));
+            .new_incarnation(Incarnation(core.now_ms()));
     let parts = group::Parts { settings: node, voters: voters(settings), first_change };
     group::run(core, parts).await
 }
