--- a/src/admin/view.rs
+++ b/src/admin/view.rs
@@ -323,24 +323,13 @@
 pub enum Window {
     /// The last hour.
     Hour,
-    /// The last twelve hours.
+    /// The last night, from 18:00 to 08:00 local time.
     #[default]
     Night,
     /// The last seven days.
     Week,
 }
 
-impl Window {
-    /// Its length.
-    pub fn length_ms(self) -> Millis {
-        match self {
-            Window::Hour => Millis(3_600_000),
-            Window::Night => Millis(12 * 3_600_000),
-            Window::Week => Millis(7 * 86_400_000),
-        }
-    }
-}
-
 impl fmt::Display for Window {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(match self {
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -11,7 +11,7 @@
 #[command(after_help = "Examples:\n  fescuebay report\n  \
     fescuebay report --window week --html > report.html")]
 pub(super) struct Args {
-    /// The time that it covers: hour, night (12 h) or week
+    /// The time that it covers: the last hour, the last night (18:00 to 08:00) or the last week
     #[arg(long, default_value = "night")]
     window: Window,
     /// A small page for a phone instead of text
