--- a/tests/nine_daemons.rs
+++ b/tests/nine_daemons.rs
@@ -355,3 +355,30 @@
         .await;
     assert_eq!(target.executions("lucero"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_rolling_restart_of_all_nine_cuts_off_no_stream() {
+    let _turn = TURN.lock().await;
+    let mut cluster = Cluster::start("rolling").await;
+    let target = cluster.target(0, |settings| settings.load_ms(50).token_ms(10).slots(64)).await;
+    let revision =
+        cluster.change(&cluster.daemons[0], "model", cluster::models(&["quill"], 5)).await;
+    cluster.in_force(revision).await;
+    for restarted in 0..9 {
+        let address = cluster.daemons[restarted].traffic();
+        let warm = web::stream(address, "quill", 2).await;
+        assert!(warm.as_ref().is_some_and(|answer| answer.is_stream_of(2)), "{warm:?}");
+        let streams: Vec<_> =
+            (0..5).map(|_| tokio::spawn(web::stream(address, "quill", 60))).collect();
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        cluster.daemons[restarted].signal("TERM");
+        for stream in streams {
+            let answer = stream.await.unwrap();
+            assert!(answer.as_ref().is_some_and(|answer| answer.is_stream_of(60)), "{answer:?}");
+        }
+        assert_eq!(cluster.daemons[restarted].exit_code().await, Some(0));
+        cluster.daemons[restarted].start();
+        cluster.in_force(revision).await;
+    }
+    assert_eq!(target.state().holds.len(), 1, "one replica was decided, and none twice");
+}
