--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -12,7 +12,7 @@
 #[path = "../tests/nine/web.rs"]
 mod web;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cluster::{Cluster, Daemon};
 use fescuebay::stand_in;
@@ -27,6 +27,10 @@
 const MEMORY_BOUND_MB: f64 = 48.0;
 /// Control traffic of a daemon at rest, each way.
 const TRAFFIC_BOUND: f64 = 500.0;
+/// Changes whose time until they are in force is taken.
+const CHANGES: usize = 20;
+/// Longest time until a change is in force at nine daemons.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(2);
 /// Processor time for control, in percent of a core.
 const PROCESSOR_BOUND: f64 = 4.8;
 
@@ -130,6 +134,21 @@
     }
 }
 
+/// The longest time from sending a change until all daemons of a cluster have it in force.
+async fn longest_in_force(cluster: &Cluster) -> Duration {
+    let mut longest = Duration::ZERO;
+    for n in 0..CHANGES {
+        let daemon = &cluster.daemons[n % cluster.daemons.len()];
+        let id = format!("change-{n}");
+        let edits = cluster::models(&[id.as_str()], 1);
+        let sent = Instant::now();
+        let revision = cluster.change(daemon, &id, edits).await;
+        cluster.in_force(revision).await;
+        longest = longest.max(sent.elapsed());
+    }
+    longest
+}
+
 async fn run(is_small: bool) -> bool {
     println!(
         "{:>8} {:>5} {:<9} {:>7} {:>9} {:>10} {:>10}",
@@ -140,6 +159,9 @@
     for size in sizes {
         let cluster = Cluster::of(&format!("fleet-{size}"), *size).await;
         let router = measure("daemons", *size, &cluster).await;
+        let in_force = longest_in_force(&cluster).await;
+        println!("{CHANGES} changes at {size} daemons, longest until in force: {in_force:.2?}");
+        is_kept &= *size > 9 || in_force <= IN_FORCE_BOUND;
         is_kept &= router.memory_mb <= MEMORY_BOUND_MB;
         is_kept &= router.processor_percent <= PROCESSOR_BOUND;
         is_kept &= router.sent_per_s.max(router.received_per_s) <= TRAFFIC_BOUND;
