--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -7,16 +7,20 @@
 
 use super::output::{print, print_json};
 use super::{Error, Result};
-use crate::settings::{self, Settings};
+use crate::settings::{self, Settings, vm};
 
 /// Print every problem of a settings file with its line
 #[derive(Debug)]
 #[derive(clap::Args)]
-#[command(after_help = "Example:\n  fescuebay check --settings examples/sanctuary/andina-a-1.ini")]
+#[command(after_help = "Examples:\n  fescuebay check --settings examples/sanctuary/andina-a-1.ini
+  fescuebay check --role router --settings /etc/fescuebay/vm.ini")]
 pub(super) struct Args {
     /// The settings file of one daemon
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
+    /// Check the settings file of a VM with one role: router or voter
+    #[arg(long, value_name = "ROLE")]
+    role: Option<vm::Role>,
     /// Print JSON
     #[arg(long)]
     json: bool,
@@ -26,9 +30,14 @@
     /// Checks the file.
     pub fn run(self) -> Result<()> {
         let file = self.settings.display();
-        match settings::read(&text(&self.settings)?) {
+        let text = text(&self.settings)?;
+        let checked = match self.role {
+            Some(role) => role_summary(role, &text),
+            None => settings::read(&text).map(|settings| summary(&settings)),
+        };
+        match checked {
             Ok(_) if self.json => print_json(&[(); 0]),
-            Ok(settings) => print(&format!("{file}: {}", summary(&settings))),
+            Ok(summary) => print(&format!("{file}: {summary}")),
             Err(problems) => {
                 if self.json {
                     print_json(&problems);
@@ -54,6 +63,19 @@
     }
 }
 
+/// Checks the settings file of a VM with one role.
+fn role_summary(role: vm::Role, text: &str) -> settings::Result<String> {
+    let settings = vm::read(text)?;
+    let vm::Settings { vm, group, .. } = &settings;
+    if vm.role != role {
+        let what = format!("the file is that of a {}", vm.role);
+        let (section, key) = ("vm".to_owned(), "role".to_owned());
+        return Err(vec![settings::Problem { line: 0, section, key, what }]);
+    }
+    let zone = &vm.availability_zone;
+    Ok(format!("ok: {role} {} in {zone}, {} voters are asked first", vm.ip, group.first.len()))
+}
+
 fn summary(settings: &Settings) -> String {
     let Settings { daemon, cluster, .. } = settings;
     let role = if settings.is_voter() { "router and voter" } else { "router" };
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod output;
 mod report;
+mod role;
 mod serve;
 mod token;
 mod work;
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -13,7 +13,7 @@
 use super::output::print;
 use super::{Error, Result};
 use crate::daemon::dev;
-use crate::settings::{self, Settings};
+use crate::settings::{self, Settings, vm};
 use crate::{daemon, logging};
 
 /// Time between two looks whether the daemon has failed.
@@ -22,11 +22,15 @@
 /// Run the daemon of this VM until SIGTERM or SIGINT, then stop gracefully
 #[derive(Debug)]
 #[derive(clap::Args)]
-#[command(after_help = "Example:\n  fescuebay serve --settings /etc/fescuebay/andina-a-1.ini")]
+#[command(after_help = "Examples:\n  fescuebay serve --settings /etc/fescuebay/andina-a-1.ini
+  FESCUEBAY_BOOT=/etc/fescuebay/vm.ini fescuebay serve --role router")]
 pub(super) struct Args {
     /// The settings file of this daemon
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", env = "FESCUEBAY_BOOT")]
     settings: PathBuf,
+    /// Run one role alone, from the settings file of a VM: router or voter
+    #[arg(long, value_name = "ROLE")]
+    role: Option<vm::Role>,
 }
 
 /// Run one daemon with three stand-in targets, to try things out
@@ -38,6 +42,9 @@
 impl Args {
     /// Runs the daemon.
     pub fn run(self, verbosity: u8) -> Result<()> {
+        if let Some(role) = self.role {
+            return super::role::run(role, &self.settings, verbosity);
+        }
         let settings = match settings::read(&text(&self.settings)?) {
             Ok(settings) => settings,
             Err(problems) => {
@@ -59,7 +66,7 @@
     }
 }
 
-fn failed(step: &str) -> Error {
+pub(super) fn failed(step: &str) -> Error {
     Error::Refused(format!("{step} failed"))
 }
 
@@ -77,7 +84,7 @@
 }
 
 /// Installs the metrics recorder and returns what renders its text.
-fn metrics_text() -> Result<Arc<dyn Fn() -> String + Send + Sync>> {
+pub(super) fn metrics_text() -> Result<Arc<dyn Fn() -> String + Send + Sync>> {
     let handle = PrometheusBuilder::new()
         .install_recorder()
         .change_context_lazy(|| failed("install the metrics recorder"))?;
--- a/src/consensus/node/handle.rs
+++ b/src/consensus/node/handle.rs
@@ -132,13 +132,12 @@
         self.change(Change::Remove(id)).await
     }
 
-    /// Replaces a voter: adds `new` as a learner, waits until it durably holds the committed log,
-    /// promotes it, and only then removes `old`. Ends with an error when `new` stops answering. May
-    /// be called again after an error, also with another `new`.
+    /// Takes in one more voter: adds it as a learner, waits until it durably holds the committed
+    /// log, and promotes it. Ends with an error when it stops answering. May be called again.
     ///
     /// # Errors
     /// As for [`Handle::propose`].
-    pub async fn replace(&self, old: VoterId, new: VoterId) -> Result<()> {
+    pub async fn add(&self, new: VoterId) -> Result<()> {
         let membership = self.status().core.membership;
         if !membership.is_voter(&new) && !membership.is_learner(&new) {
             self.add_learner(new.clone()).await?;
@@ -147,6 +146,27 @@
             self.wait_for_catch_up(&new).await?;
             self.promote(new).await?;
         }
+        Ok(())
+    }
+
+    /// For how long a member has not answered this leader. `None` if this voter does not lead, or
+    /// for itself.
+    pub fn silent_ms(&self, id: &VoterId) -> Option<u64> {
+        let shared = self.shared.borrow();
+        let now_ms = shared.now_ms();
+        let answered_ms = shared.core().answered_ms(id);
+        let is_other = shared.core().is_leader() && *id != *shared.core().id();
+        is_other.then(|| now_ms.saturating_sub(answered_ms.unwrap_or(0)))
+    }
+
+    /// Replaces a voter: adds `new` as a learner, waits until it durably holds the committed log,
+    /// promotes it, and only then removes `old`. Ends with an error when `new` stops answering. May
+    /// be called again after an error, also with another `new`.
+    ///
+    /// # Errors
+    /// As for [`Handle::propose`].
+    pub async fn replace(&self, old: VoterId, new: VoterId) -> Result<()> {
+        self.add(new).await?;
         if self.status().core.membership.is_voter(&old) {
             self.remove(old).await?;
         }
--- a/src/consensus/node/shell.rs
+++ b/src/consensus/node/shell.rs
@@ -6,10 +6,11 @@
 
 use error_stack::{Report, ResultExt as _};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Duration, Instant};
+use tokio::time::Duration;
 
 use super::handle::Handle;
 use super::{Error, Result, Transport};
+use crate::clock::BootClock;
 use crate::consensus::Machine;
 use crate::consensus::core::{self, Action, Config, Core, Proposed, RoleKind, Stored};
 use crate::consensus::entry::{Entry, HardState, Payload, Snapshot, SnapshotMeta, VoterId};
@@ -55,7 +56,7 @@
 /// State shared by the loop and the handles.
 pub(super) struct Shared {
     core: Core,
-    epoch: Instant,
+    clock: BootClock,
     wake: Rc<Notify>,
     /// Proposals by the index where they wait. A tree, since they come and go by the thousand.
     waiting: BTreeMap<LogIndex, Waiting>,
@@ -68,7 +69,7 @@
 
 impl Shared {
     pub(super) fn now_ms(&self) -> u64 {
-        self.epoch.elapsed().as_millis() as u64
+        self.clock.now_ms()
     }
 
     /// The core, for a query.
@@ -196,7 +197,7 @@
     let wake = Rc::new(Notify::new());
     let shared = Rc::new(RefCell::new(Shared {
         core: Core::new(config, stored, 0, rng),
-        epoch: Instant::now(),
+        clock: BootClock::system(),
         wake: wake.clone(),
         waiting: BTreeMap::new(),
         reads: BTreeMap::new(),
@@ -251,14 +252,13 @@
     async fn next_report(&mut self) -> Option<writer::Report> {
         let due = {
             let shared = self.shared.borrow();
-            let latest_ms = shared.now_ms() + MAX_SLEEP_MS;
-            let due_ms = shared.core.next_tick_ms().min(latest_ms);
-            shared.epoch + Duration::from_millis(due_ms)
+            let left_ms = shared.core.next_tick_ms().saturating_sub(shared.now_ms());
+            Duration::from_millis(left_ms.min(MAX_SLEEP_MS))
         };
         tokio::select! {
             report = self.reports.recv() => report,
             () = self.wake.notified() => None,
-            () = tokio::time::sleep_until(due) => None,
+            () = tokio::time::sleep(due) => None,
         }
     }
 
--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -2,6 +2,7 @@
 
 use crate::config;
 use crate::control::{jobs, outcomes, owner, poison, records};
+use crate::routes;
 
 /// An entry of the log. New variants of its enums go at the end: entries outlive a release.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,6 +44,8 @@
     /// A life of a daemon that counted as over goes on: it was only cut off. Its calls under way
     /// are its own again; leases that others took meanwhile are not.
     DaemonReturned(owner::Owner),
+    /// The document of routes.
+    Routes(routes::state::Command),
 }
 
 /// What a command led to.
@@ -63,6 +66,8 @@
     Outcomes(outcomes::Outcome),
     /// The configuration.
     Config(Box<config::Outcome>),
+    /// The document of routes.
+    Routes(routes::state::Outcome),
 }
 
 impl Outcome {
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -7,9 +7,12 @@
 use crate::control::commands::{Command, Entry, Limits, Outcome};
 use crate::control::{jobs, outcomes, owner, poison, queries, records};
 use crate::ids::LogIndex;
+use crate::routes;
 
 /// The format of snapshots; raised when an older release could not read them.
-const FORMAT: u32 = 1;
+const FORMAT: u32 = 2;
+/// The oldest format that is read. Format 1 ends before the document of routes.
+const OLDEST_FORMAT: u32 = 1;
 
 /// What every command is applied with.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +39,9 @@
     pub outcomes: outcomes::State,
     /// The configuration, shared with pictures of the state.
     pub config: Arc<config::State>,
+    /// The document of routes. It follows the other parts in a snapshot, where older ones end.
+    #[serde(skip)]
+    pub routes: routes::state::State,
 }
 
 impl State {
@@ -59,6 +65,7 @@
             poison: self.poison.clone(),
             outcomes: self.outcomes.clone(),
             config: Arc::clone(&self.config),
+            routes: self.routes.clone(),
         }
     }
 
@@ -84,6 +91,7 @@
                 let config = Arc::make_mut(&mut self.config);
                 Outcome::Config(Box::new(config.apply(*command, context.now_ms)))
             }
+            Command::Routes(command) => Outcome::Routes(self.routes.apply(command)),
         };
         self.count();
         outcome
@@ -131,7 +139,9 @@
     /// The snapshot's bytes. Takes time that grows with the state.
     pub fn encode(&self) -> Vec<u8> {
         let bytes = postcard::to_stdvec(&FORMAT).expect("a number can be encoded");
-        postcard::to_extend(&self.0, bytes).expect("the state holds nothing that postcard refuses")
+        let bytes = postcard::to_extend(&self.0, bytes);
+        let bytes = bytes.expect("the state holds nothing that postcard refuses");
+        postcard::to_extend(&self.0.routes, bytes).expect("text and a number can be encoded")
     }
 }
 
@@ -181,10 +191,14 @@
     fn restore(&mut self, snapshot: &[u8]) -> std::result::Result<(), String> {
         let (format, rest): (u32, &[u8]) =
             postcard::take_from_bytes(snapshot).map_err(|error| error.to_string())?;
-        if format != FORMAT {
+        if !(OLDEST_FORMAT..=FORMAT).contains(&format) {
             return Err(format!("the snapshot has format {format}, this release reads {FORMAT}"));
         }
-        let mut state: State = postcard::from_bytes(rest).map_err(|error| error.to_string())?;
+        let (mut state, rest): (State, &[u8]) =
+            postcard::take_from_bytes(rest).map_err(|error| error.to_string())?;
+        if format > OLDEST_FORMAT {
+            state.routes = postcard::from_bytes(rest).map_err(|error| error.to_string())?;
+        }
         state.records.index();
         state.jobs.index();
         self.state = state;
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,409 @@
+//! One request on its way: its route, its attempts, and its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use rand::Rng as _;
+
+use super::events::{self, Event};
+use super::fleet::{Choice, Wish};
+use super::next::{self, Case, End, Failure, Next};
+use super::queue::{Ticket, Waiter};
+use super::shared::{Seat, Shared};
+use super::{Dispatch, Facts, Verdict, relay};
+use crate::ids::{ServiceName, TargetId};
+use crate::routes::{self, Route, index};
+use crate::web::client::Connection;
+use crate::web::server::Answer;
+use crate::web::{self, Body};
+
+/// Time for a connection to a target.
+const CONNECT_MS: u64 = 400;
+/// An idle connection is used for work that must not repeat only while it is this young.
+const YOUNG_MS: u64 = 1_500;
+/// Share of the latency target after which an idempotent request is sent elsewhere.
+const PATIENCE_SHARE: f64 = 0.7;
+/// Shortest time that a target has for the answer to an idempotent request.
+const MIN_PATIENCE_MS: u64 = 60;
+/// Share of a request's time that it may wait for a target.
+const WAIT_SHARE: f64 = 0.45;
+/// The least and most that a refused caller is asked to wait, in milliseconds.
+const RETRY_AFTER_MS: std::ops::Range<u64> = 250..900;
+/// Pause before a request is sent again to a service that just refused it.
+const AGAIN_PAUSE_MS: u64 = 15;
+
+/// A request that has a route.
+pub(super) struct Job {
+    pub facts: Facts,
+    pub route: Rc<Route>,
+    pub service: ServiceName,
+    pub method: Method,
+    pub uri: http::Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub arrived_ms: u64,
+    pub end_ms: u64,
+    /// Targets that failed it.
+    pub avoid: std::cell::RefCell<Vec<TargetId>>,
+    /// Attempts that may have run.
+    pub runs: std::cell::Cell<u32>,
+    /// Attempts that were sent.
+    pub attempts: std::cell::Cell<u32>,
+}
+
+impl Job {
+    /// Names the beginning of its prompt: all parts but its own.
+    fn prompt(&self) -> Option<u64> {
+        let parts = &self.facts.prompt;
+        let shared = parts.len().checked_sub(2)?;
+        Some(parts[shared].0)
+    }
+
+    pub fn after_ms(&self, shared: &Shared) -> u64 {
+        shared.now_ms().saturating_sub(self.arrived_ms)
+    }
+
+    pub fn left_ms(&self, shared: &Shared) -> u64 {
+        self.end_ms.saturating_sub(shared.now_ms())
+    }
+
+    /// Whether a target may still run it.
+    pub fn may_run(&self) -> bool {
+        self.runs.get() < self.route.max_attempts.max(1)
+    }
+}
+
+/// An answer whose head has come.
+pub(super) struct Attempt {
+    pub seat: Seat,
+    pub connection: Connection,
+    pub head: http::response::Parts,
+    pub body: Incoming,
+    pub sent_ms: u64,
+}
+
+/// Answers one request of a caller.
+pub(super) async fn serve(shared: Rc<Shared>, request: http::Request<Incoming>) -> Answer {
+    let arrived_ms = shared.now_ms();
+    let (head, body) = request.into_parts();
+    let found = shared.index.borrow().clone();
+    let Some(index) = found else {
+        let why = "no document is known yet";
+        return Answer::Send(refused("", StatusCode::SERVICE_UNAVAILABLE, why, false, 0));
+    };
+    let facts = shared.protocol.read(&head.headers);
+    let host = host(&head);
+    let Some(route) = index.find(&host, head.uri.path()) else {
+        let why = "no route matches";
+        return Answer::Send(refused(&facts.id, StatusCode::NOT_FOUND, why, false, 0));
+    };
+    let limit_bytes = index.document().limits.max_body_bytes;
+    let body = match web::collect(body, limit_bytes).await {
+        Ok(body) => body,
+        Err(web::Error::TooLarge) => {
+            let why = "the body is too large";
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Answer::Send(refused(&facts.id, status, why, false, 0));
+        }
+        // The caller left.
+        Err(_) => return Answer::Close,
+    };
+    let draw = rand::rng().random();
+    let Some(destination) = index::destination(route, draw) else {
+        let why = "the route has no service";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Answer::Send(refused(&facts.id, status, why, false, 0));
+    };
+    let patience_ms = facts.patience_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let job = Job {
+        service: destination.service.clone(),
+        route: Rc::new(route.clone()),
+        method: head.method,
+        uri: path_of(&head.uri),
+        headers: head.headers,
+        body,
+        arrived_ms,
+        end_ms: arrived_ms + patience_ms,
+        avoid: std::cell::RefCell::default(),
+        runs: std::cell::Cell::new(0),
+        attempts: std::cell::Cell::new(0),
+        facts,
+    };
+    admit(&shared, &job, index.document());
+    Answer::Send(run(shared, Rc::new(job)).await)
+}
+
+fn admit(shared: &Shared, job: &Job, document: &routes::Document) {
+    let is_engine = document.service(&job.service).is_some_and(|s| s.engine.is_some());
+    if let Some(model) = job.facts.model.as_ref().filter(|_| is_engine) {
+        shared.arrived(model);
+    }
+    shared.budget.borrow_mut().request(shared.now_ms(), &job.service);
+    events::emit(
+        &job.facts.id,
+        &Event::Admitted {
+            route: &job.route.name,
+            document: document.version.0,
+            service: job.service.as_str(),
+            model: job.facts.model.as_ref().map(ToString::to_string),
+            left_ms: job.left_ms(shared),
+        },
+    );
+}
+
+/// Sends attempts until one is answered or the request is given up.
+async fn run(shared: Rc<Shared>, job: Rc<Job>) -> http::Response<Body> {
+    loop {
+        let seat = match seat(&shared, &job).await {
+            Ok(seat) => seat,
+            Err(why) => return give_up(&shared, &job, End::NotRun, why),
+        };
+        let target = seat.target.clone();
+        let sent_ms = shared.now_ms();
+        let failure = match attempt(&shared, &job, seat, job.facts.last_event.as_deref()).await {
+            Ok(attempt) => match relay::answer(&shared, &job, attempt).await {
+                Ok(response) => return response,
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        if let Err(end) = after_failure(&shared, &job, &target, failure, sent_ms) {
+            return give_up(&shared, &job, end, events::failure(failure));
+        }
+        if matches!(failure, Failure::NotRun | Failure::Lacking) {
+            tokio::time::sleep(Duration::from_millis(AGAIN_PAUSE_MS)).await;
+        }
+    }
+}
+
+/// Notes a failed attempt and decides whether there is another one.
+pub(super) fn after_failure(
+    shared: &Shared,
+    job: &Job,
+    target: &TargetId,
+    failure: Failure,
+    sent_ms: u64,
+) -> Result<(), End> {
+    let now_ms = shared.now_ms();
+    events::emit(
+        &job.facts.id,
+        &Event::AttemptFailed {
+            target: target.as_str(),
+            failure: events::failure(failure),
+            after_ms: now_ms.saturating_sub(sent_ms),
+        },
+    );
+    metrics::counter!("fescuebay_attempts_failed_total", "failure" => events::failure(failure))
+        .increment(1);
+    if failure.may_have_run() {
+        job.runs.set(job.runs.get() + 1);
+    }
+    blame(shared, job, target, failure);
+    let case = Case {
+        failure,
+        kind: job.route.kind,
+        runs: job.runs.get(),
+        max_runs: job.route.max_attempts.max(1),
+        is_over: now_ms >= job.end_ms,
+    };
+    match next::next(&case) {
+        Next::End(end) => Err(end),
+        // What was not sent has not arrived anywhere, and takes nothing from the budget.
+        Next::Again if failure == Failure::NotSent => Ok(()),
+        Next::Again if shared.budget.borrow_mut().take(now_ms, &job.service) => Ok(()),
+        Next::Again => Err(next::give_up(&case)),
+    }
+}
+
+/// Holds a failure against the target.
+fn blame(shared: &Shared, job: &Job, target: &TargetId, failure: Failure) {
+    job.avoid.borrow_mut().push(target.clone());
+    let mut fleet = shared.fleet.borrow_mut();
+    match (failure, &job.facts.model) {
+        (Failure::Lacking, Some(model)) => fleet.lacks(target, model),
+        (Failure::NotRun | Failure::Lacking, _) => {}
+        _ => fleet.failed(shared.now_ms(), target),
+    }
+}
+
+/// Finds a place at a target, at once or after a wait.
+pub(super) async fn seat(shared: &Shared, job: &Job) -> Result<Seat, &'static str> {
+    let avoid = job.avoid.borrow().clone();
+    let wish = Wish {
+        service: &job.service,
+        model: job.facts.model.as_ref(),
+        prompt: job.prompt(),
+        avoid: &avoid,
+    };
+    let why = match shared.try_seat(&wish) {
+        Ok(seat) => return Ok(seat),
+        Err(Choice::NoTarget) => return Err("the service has no targets"),
+        Err(why) => why,
+    };
+    let total_ms = (job.end_ms - job.arrived_ms) as f64;
+    let wait_until_ms = job.arrived_ms + (total_ms * WAIT_SHARE) as u64;
+    let wait_ms = wait_until_ms.saturating_sub(shared.now_ms());
+    let waiter = Waiter {
+        ticket: Ticket(0),
+        service: job.service.clone(),
+        model: job.facts.model.clone(),
+        prompt: job.prompt(),
+        avoid,
+        rank: job.route.rank,
+        target_ms: job.arrived_ms + job.route.latency_target_ms,
+    };
+    let waited = shared.wait(&job.facts.id, waiter, why);
+    match tokio::time::timeout(Duration::from_millis(wait_ms), waited).await {
+        Ok(Some(seat)) => Ok(seat),
+        Ok(None) | Err(_) => Err("no target was free in time"),
+    }
+}
+
+/// Sends one attempt and waits for the head of its answer.
+pub(super) async fn attempt(
+    shared: &Rc<Shared>,
+    job: &Job,
+    seat: Seat,
+    last_event: Option<&str>,
+) -> Result<Attempt, Failure> {
+    let mut connection = connect(shared, job, &seat).await?;
+    let sent_ms = shared.now_ms();
+    let left_ms = job.end_ms.saturating_sub(sent_ms);
+    if left_ms == 0 {
+        return Err(Failure::NotSent);
+    }
+    let request = request(shared, job, &seat, left_ms, last_event);
+    job.attempts.set(job.attempts.get() + 1);
+    events::emit(
+        &job.facts.id,
+        &Event::Sent {
+            target: seat.target.as_str(),
+            life: seat.life.0,
+            attempt: job.attempts.get(),
+            in_flight: seat.in_flight,
+            table_age_ms: shared.table_age_ms(),
+            after_ms: job.after_ms(shared),
+        },
+    );
+    let patience = Duration::from_millis(patience_ms(shared, job, &seat, left_ms));
+    let (head, body) = match tokio::time::timeout(patience, connection.send(request)).await {
+        Ok(Ok(response)) => response.into_parts(),
+        Ok(Err(web::Error::Connect)) => return Err(Failure::NotSent),
+        Ok(Err(web::Error::Malformed)) => return Err(Failure::Foreign),
+        Ok(Err(_)) => return Err(Failure::Broken),
+        Err(_) => return Err(Failure::Silent),
+    };
+    match shared.protocol.judge(head.status, &head.headers, &job.facts.id) {
+        Verdict::Answer => Ok(Attempt { seat, connection, head, body, sent_ms }),
+        Verdict::NotRun => Err(Failure::NotRun),
+        Verdict::Lacking => Err(Failure::Lacking),
+        Verdict::Foreign => Err(Failure::Foreign),
+    }
+}
+
+/// A connection that waits, or a new one.
+async fn connect(shared: &Shared, job: &Job, seat: &Seat) -> Result<Connection, Failure> {
+    let max_idle_ms = if job.route.kind.is_repeatable() { u64::MAX / 2 } else { YOUNG_MS };
+    let now_ms = shared.now_ms();
+    let kept =
+        shared.pool.borrow_mut().take(now_ms, &seat.target, seat.life, seat.address, max_idle_ms);
+    if let Some(connection) = kept {
+        return Ok(connection);
+    }
+    metrics::counter!("fescuebay_target_connections_total").increment(1);
+    let opened = Connection::open(shared.own_ip, seat.address, CONNECT_MS).await;
+    opened.map_err(|_| Failure::NotSent)
+}
+
+fn request(
+    shared: &Shared,
+    job: &Job,
+    seat: &Seat,
+    left_ms: u64,
+    last_event: Option<&str>,
+) -> http::Request<Full<Bytes>> {
+    let dispatch = Dispatch {
+        target: &seat.target,
+        address: seat.address,
+        left_ms,
+        rank: job.route.rank,
+        last_event,
+    };
+    let mut request = http::Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = shared.protocol.forward(&job.headers, &dispatch);
+    request
+}
+
+/// How long a target may take for the head of its answer. Where another target could answer an
+/// idempotent request, a slow one is left early.
+fn patience_ms(shared: &Shared, job: &Job, seat: &Seat, left_ms: u64) -> u64 {
+    let is_idempotent = job.route.kind == routes::Kind::Idempotent;
+    let has_run_left = job.runs.get() + 1 < job.route.max_attempts;
+    if !is_idempotent || !has_run_left {
+        return left_ms;
+    }
+    let avoid = [seat.target.clone()];
+    let wish = Wish {
+        service: &job.service,
+        model: job.facts.model.as_ref(),
+        prompt: None,
+        avoid: &avoid,
+    };
+    if !shared.fleet.borrow().has_other(shared.now_ms(), &wish, &seat.target) {
+        return left_ms;
+    }
+    let share_ms = (job.route.latency_target_ms as f64 * PATIENCE_SHARE) as u64;
+    share_ms.max(MIN_PATIENCE_MS).min(left_ms)
+}
+
+/// The answer to a request that no target answered.
+fn give_up(shared: &Shared, job: &Job, end: End, why: &str) -> http::Response<Body> {
+    let status = match end {
+        End::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        End::Failed => StatusCode::BAD_GATEWAY,
+        End::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let may_have_run = end != End::NotRun;
+    refused(&job.facts.id, status, why, may_have_run, job.after_ms(shared))
+}
+
+fn refused(
+    id: &str,
+    status: StatusCode,
+    why: &str,
+    may_have_run: bool,
+    after_ms: u64,
+) -> http::Response<Body> {
+    events::emit(id, &Event::Refused { status: status.as_u16(), why, may_have_run, after_ms });
+    let code = status.as_str().to_owned();
+    metrics::counter!("fescuebay_refused_total", "status" => code).increment(1);
+    let mut response = web::empty(status);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let after_ms = rand::rng().random_range(RETRY_AFTER_MS);
+        let text = format!("{:.2}", after_ms as f64 / 1_000.0);
+        if let Ok(value) = http::HeaderValue::from_str(&text) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// The host that the caller names, without a port.
+fn host(head: &http::request::Parts) -> String {
+    let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = named.or_else(|| head.uri.host()).unwrap_or_default();
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+/// The path and query alone, as targets expect them.
+fn path_of(uri: &http::Uri) -> http::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| http::Uri::from_static("/"), http::Uri::from)
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,267 @@
+//! The targets as one router sees them, and the choice among them.
+//!
+//! Load at its worst: a wave of requests for one model at all routers at once, beside targets that
+//! have just died, hang, or answer with errors.
+
+use crate::ids::{Incarnation, ModelRef, ServiceName, TargetId, Zone};
+use crate::membership::table::{Entry, Standing};
+use crate::placement::swap::demand::Running;
+
+/// Time for which a target that failed once is avoided; it doubles with each failure.
+const AVOID_MS: u64 = 400;
+/// Longest time for which a target is avoided.
+const MAX_AVOID_MS: u64 = 5_000;
+/// What another availability zone costs, as a part of one request in flight per slot.
+const ZONE_COST: f64 = 0.6;
+/// What each recent failure costs, on the same scale.
+const FAILURE_COST: f64 = 2.0;
+/// Requests of one conversation that a target is remembered for.
+const MAX_REMEMBERED: usize = 512;
+/// What a cached beginning of the prompt is worth, on the same scale.
+const CACHED_GAIN: f64 = 1.5;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model or adapter, at a model engine.
+    pub model: Option<&'a ModelRef>,
+    /// Names the beginning of its prompt, by which a target may have it cached.
+    pub prompt: Option<u64>,
+    /// Targets that failed it.
+    pub avoid: &'a [TargetId],
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// The target at this place.
+    Target(usize),
+    /// All targets that could serve it are full.
+    Full,
+    /// No target holds the model.
+    NoReplica,
+    /// The service has no targets.
+    NoTarget,
+}
+
+/// A target and what this router knows of it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What the leader tells.
+    pub entry: Entry,
+    /// Requests of this router, by model.
+    running: Vec<(Option<ModelRef>, u32)>,
+    own: u32,
+    /// Requests of all other routers, as last told.
+    others: u32,
+    failures: u32,
+    avoid_until_ms: u64,
+}
+
+impl Target {
+    fn new(entry: Entry) -> Self {
+        let running = Vec::new();
+        Self { entry, running, own: 0, others: 0, failures: 0, avoid_until_ms: 0 }
+    }
+
+    /// Requests in flight, over all routers as far as known.
+    pub fn in_flight(&self) -> u32 {
+        self.own + self.others
+    }
+
+    fn serves(&self, service: &ServiceName) -> bool {
+        self.entry.services.first() == Some(service)
+    }
+
+    fn holds(&self, model: &ModelRef) -> bool {
+        self.entry.replicas.binary_search_by(|replica| replica.model.cmp(model)).is_ok()
+    }
+
+    fn has_room(&self) -> bool {
+        self.in_flight() < self.entry.slots.max(1)
+    }
+}
+
+/// The targets of one router.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    zone: Zone,
+    /// Sorted by id.
+    targets: Vec<Target>,
+    /// Which target last read a prompt that begins so, oldest first.
+    prompts: std::collections::VecDeque<(u64, TargetId)>,
+}
+
+impl Fleet {
+    /// No targets, seen from `zone`.
+    pub fn new(zone: Zone) -> Self {
+        Self { zone, targets: Vec::new(), prompts: std::collections::VecDeque::new() }
+    }
+
+    /// The targets, sorted by id.
+    pub fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    /// The target at a place that [`Fleet::choose`] gave.
+    pub fn target(&self, place: usize) -> &Target {
+        &self.targets[place]
+    }
+
+    /// Takes the entries of the route table, and keeps what is known of targets that stay.
+    pub fn set_entries(&mut self, entries: &[Entry]) {
+        let mut old = std::mem::take(&mut self.targets);
+        for entry in entries {
+            let known = old.iter().position(|target| {
+                target.entry.target == entry.target && target.entry.incarnation == entry.incarnation
+            });
+            let mut target = match known {
+                Some(at) => old.swap_remove(at),
+                None => Target::new(entry.clone()),
+            };
+            target.entry = entry.clone();
+            self.targets.push(target);
+        }
+        self.targets.sort_unstable_by(|a, b| a.entry.target.cmp(&b.entry.target));
+    }
+
+    /// Takes the requests at each target over all routers, sorted by target.
+    pub fn set_totals(&mut self, totals: &[(TargetId, u32)]) {
+        for target in &mut self.targets {
+            let told = totals.binary_search_by(|(id, _)| id.cmp(&target.entry.target));
+            let total = told.map_or(0, |at| totals[at].1);
+            target.others = total.saturating_sub(target.own);
+        }
+    }
+
+    fn place(&self, target: &TargetId) -> Option<usize> {
+        self.targets.binary_search_by(|known| known.entry.target.cmp(target)).ok()
+    }
+
+    /// Chooses a target for a request.
+    pub fn choose(&self, now_ms: u64, wish: &Wish<'_>) -> Choice {
+        let mut best: Option<(f64, usize)> = None;
+        let (mut has_target, mut has_replica) = (false, false);
+        for (at, target) in self.targets.iter().enumerate() {
+            if !target.serves(wish.service) || target.entry.standing == Standing::Leaving {
+                continue;
+            }
+            has_target = true;
+            if wish.model.is_some_and(|model| !target.holds(model)) {
+                continue;
+            }
+            has_replica = true;
+            if !target.has_room() {
+                continue;
+            }
+            let cost = self.cost(now_ms, target, wish);
+            if best.is_none_or(|(best_cost, _)| cost < best_cost) {
+                best = Some((cost, at));
+            }
+        }
+        match best {
+            Some((_, at)) => Choice::Target(at),
+            None if has_replica => Choice::Full,
+            None if has_target => Choice::NoReplica,
+            None => Choice::NoTarget,
+        }
+    }
+
+    /// Whether another target than `target` could take the request.
+    pub fn has_other(&self, now_ms: u64, wish: &Wish<'_>, target: &TargetId) -> bool {
+        match self.choose(now_ms, wish) {
+            Choice::Target(at) => self.targets[at].entry.target != *target,
+            Choice::Full | Choice::NoReplica | Choice::NoTarget => false,
+        }
+    }
+
+    fn cost(&self, now_ms: u64, target: &Target, wish: &Wish<'_>) -> f64 {
+        let entry = &target.entry;
+        let mut cost = f64::from(target.in_flight());
+        if entry.availability_zone != self.zone {
+            cost += ZONE_COST;
+        }
+        cost += f64::from(target.failures) * FAILURE_COST;
+        let is_avoided = wish.avoid.contains(&entry.target);
+        let is_doubtful = entry.standing == Standing::Suspect || now_ms < target.avoid_until_ms;
+        // Any target that is neither avoided nor doubtful goes before all that are.
+        let last = f64::from(entry.slots.max(1)) * 4.0 + 1_000.0;
+        cost += last * f64::from(u32::from(is_doubtful) + 2 * u32::from(is_avoided));
+        let is_cached = |prompt| self.prompts.contains(&(prompt, entry.target.clone()));
+        if wish.prompt.is_some_and(is_cached) {
+            cost -= CACHED_GAIN;
+        }
+        cost
+    }
+
+    /// A request was sent to a target.
+    pub fn begin(&mut self, place: usize, model: Option<&ModelRef>) {
+        let target = &mut self.targets[place];
+        target.own += 1;
+        match target.running.iter_mut().find(|(known, _)| known.as_ref() == model) {
+            Some((_, count)) => *count += 1,
+            None => target.running.push((model.cloned(), 1)),
+        }
+    }
+
+    /// A request of a target has ended.
+    pub fn end(&mut self, target: &TargetId, life: Incarnation, model: Option<&ModelRef>) {
+        let Some(at) = self.place(target) else { return };
+        let target = &mut self.targets[at];
+        if target.entry.incarnation != life {
+            return;
+        }
+        target.own = target.own.saturating_sub(1);
+        if let Some((_, count)) = target.running.iter_mut().find(|(m, _)| m.as_ref() == model) {
+            *count = count.saturating_sub(1);
+        }
+        target.running.retain(|(_, count)| *count > 0);
+    }
+
+    /// A target answered.
+    pub fn succeeded(&mut self, target: &TargetId) {
+        if let Some(at) = self.place(target) {
+            self.targets[at].failures = 0;
+            self.targets[at].avoid_until_ms = 0;
+        }
+    }
+
+    /// A target failed a request.
+    pub fn failed(&mut self, now_ms: u64, target: &TargetId) {
+        let Some(at) = self.place(target) else { return };
+        let target = &mut self.targets[at];
+        let avoid_ms = (AVOID_MS << target.failures.min(8)).min(MAX_AVOID_MS);
+        target.failures = (target.failures + 1).min(8);
+        target.avoid_until_ms = now_ms + avoid_ms;
+    }
+
+    /// A target said that it does not hold a model that the table shows.
+    pub fn lacks(&mut self, target: &TargetId, model: &ModelRef) {
+        if let Some(at) = self.place(target) {
+            self.targets[at].entry.replicas.retain(|replica| replica.model != *model);
+        }
+    }
+
+    /// Remembers that a target read a prompt that begins so.
+    pub fn remember(&mut self, prompt: u64, target: &TargetId) {
+        self.prompts.retain(|(known, at)| *known != prompt || at != target);
+        self.prompts.push_back((prompt, target.clone()));
+        if self.prompts.len() > MAX_REMEMBERED {
+            self.prompts.pop_front();
+        }
+    }
+
+    /// What runs at each target.
+    pub fn running(&self) -> Vec<Running> {
+        let all = self.targets.iter().flat_map(|target| {
+            target.running.iter().map(|(model, count)| Running {
+                target: target.entry.target.clone(),
+                model: model.clone(),
+                count: *count,
+            })
+        });
+        all.collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,274 @@
+//! What all requests of a router share.
+
+use std::cell::{Cell, RefCell};
+use std::net::IpAddr;
+use std::rc::{Rc, Weak};
+
+use tokio::sync::{Notify, oneshot};
+
+use super::budget::{self, Budget};
+use super::fleet::{Choice, Fleet, Wish};
+use super::pool::Pool;
+use super::queue::{Queue, Ticket, Waiter};
+use super::{Protocol, events};
+use crate::clock::BootClock;
+use crate::coordinator::follow;
+use crate::ids::{Incarnation, ModelRef, TargetId, Zone};
+use crate::membership::{feed, table};
+use crate::placement::swap::demand;
+use crate::routes::{self, index};
+
+/// The state of a router.
+pub struct Shared {
+    own: Weak<Shared>,
+    /// The address that connections to targets come from.
+    pub(super) own_ip: IpAddr,
+    pub(super) clock: BootClock,
+    pub(super) protocol: &'static dyn Protocol,
+    decode: routes::Decode,
+    pub(super) index: RefCell<Option<Rc<index::Index>>>,
+    pub(super) fleet: RefCell<Fleet>,
+    pub(super) budget: RefCell<Budget>,
+    pub(super) pool: RefCell<Pool>,
+    queue: RefCell<Queue>,
+    waiting: RefCell<Vec<(Ticket, oneshot::Sender<Seat>)>>,
+    arrivals: RefCell<Vec<(ModelRef, u32)>>,
+    heard_ms: Cell<Option<u64>>,
+    /// Told when something waits that placement should know of at once.
+    pub(super) demand_wake: Notify,
+    pub(super) is_draining: Cell<bool>,
+}
+
+/// What a router is made of.
+pub struct Builder {
+    own_ip: IpAddr,
+    zone: Zone,
+    protocol: &'static dyn Protocol,
+    decode: routes::Decode,
+    clock: BootClock,
+    budget: budget::Settings,
+}
+
+impl Shared {
+    /// A builder of the state of a router in `zone`, which connects from `own_ip`.
+    pub fn builder(
+        own_ip: IpAddr,
+        zone: Zone,
+        protocol: &'static dyn Protocol,
+        decode: routes::Decode,
+    ) -> Builder {
+        let budget = budget::Settings { ratio: 0.1, slack: 10.0, window_ms: 10_000 };
+        Builder { own_ip, zone, protocol, decode, clock: BootClock::system(), budget }
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Whether it can serve requests: it has a document and is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        self.index.borrow().is_some() && !self.is_draining.get()
+    }
+
+    /// How long ago a leader told of the targets.
+    pub(super) fn table_age_ms(&self) -> Option<u64> {
+        Some(self.now_ms().saturating_sub(self.heard_ms.get()?))
+    }
+
+    /// Counts a request for a model.
+    pub(super) fn arrived(&self, model: &ModelRef) {
+        let mut arrivals = self.arrivals.borrow_mut();
+        match arrivals.binary_search_by(|(known, _)| known.cmp(model)) {
+            Ok(at) => arrivals[at].1 += 1,
+            Err(at) => arrivals.insert(at, (model.clone(), 1)),
+        }
+    }
+
+    /// Takes a seat at the best target, if one has room now.
+    pub(super) fn try_seat(&self, wish: &Wish<'_>) -> Result<Seat, Choice> {
+        let choice = self.fleet.borrow().choose(self.now_ms(), wish);
+        match choice {
+            Choice::Target(place) => Ok(self.seat(place, wish.model)),
+            other => Err(other),
+        }
+    }
+
+    fn seat(&self, place: usize, model: Option<&ModelRef>) -> Seat {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.begin(place, model);
+        let target = fleet.target(place);
+        Seat {
+            shared: Weak::clone(&self.own),
+            target: target.entry.target.clone(),
+            life: target.entry.incarnation,
+            address: target.entry.address,
+            in_flight: target.in_flight(),
+            model: model.cloned(),
+        }
+    }
+
+    /// Waits for a seat. Dropping the future leaves the queue.
+    pub(super) async fn wait(&self, id: &str, mut waiter: Waiter, why: Choice) -> Option<Seat> {
+        let ticket = self.queue.borrow_mut().next_ticket();
+        waiter.ticket = ticket;
+        let is_new_demand = matches!(why, Choice::NoReplica);
+        self.queue.borrow_mut().insert(waiter);
+        let (sender, seat) = oneshot::channel();
+        self.waiting.borrow_mut().push((ticket, sender));
+        let leave = Leave { shared: self, ticket };
+        let waiting = self.queue.borrow().len();
+        events::emit(id, &events::Event::Queued { why: reason(why), waiting });
+        if is_new_demand {
+            self.demand_wake.notify_one();
+        }
+        let seat = seat.await.ok();
+        drop(leave);
+        seat
+    }
+
+    /// Gives free targets to those who wait.
+    pub(super) fn pump(&self) {
+        if self.queue.borrow().is_empty() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let served = self.queue.borrow_mut().serve(|waiter| {
+            let wish = Wish {
+                service: &waiter.service,
+                model: waiter.model.as_ref(),
+                prompt: waiter.prompt,
+                avoid: &waiter.avoid,
+            };
+            let choice = self.fleet.borrow().choose(now_ms, &wish);
+            match choice {
+                Choice::Target(place) => Some(self.seat(place, waiter.model.as_ref())),
+                Choice::Full | Choice::NoReplica | Choice::NoTarget => None,
+            }
+        });
+        for (waiter, seat) in served {
+            let mut waiting = self.waiting.borrow_mut();
+            let Some(at) = waiting.iter().position(|(ticket, _)| *ticket == waiter.ticket) else {
+                continue;
+            };
+            let (_, sender) = waiting.swap_remove(at);
+            drop(waiting);
+            // One who has just left gives the seat back by dropping it.
+            let _ = sender.send(seat);
+        }
+    }
+
+    /// What waits and runs here, and what arrived since this was last asked.
+    pub(super) fn take_usage(&self) -> demand::Usage {
+        demand::Usage {
+            arrivals: self.arrivals.take(),
+            waiting: self.queue.borrow().waiting(self.now_ms()),
+            running: self.fleet.borrow().running(),
+        }
+    }
+}
+
+/// Why a request waits, for its log line.
+fn reason(choice: Choice) -> &'static str {
+    match choice {
+        Choice::Target(_) => "a target is free",
+        Choice::Full => "all targets are full",
+        Choice::NoReplica => "no target holds the model",
+        Choice::NoTarget => "the service has no targets",
+    }
+}
+
+/// Leaves the queue when it is dropped.
+struct Leave<'a> {
+    shared: &'a Shared,
+    ticket: Ticket,
+}
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        self.shared.queue.borrow_mut().remove(self.ticket);
+        self.shared.waiting.borrow_mut().retain(|(ticket, _)| *ticket != self.ticket);
+    }
+}
+
+/// A request's place at a target. Dropping it gives the place to whoever waits.
+pub(super) struct Seat {
+    shared: Weak<Shared>,
+    pub target: TargetId,
+    pub life: Incarnation,
+    pub address: std::net::SocketAddr,
+    /// Requests in flight there, this one included.
+    pub in_flight: u32,
+    model: Option<ModelRef>,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let Some(shared) = self.shared.upgrade() else { return };
+        shared.fleet.borrow_mut().end(&self.target, self.life, self.model.as_ref());
+        shared.pump();
+    }
+}
+
+impl follow::Follower for Shared {
+    fn usage(&self) -> demand::Usage {
+        self.take_usage()
+    }
+
+    fn take_document(&self, version: routes::Version, text: &[u8]) {
+        match (self.decode)(text) {
+            Ok(document) => {
+                log::info!("document {version} is in force");
+                self.index.replace(Some(Rc::new(index::Index::new(document))));
+            }
+            Err(report) => log::error!("document {version} cannot be read: {report}"),
+        }
+    }
+
+    fn table_changed(&self, feed: &feed::Feed) {
+        let entries: &[table::Entry] = feed.table().entries();
+        self.fleet.borrow_mut().set_entries(entries);
+        self.pump();
+    }
+
+    fn take_load(&self, routers: u32, running: &[(TargetId, u32)]) {
+        self.heard_ms.set(Some(self.now_ms()));
+        self.budget.borrow_mut().set_routers(routers);
+        self.fleet.borrow_mut().set_totals(running);
+        self.pump();
+    }
+}
+
+impl Builder {
+    /// Sets the clock.
+    pub fn clock(mut self, clock: BootClock) -> Self {
+        self.clock = clock;
+        self
+    }
+
+    /// Sets the budget for repeats.
+    pub fn budget(mut self, budget: budget::Settings) -> Self {
+        self.budget = budget;
+        self
+    }
+
+    /// The state of a router.
+    pub fn build(self) -> Rc<Shared> {
+        Rc::new_cyclic(|own| Shared {
+            own: Weak::clone(own),
+            own_ip: self.own_ip,
+            clock: self.clock,
+            protocol: self.protocol,
+            decode: self.decode,
+            index: RefCell::default(),
+            fleet: RefCell::new(Fleet::new(self.zone)),
+            budget: RefCell::new(Budget::new(self.budget)),
+            pool: RefCell::default(),
+            queue: RefCell::default(),
+            waiting: RefCell::default(),
+            arrivals: RefCell::default(),
+            heard_ms: Cell::new(None),
+            demand_wake: Notify::new(),
+            is_draining: Cell::new(false),
+        })
+    }
+}
--- a/src/logging.rs
+++ b/src/logging/mod.rs
@@ -1,4 +1,7 @@
-//! Log lines for people, or one JSON object a line. Lines go to standard error.
+//! Log lines for people, or one JSON object a line. Lines go to standard error; those of a VM with one
+//! role go to standard output, over a [`ring`].
+
+pub mod ring;
 
 use std::fmt;
 use std::io::{self, IsTerminal};
@@ -44,6 +47,32 @@
     dispatch.chain(io::stderr()).apply().change_context(Error)
 }
 
+/// Sends log lines to standard output from now on, as JSON, without ever waiting for its reader.
+///
+/// # Errors
+///
+/// Fails if the process has a log already, or the system refuses a thread.
+pub fn start_events(verbosity: u8) -> Result<ring::Ring> {
+    let ring = ring::Ring::start(io::stdout()).change_context(Error)?;
+    let dispatch = fern::Dispatch::new().level(level(log::LevelFilter::Info, verbosity)).format(
+        |out, message, record| {
+            out.finish(format_args!("{}", event(SystemTime::now(), record, message)));
+        },
+    );
+    let writer: Box<dyn io::Write + Send> = Box::new(ring.clone());
+    dispatch.chain(writer).apply().change_context(Error)?;
+    Ok(ring)
+}
+
+/// One JSON line. The message of a request's line is an object already, and is put in as one.
+fn event(now: SystemTime, record: &log::Record<'_>, message: &fmt::Arguments<'_>) -> String {
+    if record.target() != crate::gateway::events::TARGET {
+        return json(now, record, message);
+    }
+    let time = humantime::format_rfc3339_millis(now);
+    format!("{{\"time\":\"{time}\",\"request\":{message}}}")
+}
+
 /// The level that `verbosity` steps raise `level` to.
 pub fn level(level: log::LevelFilter, verbosity: u8) -> log::LevelFilter {
     let raised = level as usize + usize::from(verbosity);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,7 +1,7 @@
 //! What is loaded where: replicas, loads, memory and orders.
 //!
 //! [`planner::Planner`] decides and [`driver::Driver`] carries its orders to targets. The other
-//! modules hold what the planner decides with.
+//! modules hold what the planner decides with. [`swap`] plans for engines of another contract.
 
 pub mod catalogue;
 pub mod choose;
@@ -15,6 +15,7 @@
 pub mod replicas;
 pub mod schedule;
 pub mod settings;
+pub mod swap;
 
 pub use planner::{Action, Event, Planner};
 pub use settings::Settings;
--- /dev/null
+++ b/src/placement/swap/demand.rs
@@ -0,0 +1,152 @@
+//! What routers ask for: arrivals, what waits and what runs.
+
+use crate::ids::{DaemonId, ModelName, ModelRef, TargetId};
+
+/// Time between two looks at demand that fades.
+pub const PERIOD_MS: u64 = 250;
+/// Time in which the count of past arrivals falls to a third.
+const RATE_TAU_MS: f64 = 3_000.0;
+/// A router that told nothing for this long has nothing waiting or running.
+const SILENT_MS: u64 = 2_500;
+
+/// What one router has waiting and running, and what arrived since it last told.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Usage {
+    /// Requests that arrived since the last report.
+    pub arrivals: Vec<(ModelRef, u32)>,
+    /// Requests that wait for a replica.
+    pub waiting: Vec<Waiting>,
+    /// Requests at targets.
+    pub running: Vec<Running>,
+}
+
+/// Requests that wait for one model or adapter.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Waiting {
+    /// The model or adapter.
+    pub model: ModelRef,
+    /// How many wait.
+    pub count: u32,
+    /// The least time that one of them has left to be timely.
+    pub slack_ms: i64,
+}
+
+/// Requests at one target.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Running {
+    /// The target.
+    pub target: TargetId,
+    /// The model or adapter; `None` at plain services.
+    pub model: Option<ModelRef>,
+    /// How many run or wait there.
+    pub count: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Rate {
+    model: ModelName,
+    count: f64,
+    at_ms: u64,
+}
+
+impl Rate {
+    fn decayed(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.count * (-age_ms / RATE_TAU_MS).exp()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Told {
+    daemon: DaemonId,
+    at_ms: u64,
+    usage: Usage,
+}
+
+/// The demand of all routers.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// Sorted by daemon.
+    told: Vec<Told>,
+    /// Sorted by model.
+    rates: Vec<Rate>,
+}
+
+impl Demand {
+    /// Takes the report of a router.
+    pub fn take(&mut self, now_ms: u64, daemon: DaemonId, usage: Usage) {
+        for (model, count) in &usage.arrivals {
+            self.arrived(now_ms, &model.model, *count);
+        }
+        let told = Told { daemon, at_ms: now_ms, usage };
+        match self.told.binary_search_by(|known| known.daemon.cmp(&told.daemon)) {
+            Ok(at) => self.told[at] = told,
+            Err(at) => self.told.insert(at, told),
+        }
+    }
+
+    fn arrived(&mut self, now_ms: u64, model: &ModelName, count: u32) {
+        let at = match self.rates.binary_search_by(|rate| rate.model.cmp(model)) {
+            Ok(at) => at,
+            Err(at) => {
+                let rate = Rate { model: model.clone(), count: 0.0, at_ms: now_ms };
+                self.rates.insert(at, rate);
+                at
+            }
+        };
+        let rate = &mut self.rates[at];
+        rate.count = rate.decayed(now_ms) + f64::from(count);
+        rate.at_ms = now_ms;
+    }
+
+    /// Drops what routers told that have been silent since.
+    pub fn forget_silent(&mut self, now_ms: u64) {
+        self.told.retain(|told| now_ms.saturating_sub(told.at_ms) < SILENT_MS);
+    }
+
+    /// Recent arrivals a second.
+    pub fn rate_per_s(&self, now_ms: u64, model: &ModelName) -> f64 {
+        match self.rates.binary_search_by(|rate| rate.model.cmp(model)) {
+            Ok(at) => self.rates[at].decayed(now_ms) * 1_000.0 / RATE_TAU_MS,
+            Err(_) => 0.0,
+        }
+    }
+
+    /// All that waits, at all routers.
+    pub fn waiting(&self) -> impl Iterator<Item = &Waiting> {
+        self.told.iter().flat_map(|told| &told.usage.waiting)
+    }
+
+    /// Requests that wait for a model, with or without an adapter.
+    pub fn waiting_for(&self, model: &ModelName) -> u32 {
+        self.waiting().filter(|w| w.model.model == *model).map(|w| w.count).sum()
+    }
+
+    /// All that runs, at all routers.
+    pub fn running(&self) -> impl Iterator<Item = &Running> {
+        self.told.iter().flat_map(|told| &told.usage.running)
+    }
+
+    /// Requests of a model at all targets.
+    pub fn running_of(&self, model: &ModelName) -> u32 {
+        let is_it = |running: &&Running| {
+            running.model.as_ref().is_some_and(|running| running.model == *model)
+        };
+        self.running().filter(is_it).map(|running| running.count).sum()
+    }
+
+    /// Requests at each target, over all routers, sorted by target.
+    pub fn by_target(&self) -> Vec<(TargetId, u32)> {
+        let mut totals: Vec<(TargetId, u32)> = Vec::new();
+        for running in self.running() {
+            match totals.binary_search_by(|(target, _)| target.cmp(&running.target)) {
+                Ok(at) => totals[at].1 += running.count,
+                Err(at) => totals.insert(at, (running.target.clone(), running.count)),
+            }
+        }
+        totals
+    }
+}
--- /dev/null
+++ b/src/placement/swap/mod.rs
@@ -0,0 +1,323 @@
+//! Placement on engines that hold few models, carry out one order at a time, and keep copies of
+//! weights on their disks.
+//!
+//! [`Planner::on`] takes the time and an event and returns orders. Most models are asked for
+//! seldom and do not fit into accelerator memory together. So each is read once from the weight
+//! store onto some disk ([`plan`]), from where it replaces an idle one in well under a second when
+//! it is asked for. Models in constant use get as many replicas as their requests in flight need.
+//!
+//! The other planner of this module's parent gives overlapping orders and settles them by ids; it
+//! does not fit engines that count the orders which they accept.
+
+mod adapters;
+pub mod demand;
+mod plan;
+mod site;
+
+use crate::ids::{AdapterName, DaemonId, Incarnation, ModelName, ModelRef, TargetId, Term};
+use crate::routes;
+use crate::target::order;
+
+use site::Site;
+pub use site::Source;
+
+/// What an order does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Load a model or adapter.
+    Load,
+    /// Unload it once its requests have ended.
+    Unload,
+}
+
+/// One order to one engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The engine.
+    pub target: TargetId,
+    /// Its life; another life refuses the order.
+    pub incarnation: Incarnation,
+    /// Where it is called.
+    pub address: std::net::SocketAddr,
+    /// Names the order towards the planner.
+    pub ticket: u64,
+    /// The number of orders that the engine has accepted before this one.
+    pub expected_orders: u64,
+    /// The term of the leader, by which engines tell old leaders.
+    pub fencing: Term,
+    /// What to do.
+    pub operation: Operation,
+    /// To which model or adapter.
+    pub model: ModelRef,
+}
+
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for is so already.
+    Holds,
+    /// Another order is being carried out, or the count of orders differs.
+    Conflict,
+    /// A later leader has given orders.
+    Fenced,
+    /// It is not known to the engine, or another engine answered.
+    Refused,
+    /// No answer came: it may be carried out now, later or never.
+    Lost,
+}
+
+/// What an engine tells when it is asked. It is some hundred milliseconds old.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// The life that tells it, where it is told.
+    pub incarnation: Option<Incarnation>,
+    /// Orders accepted so far.
+    pub orders: u64,
+    /// Whether an order is being carried out.
+    pub is_busy: bool,
+    /// The models held, with their adapters.
+    pub holds: Vec<(ModelName, Vec<AdapterName>)>,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The engines of the service are these.
+    Engine(routes::Engine),
+    /// An engine announced itself.
+    State(Box<order::State>),
+    /// An engine is gone.
+    Gone(TargetId, Incarnation),
+    /// A router tells what it has waiting and running.
+    Usage(DaemonId, demand::Usage),
+    /// An order was answered, or its answer is lost.
+    Answered {
+        /// The engine.
+        target: TargetId,
+        /// The order's ticket.
+        ticket: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// An engine was read, or could not be.
+    Read {
+        /// The engine.
+        target: TargetId,
+        /// What it told.
+        reading: Option<Reading>,
+    },
+    /// Time went on; due at [`Planner::wake_ms`].
+    Tick,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an order and report its answer.
+    Send(Order),
+    /// Read the state of an engine and report it.
+    Read {
+        /// The engine.
+        target: TargetId,
+        /// Its life.
+        incarnation: Incarnation,
+        /// Where it is called.
+        address: std::net::SocketAddr,
+    },
+    /// The replicas that routers may use on this engine differ.
+    Changed(TargetId),
+}
+
+/// Limits and times of a planner.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Loads from the weight store at once, over all engines.
+    pub store_at_once: usize,
+    /// Time before the first order of a term, in which an earlier leader's orders end.
+    pub takeover_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { store_at_once: 4, takeover_ms: 3_000 }
+    }
+}
+
+/// Decides which engine of one service holds which models.
+#[derive(Debug)]
+pub struct Planner {
+    term: Term,
+    settings: Settings,
+    start_ms: u64,
+    now_ms: u64,
+    engine: routes::Engine,
+    /// Sorted by target.
+    sites: Vec<Site>,
+    demand: demand::Demand,
+    /// When loads from the weight store were ordered, oldest first.
+    store_starts_ms: std::collections::VecDeque<u64>,
+    next_ticket: u64,
+    is_fenced: bool,
+    actions: Vec<Action>,
+}
+
+impl Planner {
+    /// The planner of the leader of `term`, which begins at `now_ms`.
+    pub fn new(term: Term, settings: Settings, now_ms: u64) -> Self {
+        Self {
+            term,
+            settings,
+            start_ms: now_ms,
+            now_ms,
+            engine: routes::Engine::default(),
+            sites: Vec::new(),
+            demand: demand::Demand::default(),
+            store_starts_ms: std::collections::VecDeque::new(),
+            next_ticket: 0,
+            is_fenced: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes an event at `now_ms` and returns what to do, in order.
+    pub fn on(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.take(event);
+        self.step_sites();
+        if self.may_order() {
+            self.plan();
+            self.plan_adapters();
+            self.send_due();
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When [`Event::Tick`] is due.
+    pub fn wake_ms(&self) -> u64 {
+        let sites = self.sites.iter().filter_map(|site| site.wake_ms(self.now_ms));
+        sites.min().unwrap_or(u64::MAX).min(self.now_ms + demand::PERIOD_MS)
+    }
+
+    /// The models and adapters that routers may use on an engine, sorted.
+    pub fn replicas(&self, target: &TargetId) -> Option<Vec<ModelRef>> {
+        let site = &self.sites[self.place(target).ok()?];
+        Some(site.replicas(self.now_ms))
+    }
+
+    /// Whether a later leader's orders were met, so that this one gives no more.
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    fn may_order(&self) -> bool {
+        !self.is_fenced && self.now_ms >= self.start_ms + self.settings.takeover_ms
+    }
+
+    fn place(&self, target: &TargetId) -> Result<usize, usize> {
+        self.sites.binary_search_by(|site| site.target.cmp(target))
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Engine(engine) => self.engine = engine,
+            Event::State(state) => self.on_state(&state),
+            Event::Gone(target, incarnation) => self.on_gone(&target, incarnation),
+            Event::Usage(daemon, usage) => self.demand.take(self.now_ms, daemon, usage),
+            Event::Answered { target, ticket, reply } => self.on_answer(&target, ticket, reply),
+            Event::Read { target, reading } => self.on_reading(&target, reading),
+            Event::Tick => self.demand.forget_silent(self.now_ms),
+        }
+    }
+
+    fn on_state(&mut self, state: &order::State) {
+        let place = self.place(&state.target);
+        match place {
+            Ok(at) if self.sites[at].incarnation > state.incarnation => return,
+            Ok(at) if self.sites[at].incarnation < state.incarnation => {
+                self.sites[at] = Site::new(state, self.now_ms);
+            }
+            Ok(at) => self.sites[at].announced(state, self.now_ms),
+            Err(at) => self.sites.insert(at, Site::new(state, self.now_ms)),
+        }
+        self.actions.push(Action::Changed(state.target.clone()));
+    }
+
+    fn on_gone(&mut self, target: &TargetId, incarnation: Incarnation) {
+        if let Ok(at) = self.place(target)
+            && self.sites[at].incarnation <= incarnation
+        {
+            self.sites.remove(at);
+        }
+    }
+
+    fn on_answer(&mut self, target: &TargetId, ticket: u64, reply: Reply) {
+        let Ok(at) = self.place(target) else { return };
+        self.is_fenced |= reply == Reply::Fenced;
+        if self.sites[at].answered(self.now_ms, ticket, reply) {
+            self.actions.push(Action::Changed(target.clone()));
+        }
+    }
+
+    fn on_reading(&mut self, target: &TargetId, reading: Option<Reading>) {
+        let Ok(at) = self.place(target) else { return };
+        if self.sites[at].read(self.now_ms, reading) {
+            self.actions.push(Action::Changed(target.clone()));
+        }
+    }
+
+    /// Asks engines whose state is unclear, and ends steps that are done.
+    fn step_sites(&mut self) {
+        for site in &mut self.sites {
+            site.note_running(&self.demand, self.now_ms);
+            if site.take_ready(self.now_ms) {
+                self.actions.push(Action::Changed(site.target.clone()));
+            }
+            if site.take_read_due(self.now_ms) {
+                self.actions.push(Action::Read {
+                    target: site.target.clone(),
+                    incarnation: site.incarnation,
+                    address: site.address,
+                });
+            }
+        }
+    }
+
+    /// Sends the orders whose time has come.
+    fn send_due(&mut self) {
+        for at in 0..self.sites.len() {
+            let Some((operation, model)) = self.sites[at].next_order(self.now_ms) else { continue };
+            self.send(at, operation, model);
+        }
+    }
+
+    fn send(&mut self, at: usize, operation: Operation, model: ModelRef) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let is_store_load = operation == Operation::Load
+            && !model.is_adapter()
+            && self.sites[at].source(&model.model) == Source::Store;
+        if is_store_load && !self.sites[at].is_repeat(&model) {
+            self.store_starts_ms.push_back(self.now_ms);
+        }
+        let site = &mut self.sites[at];
+        let Some(expected_orders) = site.sent(ticket, operation, &model) else {
+            return;
+        };
+        self.actions.push(Action::Send(Order {
+            target: site.target.clone(),
+            incarnation: site.incarnation,
+            address: site.address,
+            ticket,
+            expected_orders,
+            fencing: self.term,
+            operation,
+            model,
+        }));
+    }
+
+    fn spec(&self, model: &ModelName) -> Option<&routes::Model> {
+        self.engine.models.iter().find(|spec| spec.name == *model)
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,6 +9,7 @@
 mod reader;
 mod sections;
 pub mod tokens;
+pub mod vm;
 
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
--- /dev/null
+++ b/src/web/client.rs
@@ -0,0 +1,96 @@
+//! One connection to one peer, used for one request at a time.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::task::JoinHandle;
+
+use super::{Error, socket};
+
+/// A connection. Dropping it closes the socket, also in the middle of an answer.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Connects from `own_ip` to `address` within `timeout_ms`.
+    ///
+    /// # Errors
+    /// [`Error::Connect`]: nothing was sent.
+    pub async fn open(own_ip: IpAddr, address: SocketAddr, timeout_ms: u64) -> Result<Self, Error> {
+        let connecting = socket::connect(own_ip, address);
+        let limit = Duration::from_millis(timeout_ms);
+        let Ok(Ok(stream)) = tokio::time::timeout(limit, connecting).await else {
+            return Err(Error::Connect);
+        };
+        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|_| Error::Connect)?;
+        let task = tokio::task::spawn_local(async move {
+            // An error ends the request that waits, where it is seen.
+            let _ = connection.await;
+        });
+        Ok(Self { sender, task })
+    }
+
+    /// Whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and returns the head of its answer.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] if the connection had ended before anything was sent, [`Error::Malformed`]
+    /// or [`Error::Broken`] otherwise.
+    pub async fn send(
+        &mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, Error> {
+        self.sender.ready().await.map_err(|_| Error::Connect)?;
+        self.sender.send_request(request).await.map_err(|error| match error {
+            _ if error.is_canceled() => Error::Connect,
+            _ if error.is_parse() => Error::Malformed,
+            _ => Error::Broken,
+        })
+    }
+}
+
+/// Sends one request over a connection of its own and reads the whole answer.
+///
+/// # Errors
+/// [`Error::Timeout`] after `timeout_ms`, otherwise as [`Connection::open`] and
+/// [`Connection::send`].
+pub async fn ask(
+    own_ip: IpAddr,
+    address: SocketAddr,
+    request: http::Request<Full<Bytes>>,
+    timeout_ms: u64,
+    limit_bytes: usize,
+) -> Result<http::Response<Bytes>, Error> {
+    let asked = async {
+        let mut connection = Connection::open(own_ip, address, timeout_ms).await?;
+        let (head, body) = connection.send(request).await?.into_parts();
+        let body = super::collect(body, limit_bytes).await?;
+        Ok(http::Response::from_parts(head, body))
+    };
+    let limit = Duration::from_millis(timeout_ms);
+    tokio::time::timeout(limit, asked).await.unwrap_or(Err(Error::Timeout))
+}
--- /dev/null
+++ b/src/web/mod.rs
@@ -0,0 +1,77 @@
+//! HTTP/1.1 on one thread: a server, connections to peers, and the options of their sockets.
+
+pub mod client;
+pub mod server;
+pub mod socket;
+
+use std::fmt;
+use std::pin::Pin;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+
+/// The body of an answer. It stays on the thread that made it.
+pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = Error>>>;
+
+/// Why an exchange over HTTP failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// An address cannot be listened on.
+    Listen,
+    /// No connection was made: nothing was sent.
+    Connect,
+    /// The connection ended or broke after something may have been sent.
+    Broken,
+    /// What came is not HTTP.
+    Malformed,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The answer took too long.
+    Timeout,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Error::Listen => "the address cannot be listened on",
+            Error::Connect => "no connection was made",
+            Error::Broken => "the connection broke",
+            Error::Malformed => "what came is not HTTP",
+            Error::TooLarge => "the body is larger than allowed",
+            Error::Timeout => "no answer came in time",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The result of an exchange over HTTP.
+pub type Result<T> = std::result::Result<T, error_stack::Report<Error>>;
+
+/// A body of these bytes.
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
+}
+
+/// An answer without a body.
+pub fn empty(status: http::StatusCode) -> http::Response<Body> {
+    let mut response = http::Response::new(whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a whole body of at most `limit_bytes`.
+///
+/// # Errors
+/// [`Error::TooLarge`], or [`Error::Broken`] when the connection ends before the body does.
+pub async fn collect(
+    body: hyper::body::Incoming,
+    limit_bytes: usize,
+) -> std::result::Result<Bytes, Error> {
+    let limited = http_body_util::Limited::new(body, limit_bytes);
+    match limited.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Error::TooLarge),
+        Err(_) => Err(Error::Broken),
+    }
+}
