Leader: a target that left is taken from the routers while placement is at work

Change: the event goes to all planners in one step; panics are logged; a leader without a lease takes no announcements.

--- a/src/cli/role.rs
+++ b/src/cli/role.rs
@@ -30,6 +30,8 @@
 pub(super) fn run(role: Role, file: &Path, verbosity: u8) -> Result<()> {
     let settings = read(role, file)?;
     let lines = logging::start_events(verbosity).change_context_lazy(|| failed("start logging"))?;
+    // A task that panics ends alone, so it has to be told.
+    std::panic::set_hook(Box::new(|panic| log::error!("a task has failed: {panic}")));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.change_context_lazy(|| failed("start the runtime"))?;
     log::info!("start: {role} {} in {}", settings.vm.ip, settings.vm.availability_zone);
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -198,11 +198,7 @@
                 }
                 Effect::State(state) => self.plan_on(&state.clone(), swap::Event::State(state)),
                 Effect::Gone(target, incarnation) => {
-                    let now_ms = self.parts.clock.now_ms();
-                    for (_, planner) in self.planners.borrow_mut().iter_mut() {
-                        let event = swap::Event::Gone(target.clone(), incarnation);
-                        self.carry_out(planner.on(now_ms, event));
-                    }
+                    self.take_event(&swap::Event::Gone(target, incarnation));
                 }
             }
         }
@@ -247,7 +243,9 @@
             return;
         }
         feed.push(changes);
+        let (cursor, targets) = (feed.cursor(), feed.table().entries().len());
         drop(feed);
+        log::debug!("route table {}.{}: {targets} targets", cursor.term, cursor.sequence);
         self.tell();
     }
 
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -274,6 +274,10 @@
                 self.client.add(&voter.daemon);
                 Reply::Joined(self.join(&voter))
             }
+            // A leader that others have replaced must not vouch for what they do not hear of.
+            Request::Announced(_) | Request::Left(..) if self.lease_left_ms() == Some(0) => {
+                Reply::NotLeader(None)
+            }
             Request::Announced(state) => {
                 leader.announced(*state);
                 Reply::Done
--- /dev/null
+++ b/tests/coordinator_leader.rs
@@ -0,0 +1,159 @@
+//! The leader's work on targets, with engines in memory and paused time.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fescuebay::clock::BootClock;
+use fescuebay::coordinator::leader::{Leader, Parts};
+use fescuebay::coordinator::message::Watch;
+use fescuebay::coordinator::{Engines, daemon_at};
+use fescuebay::ids::{DaemonId, Incarnation, ModelRef, TargetId, Term};
+use fescuebay::membership::feed::{Cursor, Feed};
+use fescuebay::membership::targets;
+use fescuebay::placement::swap::demand::{Usage, Waiting};
+use fescuebay::placement::swap::{Order, Reading, Reply, Settings};
+use fescuebay::platform;
+use fescuebay::routes::Version;
+use fescuebay::target::order::{Cached, Held, Kind, Load, Phase, State, Tier};
+use fescuebay::units::Bytes;
+use futures::future::LocalBoxFuture;
+use tokio::task::LocalSet;
+
+/// Engines that take every order and tell that they have taken none.
+struct Obedient;
+
+impl Engines for Obedient {
+    fn order(&self, _holder: DaemonId, _order: Order) -> LocalBoxFuture<'static, Reply> {
+        Box::pin(std::future::ready(Reply::Accepted))
+    }
+
+    fn read(
+        &self,
+        _target: TargetId,
+        incarnation: Incarnation,
+        _address: SocketAddr,
+    ) -> LocalBoxFuture<'static, Option<Reading>> {
+        let reading = Reading { incarnation: Some(incarnation), ..Reading::default() };
+        Box::pin(std::future::ready(Some(reading)))
+    }
+}
+
+const DOCUMENT: &str = r#"{"version":3,"routes":[],"services":[{"name":"engines","engine":
+  {"slots":8,"weightsMb":230,"adapterSlots":2,"loadsPerS":3,"models":[
+  {"name":"m0","weightsMb":200,"loadS":6,"warmS":0.6,"diskS":0.8},
+  {"name":"m1","weightsMb":200,"loadS":6,"warmS":0.6,"diskS":0.8}]}}]}"#;
+
+fn router() -> DaemonId {
+    daemon_at([10, 0, 0, 9].into())
+}
+
+fn model(name: &str) -> ModelRef {
+    name.parse().unwrap()
+}
+
+/// An engine that holds m0 and has m1 on its disk.
+fn state(target: &str, sequence: u64) -> State {
+    State {
+        target: target.parse().unwrap(),
+        incarnation: Incarnation(7),
+        sequence,
+        kind: Kind::Assistant,
+        availability_zone: "z".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        memory_bytes: Bytes(0),
+        accelerators: 1,
+        holds: vec![Held {
+            model: model("m0"),
+            version: "1".parse().unwrap(),
+            phase: Phase::Loaded,
+            memory_bytes: Bytes(0),
+        }],
+        cached: vec![Cached {
+            model: model("m1"),
+            version: "any".parse().unwrap(),
+            tier: Tier::Disk,
+        }],
+        services: vec!["engines".parse().unwrap()],
+        checks_fencing: true,
+        load: Load { running: 0, waiting: 0, slots: 8 },
+        leaving: false,
+    }
+}
+
+fn leader(takeover_ms: u64) -> Rc<Leader> {
+    let parts = Parts {
+        own: daemon_at([10, 0, 0, 1].into()),
+        clock: BootClock::with(|| 0),
+        engines: Rc::new(Obedient),
+        silence: targets::Settings { suspect_ms: 3_600, dead_ms: 6_000 },
+        placement: Settings { takeover_ms, ..Settings::default() },
+        is_leased: Rc::new(|| true),
+    };
+    let leader = Leader::start(Term(1), parts, &[]);
+    leader.take_document(Version(3), DOCUMENT.into(), platform::document::decode);
+    leader
+}
+
+fn question(cursor: Cursor) -> Watch {
+    let routes = Version(3);
+    Watch { is_router: true, cursor, routes, usage: Usage::default() }
+}
+
+async fn follow(leader: &Leader, feed: &mut Feed) {
+    let news = leader.watch(&router(), question(feed.cursor()), Vec::new()).await.unwrap();
+    feed.follow(news.batch);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_left_is_taken_from_routers_while_placement_is_at_work() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader(100);
+            leader.announced(state("a", 1));
+            leader.announced(state("b", 1));
+            let mut feed = Feed::default();
+            follow(&leader, &mut feed).await;
+            assert_eq!(feed.table().entries().len(), 2);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            // Placement may not order yet, so this waits for the next event.
+            let waiting = vec![Waiting { model: model("m1"), count: 1, slack_ms: 500 }];
+            leader.usage(&router(), Usage { waiting, ..Usage::default() });
+            tokio::time::sleep(Duration::from_millis(90)).await;
+            leader.left(&"a".parse().unwrap(), Some(Incarnation(7)));
+            follow(&leader, &mut feed).await;
+            let left: Vec<String> =
+                feed.table().entries().iter().map(|entry| entry.target.to_string()).collect();
+            assert_eq!(left, ["b"]);
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_announcement_does_not_bring_back_a_target_that_left() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader(0);
+            leader.announced(state("a", 5));
+            leader.left(&"a".parse().unwrap(), None);
+            leader.announced(state("a", 4));
+            leader.announced(state("a", 6));
+            let mut feed = Feed::default();
+            follow(&leader, &mut feed).await;
+            assert!(feed.table().entries().is_empty());
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_without_a_lease_tells_no_news() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader(0);
+            leader.announced(state("a", 1));
+            leader.stop();
+            let asked = question(Cursor::default());
+            assert!(leader.watch(&router(), asked, Vec::new()).await.is_none());
+        })
+        .await;
+}
