--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -23,6 +23,11 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// A router that did not ask for news for this long does not count.
 const ROUTER_GONE_MS: u64 = 4_000;
+/// Followers are woken at most once in a time that grows with the routers: a millisecond for each of
+/// these.
+const ROUTERS_PER_MS: u64 = 2;
+/// The longest time between two wakes.
+const MAX_GAP_MS: u64 = 100;
 /// The version of weights, where engines keep but the newest.
 const ONLY_VERSION: &str = "newest";
 
@@ -56,6 +61,9 @@
     routers: RefCell<Vec<(DaemonId, u64)>>,
     document: RefCell<(routes::Version, bytes::Bytes)>,
     news: watch::Sender<u64>,
+    /// When followers were last woken, and whether they are about to be.
+    told_ms: Cell<u64>,
+    is_telling: Cell<bool>,
     wake: Notify,
     own: Weak<Leader>,
     is_stopped: Cell<bool>,
@@ -77,6 +85,8 @@
             routers: RefCell::default(),
             document: RefCell::default(),
             news: watch::Sender::new(0),
+            told_ms: Cell::new(0),
+            is_telling: Cell::new(false),
             wake: Notify::new(),
             is_stopped: Cell::new(false),
             tasks: RefCell::default(),
@@ -183,13 +193,7 @@
         for effect in effects {
             match effect {
                 Effect::Table(Change::Put(entry)) => {
-                    log::info!(
-                        "target {} of {:?} is {:?} in {}",
-                        entry.target,
-                        entry.services.first().map(ServiceName::as_str),
-                        entry.standing,
-                        entry.availability_zone
-                    );
+                    self.note(&entry);
                     changes.push(Change::Put(entry));
                 }
                 Effect::Table(Change::Remove(target)) => {
@@ -206,6 +210,25 @@
         self.push(planned);
     }
 
+    /// Logs a target that is new or whose standing differs.
+    fn note(&self, entry: &Entry) {
+        let feed = self.feed.borrow();
+        let known = feed.table().find(&entry.target);
+        let is_same = |known: &Entry| {
+            known.standing == entry.standing && known.incarnation == entry.incarnation
+        };
+        if !known.is_some_and(is_same) {
+            log::info!(
+                "target {} of {:?} is {:?} in {}, life {}",
+                entry.target,
+                entry.services.first().map(ServiceName::as_str),
+                entry.standing,
+                entry.availability_zone,
+                entry.incarnation
+            );
+        }
+    }
+
     /// Gives an event of one target to the planner of its service.
     fn plan_on(&self, state: &order::State, event: swap::Event) {
         let Some(service) = state.services.first() else { return };
@@ -249,9 +272,27 @@
         self.tell();
     }
 
-    /// Those who wait look again for news.
+    /// Those who wait look again for news, soon: changes that come close together make one answer
+    /// to each follower.
     fn tell(&self) {
-        self.news.send_modify(|number| *number += 1);
+        if self.is_stopped.get() {
+            return self.news.send_modify(|number| *number += 1);
+        }
+        if self.is_telling.replace(true) {
+            return;
+        }
+        let gap_ms = (self.routers.borrow().len() as u64 / ROUTERS_PER_MS).clamp(1, MAX_GAP_MS);
+        let due_ms = self.told_ms.get() + gap_ms;
+        let wait_ms = due_ms.saturating_sub(self.parts.clock.now_ms());
+        let own = Weak::clone(&self.own);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            if let Some(leader) = own.upgrade() {
+                leader.is_telling.set(false);
+                leader.told_ms.set(leader.parts.clock.now_ms());
+                leader.news.send_modify(|number| *number += 1);
+            }
+        });
     }
 
     /// Takes what a router has waiting and running.
--- a/src/placement/swap/demand.rs
+++ b/src/placement/swap/demand.rs
@@ -120,24 +120,11 @@
         self.told.iter().flat_map(|told| &told.usage.waiting)
     }
 
-    /// Requests that wait for a model, with or without an adapter.
-    pub fn waiting_for(&self, model: &ModelName) -> u32 {
-        self.waiting().filter(|w| w.model.model == *model).map(|w| w.count).sum()
-    }
-
     /// All that runs, at all routers.
     pub fn running(&self) -> impl Iterator<Item = &Running> {
         self.told.iter().flat_map(|told| &told.usage.running)
     }
 
-    /// Requests of a model at all targets.
-    pub fn running_of(&self, model: &ModelName) -> u32 {
-        let is_it = |running: &&Running| {
-            running.model.as_ref().is_some_and(|running| running.model == *model)
-        };
-        self.running().filter(is_it).map(|running| running.count).sum()
-    }
-
     /// Requests at each target, over all routers, sorted by target.
     pub fn by_target(&self) -> Vec<(TargetId, u32)> {
         let mut totals: Vec<(TargetId, u32)> = Vec::new();
--- a/src/placement/swap/mod.rs
+++ b/src/placement/swap/mod.rs
@@ -10,6 +10,7 @@
 //! does not fit engines that count the orders which they accept.
 
 mod adapters;
+mod census;
 pub mod demand;
 mod plan;
 mod site;
@@ -160,9 +161,18 @@
     store_starts_ms: std::collections::VecDeque<u64>,
     next_ticket: u64,
     is_fenced: bool,
+    census: census::Census,
+    /// When the next round of planning may run.
+    plan_ms: u64,
+    is_plan_due: bool,
     actions: Vec<Action>,
 }
 
+/// Shortest time between two rounds of planning, without and for each thousand pairs of a model and
+/// an engine.
+const MIN_GAP_MS: u64 = 4;
+const PAIRS_PER_MS: u64 = 4_000;
+
 impl Planner {
     /// The planner of the leader of `term`, which begins at `now_ms`.
     pub fn new(term: Term, settings: Settings, now_ms: u64) -> Self {
@@ -177,6 +187,9 @@
             store_starts_ms: std::collections::VecDeque::new(),
             next_ticket: 0,
             is_fenced: false,
+            census: census::Census::default(),
+            plan_ms: 0,
+            is_plan_due: false,
             actions: Vec::new(),
         }
     }
@@ -185,19 +198,47 @@
     pub fn on(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
         self.now_ms = self.now_ms.max(now_ms);
         self.take(event);
+        self.is_plan_due = true;
         self.step_sites();
+        if self.now_ms >= self.plan_ms {
+            self.plan_round();
+        }
         if self.may_order() {
-            self.plan();
-            self.plan_adapters();
             self.send_due();
         }
         std::mem::take(&mut self.actions)
     }
 
+    /// One round of planning. Rounds are spaced out as there is more to look at.
+    fn plan_round(&mut self) {
+        let pairs = (self.sites.len() * self.engine.models.len()) as u64;
+        self.plan_ms = self.now_ms + MIN_GAP_MS + pairs / PAIRS_PER_MS;
+        self.is_plan_due = false;
+        self.note_running();
+        self.census = census::Census::take(&self.engine, &self.sites, &self.demand);
+        if self.may_order() {
+            self.plan();
+            self.plan_adapters();
+        }
+    }
+
+    /// Notes at each engine what runs there.
+    fn note_running(&mut self) {
+        self.sites.iter_mut().for_each(Site::clear_running);
+        for running in self.demand.running() {
+            let place = self.sites.binary_search_by(|site| site.target.cmp(&running.target));
+            if let (Ok(at), Some(model)) = (place, &running.model) {
+                self.sites[at].add_running(self.now_ms, model, running.count);
+            }
+        }
+    }
+
     /// When [`Event::Tick`] is due.
     pub fn wake_ms(&self) -> u64 {
         let sites = self.sites.iter().filter_map(|site| site.wake_ms(self.now_ms));
-        sites.min().unwrap_or(u64::MAX).min(self.now_ms + demand::PERIOD_MS)
+        let round_ms = if self.is_plan_due { self.plan_ms.max(self.now_ms + 1) } else { u64::MAX };
+        let due_ms = sites.min().unwrap_or(u64::MAX).min(round_ms);
+        due_ms.min(self.now_ms + demand::PERIOD_MS)
     }
 
     /// The models and adapters that routers may use on an engine, sorted.
@@ -270,7 +311,6 @@
     /// Asks engines whose state is unclear, and ends steps that are done.
     fn step_sites(&mut self) {
         for site in &mut self.sites {
-            site.note_running(&self.demand, self.now_ms);
             if site.take_ready(self.now_ms) {
                 self.actions.push(Action::Changed(site.target.clone()));
             }
--- a/src/placement/swap/plan.rs
+++ b/src/placement/swap/plan.rs
@@ -84,44 +84,31 @@
         let mut needs: Vec<(Need, f64, ModelName)> = Vec::new();
         for spec in &self.engine.models {
             let model = &spec.name;
-            let have = self.replicas_of(model);
-            let wanted = self.wanted(model);
-            let waiting = self.demand.waiting_for(model);
+            let count = self.census.of(model);
             let rate_per_s = self.demand.rate_per_s(self.now_ms, model);
-            let urgency = f64::from(waiting) * 10.0 + rate_per_s;
-            if have == 0 && waiting > 0 {
-                needs.push((Need::Missing, urgency, model.clone()));
-            } else if have > 0 && have < wanted {
-                needs.push((Need::Crowded, urgency, model.clone()));
-            } else if !self.has_copy(model) && have == 0 {
-                needs.push((Need::Unread, urgency, model.clone()));
-            }
+            let urgency = f64::from(count.waiting) * 10.0 + rate_per_s;
+            let need = match count.replicas {
+                0 if count.waiting > 0 => Need::Missing,
+                0 if count.copies == 0 => Need::Unread,
+                0 => continue,
+                have if have < self.wanted(model) => Need::Crowded,
+                _ => continue,
+            };
+            needs.push((need, urgency, model.clone()));
         }
         needs.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
         needs.into_iter().map(|(need, _, model)| (need, model)).collect()
     }
 
-    /// Replicas of a model that are there or on their way, on engines that stay.
-    pub(super) fn replicas_of(&self, model: &ModelName) -> u32 {
-        let is_there = |site: &&Site| {
-            let is_open = site.find(model).is_some_and(|loaded| !loaded.is_closing);
-            !site.is_leaving && (is_open || site.coming() == Some(model))
-        };
-        self.sites.iter().filter(is_there).count() as u32
-    }
-
     /// Replicas that the requests in flight need.
     pub(super) fn wanted(&self, model: &ModelName) -> u32 {
-        let in_flight = self.demand.running_of(model) + self.demand.waiting_for(model);
+        let count = self.census.of(model);
+        let in_flight = count.running + count.waiting;
         let rate_per_s = self.demand.rate_per_s(self.now_ms, model);
         let floor = u32::from(rate_per_s > 0.0) + u32::from(rate_per_s > BUSY_RATE_PER_S);
         in_flight.div_ceil(PER_REPLICA).max(floor)
     }
 
-    fn has_copy(&self, model: &ModelName) -> bool {
-        self.sites.iter().any(|site| !site.is_leaving && site.has_copy(model))
-    }
-
     /// Loads from the weight store that are under way.
     fn at_store(&self) -> usize {
         self.sites.iter().filter(|site| site.is_at_store()).count()
@@ -200,12 +187,9 @@
     /// The expected wait, a second of use, of those who ask for models that only this engine's disk
     /// has, while it is at the weight store.
     fn blocked_ms(&self, site: &Site, load_ms: u64) -> f64 {
-        let is_only_here = |model: &&ModelName| {
-            let others = self.sites.iter().filter(|other| other.target != site.target);
-            site.has_copy(model) && others.filter(|other| other.has_copy(model)).count() == 0
-        };
-        let names = self.engine.models.iter().map(|spec| &spec.name);
-        let only_here = names.filter(is_only_here).count() as f64;
+        let copies = site.models.iter().map(|loaded| &loaded.model);
+        let copies = copies.chain(site.copies_beside_loaded());
+        let only_here = copies.filter(|model| self.census.of(model).copies <= 1).count() as f64;
         let has_adapters = site.models.iter().any(|loaded| !loaded.adapters.is_empty());
         (only_here + if has_adapters { ADAPTERS_COUNT_AS } else { 0.0 }) * load_ms as f64 / 100.0
     }
@@ -215,9 +199,10 @@
         let mut best: Option<(ModelName, f64)> = None;
         for loaded in &site.models {
             let is_fresh = self.now_ms < loaded.since_ms + MIN_STAY_MS;
-            let is_waited_for = self.demand.waiting_for(&loaded.model) > 0;
+            let count = self.census.of(&loaded.model);
+            let is_waited_for = count.waiting > 0;
             let is_in_use = loaded.running > 0 && need != Need::Missing;
-            let have = self.replicas_of(&loaded.model);
+            let have = count.replicas;
             let is_short = have <= self.wanted(&loaded.model);
             let is_busy = self.demand.rate_per_s(self.now_ms, &loaded.model) > BUSY_RATE_PER_S;
             if is_waited_for || is_in_use || (is_short && is_busy) {
--- a/src/placement/swap/site.rs
+++ b/src/placement/swap/site.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use super::demand::Demand;
 use super::{Operation, Reading, Reply};
 use crate::ids::{AdapterName, Incarnation, ModelName, ModelRef, TargetId};
 use crate::target::order;
@@ -233,6 +232,12 @@
         self.find(model).is_some() || self.source(model) != Source::Store
     }
 
+    /// Models of which it has a copy that is not loaded.
+    pub(super) fn copies_beside_loaded(&self) -> impl Iterator<Item = &ModelName> {
+        let names = self.at_hand.iter().map(|(model, _)| model);
+        names.filter(|model| self.find(model).is_none())
+    }
+
     /// Whether it can be given new work.
     pub(super) fn is_idle(&self) -> bool {
         let is_at_rest = self.work == Work::None && self.sent.is_none() && !self.is_engine_busy;
@@ -301,22 +306,21 @@
         self.next.take()
     }
 
-    /// Notes what runs here.
-    pub(super) fn note_running(&mut self, demand: &Demand, now_ms: u64) {
-        for loaded in &mut self.models {
-            loaded.running = 0;
-        }
-        for running in demand.running().filter(|running| running.target == self.target) {
-            let Some(model) = &running.model else { continue };
-            let place = self.models.binary_search_by(|loaded| loaded.model.cmp(&model.model));
-            let Ok(at) = place else { continue };
-            let loaded = &mut self.models[at];
-            loaded.running += running.count;
-            loaded.used_ms = now_ms;
-            let used = loaded.adapters.iter_mut();
-            used.filter(|adapter| Some(&adapter.name) == model.adapter.as_ref())
-                .for_each(|adapter| adapter.used_ms = now_ms);
-        }
+    /// Forgets what runs here.
+    pub(super) fn clear_running(&mut self) {
+        self.models.iter_mut().for_each(|loaded| loaded.running = 0);
+    }
+
+    /// Notes requests of a model that run here.
+    pub(super) fn add_running(&mut self, now_ms: u64, model: &ModelRef, count: u32) {
+        let place = self.models.binary_search_by(|loaded| loaded.model.cmp(&model.model));
+        let Ok(at) = place else { return };
+        let loaded = &mut self.models[at];
+        loaded.running += count;
+        loaded.used_ms = now_ms;
+        let used = loaded.adapters.iter_mut();
+        used.filter(|adapter| Some(&adapter.name) == model.adapter.as_ref())
+            .for_each(|adapter| adapter.used_ms = now_ms);
     }
 
     /// Whether an adapter has become ready since this was last asked.
--- a/tests/swap_fake/mod.rs
+++ b/tests/swap_fake/mod.rs
@@ -26,7 +26,7 @@
 }
 
 pub fn model_ref(number: usize, adapter: Option<usize>) -> ModelRef {
-    let adapter = adapter.map(|number| adapter_name(number));
+    let adapter = adapter.map(adapter_name);
     ModelRef { model: model(number), adapter }
 }
 
@@ -307,7 +307,7 @@
         for at in 0..self.engines.len() {
             let engine = &mut self.engines[at];
             engine.finish(now_ms);
-            let is_regular = (now_ms + at as u64 * 100) % 1_200 == 0;
+            let is_regular = (now_ms + at as u64 * 100).is_multiple_of(1_200);
             if std::mem::take(&mut engine.is_announcement_due) || is_regular {
                 let state = Box::new(engine.state());
                 engine.tell(now_ms);
