Placement: a lost order is settled by its effect, not by the count of orders alone

Ruled out: stale readings (they count only from the last order on) and two holders with one fencing token. Change: while the engine is at work the order stays open; at rest its effect has to show.

--- a/src/placement/swap/site.rs
+++ b/src/placement/swap/site.rs
@@ -575,17 +575,21 @@
     }
 
     /// Finds out what became of an order whose answer was lost.
+    ///
+    /// That the count has risen by one is not enough: a late order of an earlier leader may have
+    /// taken the number. So the effect has to show as well.
     fn settle(&mut self, now_ms: u64, sent: Sent, reading: &Reading) {
-        if reading.orders == sent.expected_orders + 1 {
-            self.accepted(now_ms, &sent);
+        let is_next = reading.orders == sent.expected_orders + 1;
+        if reading.orders < sent.expected_orders || (is_next && reading.is_busy) {
+            // It tells of a time before the order, or before its end.
+            self.sent = Some(sent);
+            self.read_due_ms = Some(now_ms + READ_AGAIN_MS);
         } else if reading.orders == sent.expected_orders {
             let pause_ms = if reading.is_busy { READ_AGAIN_MS } else { 0 };
             self.not_before_ms = now_ms + pause_ms;
             self.sent = Some(sent);
-        } else if reading.orders < sent.expected_orders {
-            // It tells of a time before the order.
-            self.sent = Some(sent);
-            self.read_due_ms = Some(now_ms + READ_AGAIN_MS);
+        } else if is_next && (sent.model.is_adapter() || has_effect(&sent, reading)) {
+            self.accepted(now_ms, &sent);
         } else {
             self.drop_work(&sent);
             self.orders = Some(reading.orders);
@@ -627,6 +631,12 @@
     }
 }
 
+/// Whether an engine at rest shows what an order of a model asked for.
+fn has_effect(sent: &Sent, reading: &Reading) -> bool {
+    let is_held = reading.holds.iter().any(|(model, _)| *model == sent.model.model);
+    is_held == (sent.operation == Operation::Load)
+}
+
 fn copy(cached: &order::Cached) -> (ModelName, Source) {
     let source = match cached.tier {
         order::Tier::Memory => Source::Memory,
--- a/tests/swap_fake/mod.rs
+++ b/tests/swap_fake/mod.rs
@@ -66,6 +66,7 @@
     pub holds: BTreeMap<ModelName, Vec<AdapterName>>,
     disk: Vec<ModelName>,
     orders: u64,
+    fencing: Term,
     /// The order under way, and when it ends.
     busy: Option<(u64, Operation, ModelName)>,
     told: Vec<Told>,
@@ -83,6 +84,7 @@
             holds,
             disk,
             orders: 0,
+            fencing: Term(0),
             busy: None,
             told: Vec::new(),
             sequence: 0,
@@ -90,6 +92,10 @@
         }
     }
 
+    pub fn put_on_disk(&mut self, number: usize) {
+        self.disk.push(model(number));
+    }
+
     fn state(&mut self) -> State {
         self.sequence += 1;
         let held = |model: ModelRef| Held {
@@ -167,6 +173,10 @@
     }
 
     fn take(&mut self, now_ms: u64, order: &Order, spec: &Spec) -> Reply {
+        if order.fencing < self.fencing {
+            return Reply::Fenced;
+        }
+        self.fencing = order.fencing;
         if self.busy.is_some() || order.expected_orders != self.orders {
             return Reply::Conflict;
         }
@@ -201,7 +211,9 @@
             }
         };
         self.orders += 1;
-        self.check(spec);
+        if order.fencing > Term(0) {
+            self.check(spec);
+        }
         self.tell(now_ms);
         reply
     }
@@ -279,6 +291,22 @@
         }
     }
 
+    /// An order of an earlier leader, which an engine carries out at `at_ms` if it has accepted as
+    /// many orders as that leader knew of.
+    pub fn foreign_load(&mut self, at_ms: u64, engine: usize, expected_orders: u64, model: usize) {
+        let order = Order {
+            target: self.engines[engine].target.clone(),
+            incarnation: Incarnation(1),
+            address: "127.0.0.1:80".parse().unwrap(),
+            ticket: 0,
+            expected_orders,
+            fencing: Term(0),
+            operation: Operation::Load,
+            model: model_ref(model, None),
+        };
+        self.due.push((at_ms, Due::Late(order)));
+    }
+
     /// Tells the planner what arrived since it was last told, and what waits and runs.
     pub fn usage(&mut self, arrived: &[ModelRef], waiting: &[ModelRef], running: Vec<Running>) {
         let waiting = waiting
--- a/tests/swap_planner.rs
+++ b/tests/swap_planner.rs
@@ -85,6 +85,23 @@
     }
 }
 
+/// An order of an earlier leader may take the number under which this leader's lost order waits.
+#[test]
+fn a_late_order_of_an_earlier_leader_is_not_taken_for_an_own_one() {
+    for seed in 0..24 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut world = World::new(seed, 6, 30, Trouble { lost: 0.7, late: 1.0 });
+        world.run(3);
+        for engine in 0..6 {
+            // The earlier leader has unloaded a model, which is not announced yet, to load another.
+            world.engines[engine].holds.remove(&swap_fake::model(engine * 3));
+            world.engines[engine].put_on_disk(20 + engine);
+            world.foreign_load(rng.random_range(100..1_200), engine, 0, 20 + engine);
+        }
+        play(&mut world, seed, 5_000, 12.0, 0.0);
+    }
+}
+
 #[test]
 fn an_order_that_was_lost_does_not_hold_up_an_engine_for_good() {
     for seed in 0..3 {
