--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::ids::{ModelRef, TargetId};
 
-pub use run::{Parts, client, run};
+pub use run::{Parts, client, handler, run};
 pub use shared::Shared;
 
 /// The step at which a router failed.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -114,9 +114,12 @@
             max_head_bytes: limits.max_head_bytes,
         }
     };
-    let handler: server::Handler =
-        Rc::new(move |request| Box::pin(exchange::serve(Rc::clone(&shared), request)));
-    server::serve(listener, head, handler, phases).await;
+    server::serve(listener, head, handler(shared), phases).await;
+}
+
+/// Answers the requests of callers.
+pub fn handler(shared: Rc<Shared>) -> server::Handler {
+    Rc::new(move |request| Box::pin(exchange::serve(Rc::clone(&shared), request)))
 }
 
 fn serve_readiness(
--- /dev/null
+++ b/tests/gateway_decisions.rs
@@ -0,0 +1,191 @@
+//! Decisions of a router, without input or output.
+
+use std::net::SocketAddr;
+
+use fescuebay::gateway::budget::{Budget, Settings};
+use fescuebay::gateway::fleet::{Choice, Fleet, Wish};
+use fescuebay::gateway::next::{Case, End, Failure, Next, next};
+use fescuebay::gateway::queue::{Queue, Waiter};
+use fescuebay::ids::{Incarnation, ModelRef, ServiceName, TargetId};
+use fescuebay::membership::table::{Entry, Replica, Standing};
+use fescuebay::routes::Kind;
+use fescuebay::target::order;
+use proptest::prelude::*;
+
+fn service() -> ServiceName {
+    "app".parse().unwrap()
+}
+
+fn entry(name: &str, zone: &str, slots: u32) -> Entry {
+    Entry {
+        target: name.parse().unwrap(),
+        incarnation: Incarnation(1),
+        kind: order::Kind::Application,
+        availability_zone: zone.parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        standing: Standing::Up,
+        slots,
+        replicas: vec![Replica { model: "m".parse().unwrap(), version: "1".parse().unwrap() }],
+        services: vec![service()],
+    }
+}
+
+fn fleet(entries: &[Entry]) -> Fleet {
+    let mut fleet = Fleet::new("a".parse().unwrap());
+    fleet.set_entries(entries);
+    fleet
+}
+
+fn chosen(fleet: &Fleet, now_ms: u64, avoid: &[TargetId]) -> Option<String> {
+    let service = service();
+    let wish = Wish { service: &service, model: None, prompt: None, avoid };
+    match fleet.choose(now_ms, &wish) {
+        Choice::Target(at) => Some(fleet.target(at).entry.target.to_string()),
+        Choice::Full | Choice::NoReplica | Choice::NoTarget => None,
+    }
+}
+
+#[test]
+fn requests_spread_over_targets_and_prefer_their_own_zone() {
+    let mut fleet = fleet(&[entry("t1", "a", 6), entry("t2", "b", 6)]);
+    let mut counts = [0, 0];
+    for _ in 0..12 {
+        let Some(name) = chosen(&fleet, 0, &[]) else { break };
+        let place = usize::from(name == "t2");
+        fleet.begin(place, None);
+        counts[place] += 1;
+    }
+    assert_eq!(counts, [6, 6]);
+    assert_eq!(chosen(&fleet, 0, &[]), None, "all slots are taken");
+}
+
+#[test]
+fn a_target_that_failed_is_left_alone_for_a_while() {
+    let mut fleet = fleet(&[entry("t1", "a", 6), entry("t2", "b", 6)]);
+    fleet.failed(1_000, &"t1".parse().unwrap());
+    assert_eq!(chosen(&fleet, 1_001, &[]).as_deref(), Some("t2"));
+    fleet.failed(1_002, &"t2".parse().unwrap());
+    assert!(chosen(&fleet, 1_003, &[]).is_some(), "the last targets are used all the same");
+    fleet.succeeded(&"t1".parse().unwrap());
+    assert_eq!(chosen(&fleet, 1_004, &[]).as_deref(), Some("t1"));
+}
+
+#[test]
+fn leaving_targets_get_nothing_and_doubtful_ones_come_last() {
+    let mut leaving = entry("t1", "a", 6);
+    leaving.standing = Standing::Leaving;
+    let mut doubtful = entry("t2", "a", 6);
+    doubtful.standing = Standing::Suspect;
+    let both = fleet(&[leaving.clone(), doubtful.clone()]);
+    assert_eq!(chosen(&both, 0, &[]).as_deref(), Some("t2"));
+    let all = fleet(&[leaving, doubtful, entry("t3", "b", 6)]);
+    assert_eq!(chosen(&all, 0, &[]).as_deref(), Some("t3"));
+}
+
+#[test]
+fn a_new_life_of_a_target_begins_without_the_requests_of_the_old_one() {
+    let mut fleet = fleet(&[entry("t1", "a", 1)]);
+    fleet.begin(0, None);
+    assert_eq!(chosen(&fleet, 0, &[]), None);
+    let mut reborn = entry("t1", "a", 1);
+    reborn.incarnation = Incarnation(2);
+    fleet.set_entries(&[reborn]);
+    assert_eq!(chosen(&fleet, 0, &[]).as_deref(), Some("t1"));
+    fleet.end(&"t1".parse().unwrap(), Incarnation(1), None);
+    fleet.begin(0, None);
+    assert_eq!(chosen(&fleet, 0, &[]), None, "the end of an old request frees nothing");
+}
+
+#[test]
+fn a_missing_model_is_told_from_a_full_target() {
+    let fleet = fleet(&[entry("t1", "a", 6)]);
+    let (service, other) = (service(), "other".parse::<ModelRef>().unwrap());
+    let wish = Wish { service: &service, model: Some(&other), prompt: None, avoid: &[] };
+    assert_eq!(fleet.choose(0, &wish), Choice::NoReplica);
+    let none = "none".parse().unwrap();
+    assert_eq!(fleet.choose(0, &Wish { service: &none, ..wish }), Choice::NoTarget);
+}
+
+#[test]
+fn what_may_have_run_is_never_called_not_run() {
+    let failures = [
+        Failure::NotSent,
+        Failure::NotRun,
+        Failure::Lacking,
+        Failure::Broken,
+        Failure::Foreign,
+        Failure::Silent,
+        Failure::Failed,
+    ];
+    let resumable = Kind::Stream { is_resumable: true, gap_target_ms: 300 };
+    let plain = Kind::Stream { is_resumable: false, gap_target_ms: 300 };
+    for failure in failures {
+        for kind in [Kind::Idempotent, Kind::AtMostOnce, resumable, plain] {
+            for earlier in 0..2 {
+                for is_over in [false, true] {
+                    let runs = earlier + u32::from(failure.may_have_run());
+                    let case = Case { failure, kind, runs, max_runs: 2, is_over };
+                    let decided = next(&case);
+                    let is_not_run = decided == Next::End(End::NotRun);
+                    assert!(!is_not_run || runs == 0, "{case:?}: {decided:?}");
+                    let repeats = decided == Next::Again && runs > 0;
+                    assert!(!repeats || kind.is_repeatable(), "{case:?}: {decided:?}");
+                    assert!(!is_over || decided != Next::Again, "{case:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn the_queue_serves_by_rank_and_then_by_arrival() {
+    let mut queue = Queue::default();
+    for rank in [2, 0, 1, 0] {
+        let waiter = Waiter {
+            ticket: queue.next_ticket(),
+            service: service(),
+            model: None,
+            prompt: None,
+            avoid: Vec::new(),
+            rank,
+            target_ms: 0,
+        };
+        queue.insert(waiter);
+    }
+    let served = queue.serve(|_| Some(()));
+    let order: Vec<(u8, u64)> = served.iter().map(|(w, ())| (w.rank, w.ticket.0)).collect();
+    assert_eq!(order, [(0, 2), (0, 4), (1, 3), (2, 1)]);
+    assert!(queue.is_empty());
+}
+
+proptest! {
+    /// Routers that know of each other stay within the budget in every window, however their
+    /// requests and repeats are spread.
+    #[test]
+    fn all_routers_together_stay_within_the_budget(
+        routers in 1_u32..12,
+        steps in prop::collection::vec((0_usize..12, 0_u64..400, any::<bool>()), 1..600),
+    ) {
+        let settings = Settings { ratio: 0.2, slack: 56.0, window_ms: 10_000 };
+        let mut budgets = vec![Budget::new(settings); routers as usize];
+        budgets.iter_mut().for_each(|budget| budget.set_routers(routers));
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now_ms = 100_000;
+        for (router, wait_ms, is_repeat) in steps {
+            now_ms += wait_ms / 10;
+            let budget = &mut budgets[router % routers as usize];
+            if is_repeat {
+                if budget.take(now_ms, &service()) {
+                    repeats.push(now_ms);
+                }
+            } else {
+                budget.request(now_ms, &service());
+                requests.push(now_ms);
+            }
+            let begin_ms = now_ms - settings.window_ms;
+            let within = |times: &[u64]| times.iter().filter(|at_ms| **at_ms > begin_ms).count();
+            let allowed = within(&requests) as f64 * settings.ratio + settings.slack;
+            prop_assert!(within(&repeats) as f64 <= allowed);
+        }
+    }
+}
--- /dev/null
+++ b/tests/gateway_explain.rs
@@ -0,0 +1,88 @@
+//! From the id of a failed request to its cause, by log lines alone.
+
+mod gateway_support;
+
+use std::sync::{Mutex, PoisonError};
+
+use gateway_support::{Act, Router, Target, answer, events, on_one_thread, status};
+use serde_json::Value;
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Capture;
+
+impl log::Log for Capture {
+    fn enabled(&self, _metadata: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if record.target() == fescuebay::gateway::events::TARGET {
+            let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+            lines.push(record.args().to_string());
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+static CAPTURE: Capture = Capture;
+
+/// The lines of the request `a1`, and forgets them.
+fn story() -> Vec<Value> {
+    let lines = std::mem::take(&mut *LINES.lock().unwrap_or_else(PoisonError::into_inner));
+    let parsed = lines.iter().map(|line| serde_json::from_str::<Value>(line).unwrap());
+    parsed.filter(|line| line["id"] == "a1").collect()
+}
+
+fn names(story: &[Value]) -> Vec<&str> {
+    story.iter().map(|line| line["event"].as_str().unwrap()).collect()
+}
+
+#[test]
+fn three_kinds_of_failed_requests_are_explained_by_their_lines() {
+    log::set_logger(&CAPTURE).unwrap();
+    log::set_max_level(log::LevelFilter::Info);
+    on_one_thread(async {
+        refused_for_lack_of_a_model().await;
+        cut_in_the_middle_of_a_stream().await;
+        sent_once_and_answered_502().await;
+    });
+}
+
+async fn refused_for_lack_of_a_model() {
+    let target = Target::start("a", vec![Act::Write(answer("200 OK", "x"))]).await;
+    let router = Router::start(vec![target.entry("llm", &[])]).await;
+    let answer = router.ask("POST", "/draft/x", "Model: m1\r\nDeadline-Ms: 400\r\n", "b").await;
+    assert_eq!(status(&answer), 503);
+    let story = story();
+    assert_eq!(names(&story), ["admitted", "queued", "refused"]);
+    assert_eq!((&story[0]["model"], &story[0]["document"]), (&"m1".into(), &5.into()));
+    assert_eq!(story[1]["why"], "no target holds the model");
+    assert_eq!(story[2]["may_have_run"], false);
+}
+
+async fn cut_in_the_middle_of_a_stream() {
+    let target = Target::start("a", vec![Act::WriteAndReset(events(1, 2))]).await;
+    let router = Router::start(vec![target.entry("llm", &["m1"])]).await;
+    router.ask("POST", "/draft/x", "Model: m1\r\n", "b").await;
+    let story = story();
+    let expected = ["admitted", "sent", "answered", "attempt_failed", "stream_ended"];
+    assert_eq!(names(&story), expected);
+    assert_eq!((&story[1]["target"], &story[1]["life"]), (&"a".into(), &1.into()));
+    assert!(story[1]["table_age_ms"].is_u64());
+    assert_eq!(story[3]["failure"], "broken");
+    assert_eq!(story[4]["how"], "broken");
+}
+
+async fn sent_once_and_answered_502() {
+    let foreign = answer("200 OK", "x").replace("{id}", "another");
+    let target = Target::start("a", vec![Act::Write(foreign)]).await;
+    let router = Router::start(vec![target.entry("app", &[])]).await;
+    let answer = router.ask("POST", "/unsafe/x", "", "b").await;
+    assert_eq!(status(&answer), 502);
+    let story = story();
+    assert_eq!(names(&story), ["admitted", "sent", "attempt_failed", "refused"]);
+    assert_eq!(story[2]["failure"], "foreign");
+    assert_eq!((&story[3]["status"], &story[3]["may_have_run"]), (&502.into(), &true.into()));
+}
--- /dev/null
+++ b/tests/gateway_faults.rs
@@ -0,0 +1,287 @@
+//! A router before targets that break, lie, refuse and hang, from what callers and targets see.
+
+mod gateway_support;
+
+use std::time::Duration;
+
+use gateway_support::{
+    Act, END, Router, Target, answer, events, eventually, header, on_one_thread, status,
+};
+use tokio::io::AsyncReadExt as _;
+
+fn ok(body: &str) -> Act {
+    Act::Write(answer("200 OK", body))
+}
+
+fn refusal() -> Act {
+    let text =
+        "HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    Act::Write(text.to_owned())
+}
+
+/// One target that misbehaves once and another that answers.
+async fn two(first: Act) -> (Target, Target, Router) {
+    let bad = Target::start("a-bad", vec![first, ok("late")]).await;
+    let good = Target::start("b-good", vec![ok("good")]).await;
+    let entries = vec![bad.entry("app", &[]), good.entry("app", &[])];
+    let router = Router::start(entries).await;
+    (bad, good, router)
+}
+
+/// Acts after which a request may have run, by name.
+fn unclear_acts() -> Vec<(&'static str, Act)> {
+    let foreign = answer("200 OK", "x").replace("{id}", "another");
+    let unsigned = answer("200 OK", "x").replace("Server-Stamp: s1\r\n", "");
+    let encoded =
+        answer("200 OK", "x").replace("Server-Stamp", "Content-Encoding: br\r\nServer-Stamp");
+    let short = answer("200 OK", "whole").replace("whole", "cut");
+    vec![
+        ("reset", Act::WriteAndReset(String::new())),
+        ("garbage", Act::WriteAndReset("nonsense\r\n\r\n".to_owned())),
+        ("foreign answer", Act::Write(foreign)),
+        ("unsigned answer", Act::Write(unsigned)),
+        ("encoded answer", Act::Write(encoded)),
+        ("short answer", Act::WriteAndReset(short)),
+    ]
+}
+
+#[test]
+fn work_that_must_not_repeat_is_sent_once_and_never_called_not_run() {
+    for (name, act) in unclear_acts() {
+        on_one_thread(async move {
+            let (bad, good, router) = two(act).await;
+            let answer = router.ask("POST", "/unsafe/x", "Deadline-Ms: 1000\r\n", "b").await;
+            assert_eq!(status(&answer), 502, "{name}: {answer}");
+            assert_eq!((bad.requests(), good.requests()), (1, 0), "{name}");
+        });
+    }
+}
+
+#[test]
+fn idempotent_work_is_answered_by_another_target() {
+    for (name, act) in unclear_acts() {
+        on_one_thread(async move {
+            let (bad, good, router) = two(act).await;
+            let answer = router.ask("GET", "/safe/x", "Deadline-Ms: 1000\r\n", "").await;
+            assert_eq!(status(&answer), 200, "{name}: {answer}");
+            assert!(answer.ends_with("good"), "{name}: {answer}");
+            assert_eq!((bad.requests(), good.requests()), (1, 1), "{name}");
+        });
+    }
+}
+
+#[test]
+fn a_refusal_of_a_target_leads_to_another_one() {
+    on_one_thread(async {
+        let (bad, good, router) = two(refusal()).await;
+        let answer = router.ask("POST", "/unsafe/x", "", "b").await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        assert_eq!((bad.requests(), good.requests()), (1, 1));
+    });
+}
+
+#[test]
+fn a_failure_of_a_target_is_passed_on_for_work_that_must_not_repeat() {
+    on_one_thread(async {
+        let (bad, good, router) = two(Act::Write(answer("500 Oops", "why"))).await;
+        let answer = router.ask("POST", "/unsafe/x", "", "b").await;
+        assert_eq!(status(&answer), 500, "{answer}");
+        assert!(answer.contains("s1") && answer.ends_with("why"), "{answer}");
+        assert_eq!((bad.requests(), good.requests()), (1, 0));
+    });
+}
+
+#[test]
+fn idempotent_work_whose_target_fails_is_tried_once_more() {
+    on_one_thread(async {
+        let (bad, good, router) = two(Act::Write(answer("500 Oops", "why"))).await;
+        let answer = router.ask("GET", "/safe/x", "", "").await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        assert_eq!((bad.requests(), good.requests()), (1, 1));
+    });
+}
+
+#[test]
+fn an_idempotent_request_leaves_a_target_that_hangs() {
+    on_one_thread(async {
+        let (bad, good, router) = two(Act::WriteAndHang(String::new())).await;
+        let answer = router.ask("GET", "/safe/x", "Deadline-Ms: 1500\r\n", "").await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        assert_eq!((bad.requests(), good.requests()), (1, 1));
+        eventually(|| bad.seen.borrow().left == 1).await;
+    });
+}
+
+#[test]
+fn a_request_without_an_answer_ends_at_its_time() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![Act::WriteAndHang(String::new())]).await;
+        let router = Router::start(vec![target.entry("app", &[])]).await;
+        let answer = router.ask("POST", "/unsafe/x", "Deadline-Ms: 300\r\n", "b").await;
+        assert_eq!(status(&answer), 504, "{answer}");
+        let deadline_ms: u64 =
+            header(&target.seen.borrow().heads[0], "deadline-ms").unwrap().parse().unwrap();
+        assert!(deadline_ms <= 300, "{deadline_ms}");
+    });
+}
+
+#[test]
+fn a_second_answer_on_a_connection_reaches_nobody() {
+    on_one_thread(async {
+        let twice = answer("200 OK", "mine") + &answer("200 OK", "extra");
+        let target = Target::start("a", vec![Act::Write(twice), ok("next")]).await;
+        let router = Router::start(vec![target.entry("app", &[])]).await;
+        let first = router.ask("POST", "/unsafe/x", "", "b").await;
+        assert!(first.ends_with("mine"), "{first}");
+        let second = router.ask("POST", "/unsafe/x", "", "b").await;
+        assert!(second.ends_with("next"), "{second}");
+    });
+}
+
+#[test]
+fn what_the_router_sets_is_not_taken_from_callers() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![ok("x")]).await;
+        let router = Router::start(vec![target.entry("app", &[])]).await;
+        let sent = "Hold: h\r\nPin-Ms: 5\r\nKv-Backup: x\r\nKv-From: y\r\nKv-Fetch: z\r\n\
+                    Expect-Instance: other\r\nRequest-Priority: 0\r\nX-Own: kept\r\n\
+                    Connection: X-Hop\r\nX-Hop: gone\r\nDeadline-Ms: 900\r\n";
+        let answer = router.ask("POST", "/unsafe/x?q=1", sent, "b").await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        let head = target.seen.borrow().heads[0].clone();
+        for name in ["hold", "pin-ms", "kv-backup", "kv-from", "kv-fetch", "x-hop"] {
+            assert_eq!(header(&head, name), None, "{head}");
+        }
+        assert!(head.starts_with("POST /unsafe/x?q=1 HTTP/1.1"), "{head}");
+        assert_eq!(header(&head, "expect-instance").as_deref(), Some("a"));
+        assert_eq!(header(&head, "request-priority").as_deref(), Some("2"));
+        assert_eq!(header(&head, "x-own").as_deref(), Some("kept"));
+        assert_eq!(header(&head, "attempt-id").as_deref(), Some("a1"));
+    });
+}
+
+#[test]
+fn requests_that_cannot_be_routed_are_refused_at_once() {
+    on_one_thread(async {
+        let bare = Router::bare().await;
+        let answer = bare.ask("GET", "/safe/x", "", "").await;
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(header(&answer, "retry-after").is_some(), "{answer}");
+        let router = Router::start(Vec::new()).await;
+        assert_eq!(status(&router.ask("GET", "/other/x", "", "").await), 404);
+        let large = "x".repeat(2_000);
+        assert_eq!(status(&router.ask("POST", "/unsafe/x", "", &large).await), 413);
+        let no_target = router.ask("POST", "/unsafe/x", "", "b").await;
+        assert_eq!(status(&no_target), 503, "{no_target}");
+    });
+}
+
+const MODEL: &str = "Model: m1\r\nDeadline-Ms: 3000\r\n";
+
+#[test]
+fn a_stream_is_passed_on_as_it_comes_and_ends_whole() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![Act::Write(events(1, 5) + END)]).await;
+        let router = Router::start(vec![target.entry("llm", &["m1"])]).await;
+        let answer = router.ask("POST", "/draft/x", MODEL, "b").await;
+        assert!((1..=5).all(|number| answer.contains(&format!("data: e{number}\n"))), "{answer}");
+        assert!(answer.ends_with(END), "{answer}");
+    });
+}
+
+#[test]
+fn a_broken_stream_that_may_not_be_resumed_does_not_look_whole() {
+    on_one_thread(async {
+        let cut = Target::start("a", vec![Act::WriteAndReset(events(1, 3))]).await;
+        let other = Target::start("b", vec![Act::Write(events(1, 5) + END)]).await;
+        let entries = vec![cut.entry("llm", &["m1"]), other.entry("llm", &["m1"])];
+        let router = Router::start(entries).await;
+        let answer = router.ask("POST", "/draft/x", MODEL, "b").await;
+        assert!(answer.contains("data: e1\n") && !answer.ends_with(END), "{answer}");
+        assert_eq!(other.requests(), 0);
+    });
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_another_target_without_a_gap() {
+    for cut_within_an_event in [false, true] {
+        on_one_thread(async move {
+            let mut first = events(1, 3);
+            if cut_within_an_event {
+                first += "7\r\nid: 4\nd\r\n";
+            }
+            let cut = Target::start("a", vec![Act::WriteAndReset(first)]).await;
+            let other = Target::start("b", vec![Act::Write(events(4, 6) + END)]).await;
+            let entries = vec![cut.entry("llm", &["m1"]), other.entry("llm", &["m1"])];
+            let router = Router::start(entries).await;
+            let answer = router.ask("POST", "/contract/x", MODEL, "b").await;
+            for number in 1..=6 {
+                let event = format!("id: {number}\ndata: e{number}\n");
+                assert_eq!(answer.matches(&event).count(), 1, "{number}: {answer}");
+            }
+            assert!(answer.ends_with(END), "{answer}");
+            let head = other.seen.borrow().heads[0].clone();
+            assert_eq!(header(&head, "last-event-id").as_deref(), Some("3"));
+        });
+    }
+}
+
+#[test]
+fn a_stalled_stream_is_closed_before_another_target_goes_on() {
+    on_one_thread(async {
+        let stalled = Target::start("a", vec![Act::WriteAndHang(events(1, 2))]).await;
+        let other = Target::start("b", vec![Act::Write(events(3, 4) + END)]).await;
+        let entries = vec![stalled.entry("llm", &["m1"]), other.entry("llm", &["m1"])];
+        let router = Router::start(entries).await;
+        let answer = router.ask("POST", "/contract/x", MODEL, "b").await;
+        assert!(answer.contains("data: e4\n") && answer.ends_with(END), "{answer}");
+        eventually(|| stalled.seen.borrow().left == 1).await;
+    });
+}
+
+#[test]
+fn a_target_is_left_when_its_caller_leaves() {
+    for (path, act) in [
+        ("/draft/x", Act::WriteAndHang(events(1, 2))),
+        ("/draft/x", Act::WriteAndHang(String::new())),
+        ("/contract/x", Act::WriteAndHang(events(1, 2))),
+    ] {
+        on_one_thread(async move {
+            let target = Target::start("a", vec![act]).await;
+            let router = Router::start(vec![target.entry("llm", &["m1"])]).await;
+            let stream = router.send("POST", path, MODEL, "b").await;
+            eventually(|| target.requests() == 1).await;
+            drop(stream);
+            // A target that works on would keep this test from ending.
+            eventually(|| target.seen.borrow().left == 1).await;
+        });
+    }
+}
+
+#[test]
+fn a_request_waits_for_a_model_that_is_being_loaded() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![Act::Write(events(1, 2) + END)]).await;
+        let router = Router::start(vec![target.entry("llm", &[])]).await;
+        let mut stream = router.send("POST", "/draft/x", MODEL, "b").await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(target.requests(), 0);
+        router.set(vec![target.entry("llm", &["m1"])]);
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await.unwrap();
+        assert_eq!(status(&String::from_utf8_lossy(&bytes)), 200);
+    });
+}
+
+#[test]
+fn a_request_for_a_model_that_does_not_come_is_refused_with_time_left() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![ok("x")]).await;
+        let router = Router::start(vec![target.entry("llm", &[])]).await;
+        let model = "Model: m1\r\nDeadline-Ms: 600\r\n";
+        let answer = router.ask("POST", "/draft/x", model, "b").await;
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert!(header(&answer, "retry-after").is_some(), "{answer}");
+        assert_eq!(target.requests(), 0);
+    });
+}
--- /dev/null
+++ b/tests/gateway_support/mod.rs
@@ -0,0 +1,266 @@
+//! A router on a loopback port, before targets that follow scripts.
+
+#![allow(dead_code)]
+
+use std::cell::RefCell;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use fescuebay::coordinator::follow::Follower as _;
+use fescuebay::gateway::{self, Shared, budget};
+use fescuebay::ids::{Incarnation, Term};
+use fescuebay::membership::feed::Feed;
+use fescuebay::membership::table::{Entry, Replica, Standing};
+use fescuebay::platform;
+use fescuebay::routes::Version;
+use fescuebay::target::order::Kind;
+use fescuebay::web::server::{self, Phase};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What a target does with one request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Writes these bytes, in which `{id}` stands for the request's id, and keeps the connection.
+    Write(String),
+    /// Writes bytes, then closes the connection in a way that the other end sees as broken.
+    WriteAndReset(String),
+    /// Writes bytes and then nothing more, for as long as the caller stays.
+    WriteAndHang(String),
+}
+
+/// What a target has seen.
+#[derive(Default)]
+pub struct Seen {
+    /// The heads of requests.
+    pub heads: Vec<String>,
+    /// Connections that the router closed while an answer was under way.
+    pub left: u32,
+}
+
+/// A target that follows a script, one act a request; the last act is repeated.
+pub struct Target {
+    pub id: String,
+    pub address: SocketAddr,
+    pub seen: Rc<RefCell<Seen>>,
+}
+
+impl Target {
+    pub async fn start(id: &str, script: Vec<Act>) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Rc::new(RefCell::new(Seen::default()));
+        let shared = Rc::clone(&seen);
+        let script = Rc::new(RefCell::new(script));
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(serve(stream, Rc::clone(&script), Rc::clone(&shared)));
+            }
+        });
+        Self { id: id.to_owned(), address, seen }
+    }
+
+    pub fn entry(&self, service: &str, models: &[&str]) -> Entry {
+        let replica =
+            |model: &&str| Replica { model: model.parse().unwrap(), version: "1".parse().unwrap() };
+        let mut replicas: Vec<Replica> = models.iter().map(replica).collect();
+        replicas.sort();
+        Entry {
+            target: self.id.parse().unwrap(),
+            incarnation: Incarnation(1),
+            kind: Kind::Application,
+            availability_zone: "z".parse().unwrap(),
+            address: self.address,
+            standing: Standing::Up,
+            slots: 6,
+            replicas,
+            services: vec![service.parse().unwrap()],
+        }
+    }
+
+    /// Requests that this target has got.
+    pub fn requests(&self) -> usize {
+        self.seen.borrow().heads.len()
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Rc<RefCell<Vec<Act>>>, seen: Rc<RefCell<Seen>>) {
+    while let Some(head) = read_request(&mut stream).await {
+        let id = header(&head, "attempt-id").unwrap_or_default();
+        seen.borrow_mut().heads.push(head);
+        let act = {
+            let mut script = script.borrow_mut();
+            if script.len() > 1 { script.remove(0) } else { script[0].clone() }
+        };
+        let fill = |text: &str| text.replace("{id}", &id);
+        match act {
+            Act::Write(text) => {
+                if stream.write_all(fill(&text).as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Act::WriteAndReset(text) => {
+                let _ = stream.write_all(fill(&text).as_bytes()).await;
+                let _ = stream.flush().await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+            Act::WriteAndHang(text) => {
+                let _ = stream.write_all(fill(&text).as_bytes()).await;
+                let mut byte = [0; 1];
+                let _ = stream.read(&mut byte).await;
+                seen.borrow_mut().left += 1;
+                return;
+            }
+        }
+    }
+}
+
+/// Reads one request with its body. `None` when the connection ends.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length: usize =
+                header(head, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+            if body.len() >= length {
+                return Some(head.to_owned());
+            }
+        }
+        let mut more = [0; 4096];
+        match stream.read(&mut more).await {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&more[..count]),
+        }
+    }
+}
+
+/// The value of a header in the head of a request or an answer.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+    })
+}
+
+/// A signed answer with a body.
+pub fn answer(status: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {{id}}\r\nServer-Stamp: s1\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The head of a signed stream, and its events.
+pub fn events(from: usize, to: usize) -> String {
+    let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s1\r\n\
+                Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let event = |number: usize| {
+        let event = format!("id: {number}\ndata: e{number}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    };
+    head.to_owned() + &(from..=to).map(event).collect::<String>()
+}
+
+/// The end of a stream.
+pub const END: &str = "0\r\n\r\n";
+
+pub const DOCUMENT: &str = r#"{"version":5,"routes":[
+ {"name":"safe","host":"h.example","pathPrefix":"/safe/","kind":"safe","timeoutMs":1500,
+  "targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2},
+ {"name":"unsafe","host":"h.example","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":1500,
+  "targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":1},
+ {"name":"draft","host":"h.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":4000,
+  "targetLatencyMs":800,"priority":1,"service":"llm","maxAttempts":1,"gapTargetMs":300},
+ {"name":"contract","host":"h.example","pathPrefix":"/contract/","kind":"streaming",
+  "timeoutMs":4000,"targetLatencyMs":800,"priority":1,"service":"llm","maxAttempts":2,
+  "resumable":true,"gapTargetMs":300}],
+ "services":[{"name":"app"},{"name":"llm","engine":{"slots":8,"weightsMb":100,"models":[
+  {"name":"m1","weightsMb":50,"loadS":6}]}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000}}"#;
+
+/// A router.
+pub struct Router {
+    pub shared: Rc<Shared>,
+    pub address: SocketAddr,
+    feed: RefCell<Feed>,
+    _phase: watch::Sender<Phase>,
+}
+
+impl Router {
+    /// A router without a document.
+    pub async fn bare() -> Self {
+        let own_ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let zone = "z".parse().unwrap();
+        let decode = platform::document::decode;
+        let shared = Shared::builder(own_ip, zone, &platform::REQUESTS, decode)
+            .budget(budget::Settings { ratio: 0.2, slack: 50.0, window_ms: 10_000 })
+            .build();
+        let listener = server::listen(SocketAddr::new(own_ip, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (phase, phases) = watch::channel(Phase::Open);
+        let head = || server::Settings { head_timeout_ms: 5_000, max_head_bytes: 16 << 10 };
+        let handler = gateway::handler(Rc::clone(&shared));
+        tokio::task::spawn_local(server::serve(listener, head, handler, phases));
+        let feed = RefCell::new(Feed::new(Term(1), Vec::new()));
+        Self { shared, address, feed, _phase: phase }
+    }
+
+    /// A router that knows the document and these targets.
+    pub async fn start(entries: Vec<Entry>) -> Self {
+        let router = Self::bare().await;
+        router.shared.take_document(Version(5), DOCUMENT.as_bytes());
+        router.set(entries);
+        router
+    }
+
+    /// Tells the router of its targets.
+    pub fn set(&self, entries: Vec<Entry>) {
+        self.feed.replace(Feed::new(Term(1), entries));
+        self.shared.take_load(1, &[]);
+        self.shared.table_changed(&self.feed.borrow());
+    }
+
+    /// Sends a request and returns the connection.
+    pub async fn send(&self, method: &str, path: &str, headers: &str, body: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n{headers}\
+             Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream
+    }
+
+    /// Sends a request and reads all that comes back.
+    pub async fn ask(&self, method: &str, path: &str, headers: &str, body: &str) -> String {
+        let mut stream = self.send(method, path, headers, body).await;
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes).await;
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+/// The status of an answer, 0 if there is none.
+pub fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0)
+}
+
+/// Runs a case on one thread.
+pub fn on_one_thread(case: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, case);
+}
+
+/// Waits until `is_so`, which a busy machine may delay.
+pub async fn eventually(is_so: impl Fn() -> bool) {
+    while !is_so() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
