Routing: unread prompts count as load, and routers with equal knowledge spread

All routers chose the first of equally loaded targets, and a request of 40 tokens weighed as much as one of 4,000. Ruled out: full slots (4 to 8 of 64 in use), slow routers (0.003 of a core). Change: prompt tokens without a first event weigh 1 per 600; ties are drawn per choice. Tests: routers_that_see_equal_loads_do_not_all_choose_one_target, a_target_with_prompts_to_read_gets_the_next_request_last.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -63,6 +63,11 @@
         Some(parts[shared].0)
     }
 
+    /// Tokens of its prompt.
+    pub fn tokens(&self) -> u64 {
+        self.facts.prompt.iter().map(|(_, tokens)| u64::from(*tokens)).sum()
+    }
+
     pub fn after_ms(&self, shared: &Shared) -> u64 {
         shared.now_ms().saturating_sub(self.arrived_ms)
     }
@@ -238,8 +243,9 @@
         model: job.facts.model.as_ref(),
         prompt: job.prompt(),
         avoid: &avoid,
+        salt: shared.next_salt(),
     };
-    let why = match shared.try_seat(&wish) {
+    let why = match shared.try_seat(&wish, job.tokens()) {
         Ok(seat) => return Ok(seat),
         Err(Choice::NoTarget) => return Err("the service has no targets"),
         Err(why) => why,
@@ -252,6 +258,7 @@
         service: job.service.clone(),
         model: job.facts.model.clone(),
         prompt: job.prompt(),
+        tokens: job.tokens(),
         avoid,
         rank: job.route.rank,
         target_ms: job.arrived_ms + job.route.latency_target_ms,
@@ -354,6 +361,7 @@
         model: job.facts.model.as_ref(),
         prompt: None,
         avoid: &avoid,
+        salt: 0,
     };
     if !shared.fleet.borrow().has_other(shared.now_ms(), &wish, &seat.target) {
         return left_ms;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -17,6 +17,12 @@
 const FAILURE_COST: f64 = 2.0;
 /// Requests of one conversation that a target is remembered for.
 const MAX_REMEMBERED: usize = 512;
+/// Prompt tokens that a target has still to read and that weigh as much as one request in flight:
+/// reading them holds up the events of all that it runs.
+const TOKENS_AS_REQUEST: f64 = 600.0;
+/// Loads that differ by less than this are taken for equal: what other routers sent lately is not
+/// known yet.
+const SPREAD: f64 = 1.2;
 /// What a cached beginning of the prompt is worth, on the same scale.
 const CACHED_GAIN: f64 = 1.5;
 
@@ -31,6 +37,8 @@
     pub prompt: Option<u64>,
     /// Targets that failed it.
     pub avoid: &'a [TargetId],
+    /// Spreads routers that see the same loads over different targets.
+    pub salt: u64,
 }
 
 /// The outcome of a choice.
@@ -56,6 +64,8 @@
     own: u32,
     /// Requests of all other routers, as last told.
     others: u32,
+    /// Prompt tokens of this router's requests that have no first event yet.
+    unread_tokens: u64,
     failures: u32,
     avoid_until_ms: u64,
 }
@@ -63,7 +73,7 @@
 impl Target {
     fn new(entry: Entry) -> Self {
         let running = Vec::new();
-        Self { entry, running, own: 0, others: 0, failures: 0, avoid_until_ms: 0 }
+        Self { entry, running, own: 0, others: 0, unread_tokens: 0, failures: 0, avoid_until_ms: 0 }
     }
 
     /// Requests in flight, over all routers as far as known.
@@ -180,6 +190,8 @@
     fn cost(&self, now_ms: u64, target: &Target, wish: &Wish<'_>) -> f64 {
         let entry = &target.entry;
         let mut cost = f64::from(target.in_flight());
+        cost += target.unread_tokens as f64 / TOKENS_AS_REQUEST;
+        cost += SPREAD * share(entry.target.as_str(), wish.salt);
         if entry.availability_zone != self.zone {
             cost += ZONE_COST;
         }
@@ -196,16 +208,26 @@
         cost
     }
 
-    /// A request was sent to a target.
-    pub fn begin(&mut self, place: usize, model: Option<&ModelRef>) {
+    /// A request with a prompt of this many tokens was sent to a target.
+    pub fn begin(&mut self, place: usize, model: Option<&ModelRef>, tokens: u64) {
         let target = &mut self.targets[place];
         target.own += 1;
+        target.unread_tokens += tokens;
         match target.running.iter_mut().find(|(known, _)| known.as_ref() == model) {
             Some((_, count)) => *count += 1,
             None => target.running.push((model.cloned(), 1)),
         }
     }
 
+    /// A target has read a prompt of this many tokens, or will not.
+    pub fn read(&mut self, target: &TargetId, life: Incarnation, tokens: u64) {
+        let Some(at) = self.place(target) else { return };
+        let target = &mut self.targets[at];
+        if target.entry.incarnation == life {
+            target.unread_tokens = target.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
     /// A request of a target has ended.
     pub fn end(&mut self, target: &TargetId, life: Incarnation, model: Option<&ModelRef>) {
         let Some(at) = self.place(target) else { return };
@@ -265,3 +287,9 @@
         all.collect()
     }
 }
+
+/// A number from 0 to 1 that differs by target and salt.
+fn share(target: &str, salt: u64) -> f64 {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(target.as_bytes(), salt);
+    (hash >> 32) as f64 / f64::from(u32::MAX)
+}
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -20,6 +20,8 @@
     pub model: Option<ModelRef>,
     /// Names the beginning of its prompt.
     pub prompt: Option<u64>,
+    /// Tokens of its prompt.
+    pub tokens: u64,
     /// Targets that failed it.
     pub avoid: Vec<TargetId>,
     /// Its urgency: 0 goes first.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -91,8 +91,9 @@
         model: job.facts.model.as_ref(),
         prompt: None,
         avoid: &avoid,
+        salt: shared.next_salt(),
     };
-    let seat = shared.try_seat(&wish);
+    let seat = shared.try_seat(&wish, job.tokens());
     if let Ok(seat) = seat
         && let Ok(attempt) = exchange::attempt(shared, job, seat, None).await
         && let Ok(response) = Box::pin(whole(shared, job, attempt)).await
@@ -173,6 +174,9 @@
         Part::Failed(failure) => return Err(failure),
     };
     stream.has_delivered = true;
+    if let Some(attempt) = &mut stream.attempt {
+        attempt.seat.note_read();
+    }
     let now_ms = shared.now_ms();
     if let Some(prompt) = job.facts.prompt.iter().rev().nth(1) {
         shared.fleet.borrow_mut().remember(prompt.0, &target);
@@ -275,6 +279,7 @@
             model: self.job.facts.model.as_ref(),
             prompt: None,
             avoid: &avoid,
+            salt: 0,
         };
         self.shared.fleet.borrow().has_other(self.shared.now_ms(), &wish, &attempt.seat.target)
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -37,6 +37,7 @@
     /// Told when something waits that placement should know of at once.
     pub(super) demand_wake: Notify,
     pub(super) is_draining: Cell<bool>,
+    salt: Cell<u64>,
 }
 
 /// What a router is made of.
@@ -85,17 +86,17 @@
     }
 
     /// Takes a seat at the best target, if one has room now.
-    pub(super) fn try_seat(&self, wish: &Wish<'_>) -> Result<Seat, Choice> {
+    pub(super) fn try_seat(&self, wish: &Wish<'_>, tokens: u64) -> Result<Seat, Choice> {
         let choice = self.fleet.borrow().choose(self.now_ms(), wish);
         match choice {
-            Choice::Target(place) => Ok(self.seat(place, wish.model)),
+            Choice::Target(place) => Ok(self.seat(place, wish.model, tokens)),
             other => Err(other),
         }
     }
 
-    fn seat(&self, place: usize, model: Option<&ModelRef>) -> Seat {
+    fn seat(&self, place: usize, model: Option<&ModelRef>, tokens: u64) -> Seat {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.begin(place, model);
+        fleet.begin(place, model, tokens);
         let target = fleet.target(place);
         Seat {
             shared: Weak::clone(&self.own),
@@ -104,6 +105,7 @@
             address: target.entry.address,
             in_flight: target.in_flight(),
             model: model.cloned(),
+            unread_tokens: tokens,
         }
     }
 
@@ -138,10 +140,13 @@
                 model: waiter.model.as_ref(),
                 prompt: waiter.prompt,
                 avoid: &waiter.avoid,
+                salt: self.salt.get(),
             };
             let choice = self.fleet.borrow().choose(now_ms, &wish);
             match choice {
-                Choice::Target(place) => Some(self.seat(place, waiter.model.as_ref())),
+                Choice::Target(place) => {
+                    Some(self.seat(place, waiter.model.as_ref(), waiter.tokens))
+                }
                 Choice::Full | Choice::NoReplica | Choice::NoTarget => None,
             }
         });
@@ -157,6 +162,12 @@
         }
     }
 
+    /// A new number for the next choice among targets.
+    pub(super) fn next_salt(&self) -> u64 {
+        self.salt.set(self.salt.get().wrapping_add(1));
+        self.salt.get()
+    }
+
     /// What waits and runs here, and what arrived since this was last asked.
     pub(super) fn take_usage(&self) -> demand::Usage {
         demand::Usage {
@@ -199,10 +210,22 @@
     /// Requests in flight there, this one included.
     pub in_flight: u32,
     model: Option<ModelRef>,
+    unread_tokens: u64,
+}
+
+impl Seat {
+    /// The target has read the prompt: its first event came.
+    pub(super) fn note_read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(shared) = self.shared.upgrade().filter(|_| tokens > 0) {
+            shared.fleet.borrow_mut().read(&self.target, self.life, tokens);
+        }
+    }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
+        self.note_read();
         let Some(shared) = self.shared.upgrade() else { return };
         shared.fleet.borrow_mut().end(&self.target, self.life, self.model.as_ref());
         shared.pump();
@@ -269,6 +292,7 @@
             heard_ms: Cell::new(None),
             demand_wake: Notify::new(),
             is_draining: Cell::new(false),
+            salt: Cell::new(rand::random()),
         })
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -38,7 +38,7 @@
 
 fn chosen(fleet: &Fleet, now_ms: u64, avoid: &[TargetId]) -> Option<String> {
     let service = service();
-    let wish = Wish { service: &service, model: None, prompt: None, avoid };
+    let wish = Wish { service: &service, model: None, prompt: None, avoid, salt: 1 };
     match fleet.choose(now_ms, &wish) {
         Choice::Target(at) => Some(fleet.target(at).entry.target.to_string()),
         Choice::Full | Choice::NoReplica | Choice::NoTarget => None,
@@ -52,13 +52,40 @@
     for _ in 0..12 {
         let Some(name) = chosen(&fleet, 0, &[]) else { break };
         let place = usize::from(name == "t2");
-        fleet.begin(place, None);
+        fleet.begin(place, None, 0);
         counts[place] += 1;
     }
     assert_eq!(counts, [6, 6]);
     assert_eq!(chosen(&fleet, 0, &[]), None, "all slots are taken");
 }
 
+/// The load: routers that know the same loads each get a request at one moment.
+#[test]
+fn routers_that_see_equal_loads_do_not_all_choose_one_target() {
+    let entries = [entry("t1", "b", 64), entry("t2", "b", 64), entry("t3", "b", 64)];
+    let fleet = fleet(&entries);
+    let service = service();
+    let mut counts = [0; 3];
+    for salt in 0..300 {
+        let wish = Wish { service: &service, model: None, prompt: None, avoid: &[], salt };
+        if let Choice::Target(at) = fleet.choose(0, &wish) {
+            counts[at] += 1;
+        }
+    }
+    assert!(counts.iter().all(|count| (60..=140).contains(count)), "{counts:?}");
+}
+
+/// The load: long prompts that hold up the events of everything else at their target.
+#[test]
+fn a_target_with_prompts_to_read_gets_the_next_request_last() {
+    let mut fleet = fleet(&[entry("t1", "b", 64), entry("t2", "b", 64)]);
+    fleet.begin(0, None, 3_800);
+    (0..4).for_each(|_| fleet.begin(1, None, 0));
+    assert_eq!(chosen(&fleet, 0, &[]).as_deref(), Some("t2"));
+    fleet.read(&"t1".parse().unwrap(), Incarnation(1), 3_800);
+    assert_eq!(chosen(&fleet, 0, &[]).as_deref(), Some("t1"));
+}
+
 #[test]
 fn a_target_that_failed_is_left_alone_for_a_while() {
     let mut fleet = fleet(&[entry("t1", "a", 6), entry("t2", "b", 6)]);
@@ -85,14 +112,14 @@
 #[test]
 fn a_new_life_of_a_target_begins_without_the_requests_of_the_old_one() {
     let mut fleet = fleet(&[entry("t1", "a", 1)]);
-    fleet.begin(0, None);
+    fleet.begin(0, None, 0);
     assert_eq!(chosen(&fleet, 0, &[]), None);
     let mut reborn = entry("t1", "a", 1);
     reborn.incarnation = Incarnation(2);
     fleet.set_entries(&[reborn]);
     assert_eq!(chosen(&fleet, 0, &[]).as_deref(), Some("t1"));
     fleet.end(&"t1".parse().unwrap(), Incarnation(1), None);
-    fleet.begin(0, None);
+    fleet.begin(0, None, 0);
     assert_eq!(chosen(&fleet, 0, &[]), None, "the end of an old request frees nothing");
 }
 
@@ -100,7 +127,7 @@
 fn a_missing_model_is_told_from_a_full_target() {
     let fleet = fleet(&[entry("t1", "a", 6)]);
     let (service, other) = (service(), "other".parse::<ModelRef>().unwrap());
-    let wish = Wish { service: &service, model: Some(&other), prompt: None, avoid: &[] };
+    let wish = Wish { service: &service, model: Some(&other), prompt: None, avoid: &[], salt: 1 };
     assert_eq!(fleet.choose(0, &wish), Choice::NoReplica);
     let none = "none".parse().unwrap();
     assert_eq!(fleet.choose(0, &Wish { service: &none, ..wish }), Choice::NoTarget);
@@ -146,6 +173,7 @@
             service: service(),
             model: None,
             prompt: None,
+            tokens: 0,
             avoid: Vec::new(),
             rank,
             target_ms: 0,
