--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -39,6 +39,9 @@
 /// A reading that took longer than this may have been overtaken while the VM stood still.
 const READ_LIMIT_MS: u64 = 700;
 
+/// Time for a chosen voter to win its election.
+const TRANSFER_PAUSE: Duration = Duration::from_millis(400);
+
 /// The group: one is enough for the document and the leader.
 pub(super) const GROUP: GroupId = GroupId(1);
 
@@ -424,9 +427,6 @@
     }
 }
 
-/// Time for a chosen voter to win its election.
-const TRANSFER_PAUSE: Duration = Duration::from_millis(400);
-
 impl peer::Handler for Answers {
     fn consensus(&self, from: &DaemonId, group: GroupId, message: &[u8]) {
         let node = self.voter.node.borrow().clone();
--- a/src/placement/swap/plan.rs
+++ b/src/placement/swap/plan.rs
@@ -28,6 +28,9 @@
 /// Loads from the store that requests wait for, beyond those that fill disks.
 const URGENT_EXTRA: usize = 2;
 
+/// The rate that a model is taken to be asked for at least.
+const MIN_RATE_PER_S: f64 = 0.02;
+
 /// Why a model is loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Need {
@@ -286,6 +289,3 @@
         }
     }
 }
-
-/// The rate that a model is taken to be asked for at least.
-const MIN_RATE_PER_S: f64 = 0.02;
--- a/src/web/server.rs
+++ b/src/web/server.rs
@@ -20,6 +20,9 @@
 /// Pause after a failure to accept, which may come from a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The smallest buffer that the library takes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
 /// Answers a request.
 pub type Handler = Rc<dyn Fn(http::Request<Incoming>) -> LocalBoxFuture<'static, Answer>>;
 
@@ -147,9 +150,6 @@
     }
 }
 
-/// The smallest buffer that the library takes.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
-
 /// A handler for requests that cannot fail.
 pub fn handler<F, R>(answer: F) -> Handler
 where
