--- a/tests/gateway_faults.rs
+++ b/tests/gateway_faults.rs
@@ -290,7 +290,7 @@
 }
 
 #[test]
-fn a_request_for_a_model_that_does_not_come_is_refused_with_time_left() {
+fn a_request_for_a_model_that_does_not_come_is_refused_as_not_run() {
     on_one_thread(async {
         let target = Target::start("a", vec![ok("x")]).await;
         let router = Router::start(vec![target.entry("llm", &[])]).await;
