A router doesn't ask a target again for a model that it just said it lacks

Cause: the word "lacks it" took the model out of the router's copy of the table, and the next table (some 20 ms later) put it back, since the target had come back under its id and was not heard yet. Ruled out: the list of targets to avoid of a request; it only ranks them, and the only holder is first. Change: the router remembers the word for 1.5 s, or until a table shows the target without the model. Test: a_target_that_lacks_a_model_is_not_asked_again_while_old_tables_show_it, red before. Conclusion: kept for the budget it saves; no gain in worth is claimed.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -236,7 +236,7 @@
     job.avoid.borrow_mut().push(target.clone());
     let mut fleet = shared.fleet.borrow_mut();
     match (failure, &job.facts.model) {
-        (Failure::Lacking, Some(model)) => fleet.lacks(target, model),
+        (Failure::Lacking, Some(model)) => fleet.lacks(shared.now_ms(), target, model),
         (Failure::NotRun | Failure::Lacking, _) => {}
         _ => fleet.failed(shared.now_ms(), target),
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,6 +11,9 @@
 const AVOID_MS: u64 = 400;
 /// Longest time for which a target is avoided.
 const MAX_AVOID_MS: u64 = 5_000;
+/// How long a target's word that it lacks a model counts against tables that show the model there: a
+/// few announcements of the target.
+const LACKING_MS: u64 = 1_500;
 /// What another availability zone costs, as a part of one request in flight per slot.
 const ZONE_COST: f64 = 0.6;
 /// What each recent failure costs, on the same scale.
@@ -68,12 +71,22 @@
     unread_tokens: u64,
     failures: u32,
     avoid_until_ms: u64,
+    /// Models that it said it lacks while the table shows them, and until when that counts.
+    lacking: Vec<(ModelRef, u64)>,
 }
 
 impl Target {
     fn new(entry: Entry) -> Self {
-        let running = Vec::new();
-        Self { entry, running, own: 0, others: 0, unread_tokens: 0, failures: 0, avoid_until_ms: 0 }
+        Self {
+            entry,
+            running: Vec::new(),
+            own: 0,
+            others: 0,
+            unread_tokens: 0,
+            failures: 0,
+            avoid_until_ms: 0,
+            lacking: Vec::new(),
+        }
     }
 
     /// Requests in flight, over all routers as far as known.
@@ -85,10 +98,23 @@
         self.entry.services.first() == Some(service)
     }
 
-    fn holds(&self, model: &ModelRef) -> bool {
+    fn is_shown_with(&self, model: &ModelRef) -> bool {
         self.entry.replicas.binary_search_by(|replica| replica.model.cmp(model)).is_ok()
     }
 
+    fn holds(&self, now_ms: u64, model: &ModelRef) -> bool {
+        let said_no =
+            |(lacking, until_ms): &(ModelRef, u64)| lacking == model && now_ms < *until_ms;
+        self.is_shown_with(model) && !self.lacking.iter().any(said_no)
+    }
+
+    /// Takes a newer entry of the same life. What it no longer shows may be loaded again.
+    fn set_entry(&mut self, entry: &Entry) {
+        self.entry = entry.clone();
+        let lacking = std::mem::take(&mut self.lacking);
+        self.lacking = lacking.into_iter().filter(|(model, _)| self.is_shown_with(model)).collect();
+    }
+
     fn has_room(&self) -> bool {
         self.in_flight() < self.entry.slots.max(1)
     }
@@ -131,7 +157,7 @@
                 Some(at) => old.swap_remove(at),
                 None => Target::new(entry.clone()),
             };
-            target.entry = entry.clone();
+            target.set_entry(entry);
             self.targets.push(target);
         }
         self.targets.sort_unstable_by(|a, b| a.entry.target.cmp(&b.entry.target));
@@ -159,7 +185,7 @@
                 continue;
             }
             has_target = true;
-            if wish.model.is_some_and(|model| !target.holds(model)) {
+            if wish.model.is_some_and(|model| !target.holds(now_ms, model)) {
                 continue;
             }
             has_replica = true;
@@ -260,10 +286,11 @@
     }
 
     /// A target said that it does not hold a model that the table shows.
-    pub fn lacks(&mut self, target: &TargetId, model: &ModelRef) {
-        if let Some(at) = self.place(target) {
-            self.targets[at].entry.replicas.retain(|replica| replica.model != *model);
-        }
+    pub fn lacks(&mut self, now_ms: u64, target: &TargetId, model: &ModelRef) {
+        let Some(at) = self.place(target) else { return };
+        let lacking = &mut self.targets[at].lacking;
+        lacking.retain(|(known, until_ms)| known != model && now_ms < *until_ms);
+        lacking.push((model.clone(), now_ms + LACKING_MS));
     }
 
     /// Remembers that a target read a prompt that begins so.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -133,6 +133,31 @@
     assert_eq!(fleet.choose(0, &Wish { service: &none, ..wish }), Choice::NoTarget);
 }
 
+/// The load: an engine that comes back under its old name with empty memory, at which a wave asks for a
+/// model; tables go on to show it there until the engine is heard.
+#[test]
+fn a_target_that_lacks_a_model_is_not_asked_again_while_old_tables_show_it() {
+    let (service, model): (_, ModelRef) = (service(), "m".parse().unwrap());
+    let wish = Wish { service: &service, model: Some(&model), prompt: None, avoid: &[], salt: 1 };
+    let shown = [entry("t1", "a", 6)];
+    let mut empty = shown.clone();
+    empty[0].replicas.clear();
+
+    let mut fleet = fleet(&shown);
+    fleet.lacks(1_000, &shown[0].target, &model);
+    for now_ms in [1_000, 1_200, 1_400, 1_700] {
+        fleet.set_entries(&shown);
+        assert_eq!(fleet.choose(now_ms, &wish), Choice::NoReplica, "at {now_ms} ms");
+    }
+    // The engine was heard; what the table shows after that was loaded since.
+    fleet.set_entries(&empty);
+    fleet.set_entries(&shown);
+    assert_eq!(fleet.choose(1_800, &wish), Choice::Target(0));
+    // A word that no table contradicts or confirms does not count for ever.
+    fleet.lacks(2_000, &shown[0].target, &model);
+    assert_eq!(fleet.choose(2_000 + 5_000, &wish), Choice::Target(0));
+}
+
 #[test]
 fn what_may_have_run_is_never_called_not_run() {
     let failures = [
