--- a/tests/consensus_group/mod.rs
+++ b/tests/consensus_group/mod.rs
@@ -1,5 +1,7 @@
 //! A few cores with fake disks and a bag of messages, checked after every step.
 
+#![allow(dead_code, reason = "each program of tests uses a part")]
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
@@ -94,7 +96,8 @@
     pub repairs: usize,
     next_ticket: u64,
     next_command: u64,
-    lost: Option<usize>,
+    /// Members whose disks were lost and that were not replaced yet.
+    lost: Vec<usize>,
     /// A member that is stopped without knowing it, as by SIGSTOP.
     pub frozen: Option<usize>,
     rng: StdRng,
@@ -114,7 +117,7 @@
             repairs: 0,
             next_ticket: 0,
             next_command: 0,
-            lost: None,
+            lost: Vec::new(),
             frozen: None,
             rng: StdRng::seed_from_u64(seed),
         };
@@ -149,6 +152,13 @@
         member.core.as_ref().map(|core| core.status(member.now_ms(self.now_ms)))
     }
 
+    /// How long a member may act as the leader, by its own clock.
+    pub fn lease_left_ms(&self, at: usize) -> u64 {
+        let now_ms = self.members[at].now_ms(self.now_ms);
+        let until_ms = self.status(at).and_then(|status| status.lease_valid_until_ms);
+        until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms))
+    }
+
     /// Lets a core do something and carries out what follows.
     pub fn with<R>(&mut self, at: usize, act: impl FnOnce(&mut Core, u64) -> R) -> Option<R> {
         let now_ms = self.members[at].now_ms(self.now_ms);
@@ -210,7 +220,7 @@
                 };
                 let copies = membership.voters.iter().filter(holds).count();
                 // A voter whose disk is gone still counted when the entry was committed.
-                let copies = copies + usize::from(self.lost.is_some());
+                let copies = copies + self.lost.len();
                 assert!(copies >= membership.quorum(), "{index} applied on {copies} copies");
                 self.applied.insert(index, content);
             }
@@ -325,20 +335,45 @@
     /// Destroys a disk. The daemon comes back with a new identity. One at a time.
     pub fn lose_disk(&mut self, at: usize) {
         let is_whole = |member: &Member| member.core.is_some();
-        if self.lost.is_some() || !self.members.iter().all(is_whole) {
+        if !self.lost.is_empty() || !self.members.iter().all(is_whole) {
             return;
         }
+        self.destroy_disk(at);
+        self.restart(at);
+    }
+
+    /// Destroys a disk together with the VM, whatever else is lost.
+    pub fn destroy_disk(&mut self, at: usize) {
         self.crash(at, 0);
-        self.lost = Some(at);
+        self.lost.push(at);
         let member = &mut self.members[at];
         member.id.incarnation = member.id.incarnation.next();
         member.disk = Stored::default();
+    }
+
+    /// Adds a member at an address of its own, with an empty disk, that is to take the place of
+    /// one that stays away.
+    pub fn add_member(&mut self) -> usize {
+        let at = self.members.len();
+        let offset_ms = self.rng.random_range(0..1_000_000);
+        self.members.push(Member {
+            id: voter(at, 1),
+            core: None,
+            commands: Vec::new(),
+            disk: Stored::default(),
+            unsynced: VecDeque::new(),
+            offset_ms,
+            rate: self.rng.random_range(955..=1045),
+        });
         self.restart(at);
+        at
     }
 
     /// Takes the next step to replace a lost voter, at the leader.
     pub fn repair(&mut self) {
-        let (Some(lost), Some(leader)) = (self.lost, self.leader()) else { return };
+        let (Some(lost), Some(leader)) = (self.lost.first().copied(), self.leader()) else {
+            return;
+        };
         let new = self.members[lost].id.clone();
         let status = self.status(leader).unwrap();
         let old = status.membership.all().find(|id| id.daemon == new.daemon && **id != new);
@@ -346,7 +381,7 @@
             match old {
                 Some(old) => Change::Remove(old.clone()),
                 None if status.commit >= status.last => {
-                    self.lost = None;
+                    self.lost.remove(0);
                     self.repairs += 1;
                     return;
                 }
@@ -361,7 +396,7 @@
     }
 
     pub fn is_repaired(&self) -> bool {
-        self.lost.is_none()
+        self.lost.is_empty()
     }
 
     pub fn deliver(&mut self, at: usize, is_kept: bool) {
--- a/tests/swap_fake/mod.rs
+++ b/tests/swap_fake/mod.rs
@@ -408,7 +408,7 @@
         let (target, ticket) = (order.target.clone(), order.ticket);
         if self.rng.random_bool(self.trouble.lost) {
             if self.rng.random_bool(self.trouble.late) {
-                let late_ms = self.rng.random_range(2_000..12_000);
+                let late_ms = self.rng.random_range(2_000..=12_000);
                 self.due.push((self.now_ms + late_ms, Due::Late(order)));
             } else if self.rng.random_bool(0.5) {
                 self.deliver(&order);
