--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -145,6 +145,64 @@
         .await;
 }
 
+/// The load: an announcement that a cut held up, of a life that is over, at the address of another.
+#[tokio::test(start_paused = true)]
+async fn a_late_announcement_of_an_earlier_life_changes_nothing() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader(0);
+            let born = |life, sequence, port: u16| State {
+                incarnation: Incarnation(life),
+                address: SocketAddr::from(([127, 0, 0, 1], port)),
+                ..state("a", sequence)
+            };
+            leader.announced(born(7, 40, 1));
+            leader.announced(born(9, 1, 2));
+            leader.announced(born(7, 41, 1));
+            let mut feed = Feed::default();
+            follow(&leader, &mut feed).await;
+            let shown = |feed: &Feed| -> Vec<(u64, u16)> {
+                let entries = feed.table().entries().iter();
+                entries.map(|entry| (entry.incarnation.0, entry.address.port())).collect()
+            };
+            assert_eq!(shown(&feed), [(9, 2)]);
+            // Its word that it is gone comes later still.
+            leader.left(&"a".parse().unwrap(), Some(Incarnation(7)));
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let mut feed = Feed::default();
+            follow(&leader, &mut feed).await;
+            assert_eq!(shown(&feed), [(9, 2)]);
+        })
+        .await;
+}
+
+/// The load: a target crashes, and another one of another service starts at its address.
+#[tokio::test(start_paused = true)]
+async fn an_address_given_to_another_service_is_shown_for_what_it_is_now() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader(0);
+            leader.announced(state("old", 3));
+            let services = vec!["desk".parse().unwrap()];
+            let kind = Kind::Application;
+            let holds = Vec::new();
+            leader.announced(State { services, kind, holds, ..state("new", 1) });
+            let mut feed = Feed::default();
+            follow(&leader, &mut feed).await;
+            let shown: Vec<(String, String)> = feed
+                .table()
+                .entries()
+                .iter()
+                .map(|entry| (entry.target.to_string(), entry.services[0].to_string()))
+                .collect();
+            let expected = [("new", "desk"), ("old", "engines")];
+            let expected = expected.map(|(id, service)| (id.to_owned(), service.to_owned()));
+            // The old one is doubted only by its silence; calls name the target that they mean.
+            assert_eq!(shown, expected);
+        })
+        .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_leader_without_a_lease_tells_no_news() {
     LocalSet::new()
--- a/tests/gateway_faults.rs
+++ b/tests/gateway_faults.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use fescuebay::coordinator::follow::Follower as _;
+
 use gateway_support::{
     Act, END, Router, Target, answer, events, eventually, header, on_one_thread, status,
 };
@@ -138,6 +140,52 @@
     });
 }
 
+#[test]
+fn a_kept_connection_that_was_closed_meanwhile_costs_no_request() {
+    on_one_thread(async {
+        let script = vec![Act::WriteAndClose(answer("200 OK", "first")), ok("second")];
+        let target = Target::start("a", script).await;
+        let router = Router::start(vec![target.entry("app", &[])]).await;
+        let first = router.ask("POST", "/unsafe/x", "", "b").await;
+        assert!(first.ends_with("first"), "{first}");
+        eventually(|| target.seen.borrow().closed == 1).await;
+        let second = router.ask("POST", "/unsafe/x", "", "b").await;
+        assert!(second.ends_with("second"), "{second}");
+        assert_eq!(target.requests(), 2);
+    });
+}
+
+/// The bytes have left, and only the target knows whether it ran them.
+#[test]
+fn a_kept_connection_that_breaks_under_a_request_is_no_reason_to_repeat_it() {
+    for (path, expected) in [("/unsafe/x", (502, 2)), ("/safe/x", (200, 3))] {
+        on_one_thread(async move {
+            let script = vec![ok("first"), Act::WriteAndReset(String::new()), ok("third")];
+            let target = Target::start("a", script).await;
+            let router = Router::start(vec![target.entry("app", &[])]).await;
+            assert_eq!(status(&router.ask("POST", path, "", "b").await), 200);
+            let second = router.ask("POST", path, "", "b").await;
+            assert_eq!((status(&second), target.requests()), expected, "{path}: {second}");
+        });
+    }
+}
+
+#[test]
+fn a_request_whose_caller_left_while_it_waited_is_never_sent() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![Act::Write(events(1, 2) + END)]).await;
+        let router = Router::start(vec![target.entry("llm", &[])]).await;
+        let waits = || router.shared.usage().waiting.iter().map(|w| w.count).sum::<u32>();
+        let stream = router.send("POST", "/draft/x", MODEL, "b").await;
+        eventually(|| waits() == 1).await;
+        drop(stream);
+        eventually(|| waits() == 0).await;
+        router.set(vec![target.entry("llm", &["m1"])]);
+        let answer = router.ask("POST", "/draft/x", MODEL, "b").await;
+        assert_eq!((status(&answer), target.requests()), (200, 1), "{answer}");
+    });
+}
+
 #[test]
 fn what_the_router_sets_is_not_taken_from_callers() {
     on_one_thread(async {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -27,6 +27,10 @@
     Write(String),
     /// Writes bytes, then closes the connection in a way that the other end sees as broken.
     WriteAndReset(String),
+    /// Writes these bytes and closes the connection a little later, while it waits.
+    WriteAndClose(String),
+    /// Writes a signed stream of so many events, one after each gap.
+    Stream { events: usize, gap_ms: u64 },
     /// Writes bytes and then nothing more, for as long as the caller stays.
     WriteAndHang(String),
 }
@@ -38,6 +42,8 @@
     pub heads: Vec<String>,
     /// Connections that the router closed while an answer was under way.
     pub left: u32,
+    /// Connections that the target closed while they waited.
+    pub closed: u32,
 }
 
 /// A target that follows a script, one act a request; the last act is repeated.
@@ -113,6 +119,27 @@
                 let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                 return;
             }
+            Act::WriteAndClose(text) => {
+                let _ = stream.write_all(fill(&text).as_bytes()).await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                seen.borrow_mut().closed += 1;
+                return;
+            }
+            Act::Stream { events: count, gap_ms } => {
+                let whole = events(1, count);
+                let head = whole.find("\r\n\r\n").map_or(0, |at| at + 4);
+                let mut parts = vec![fill(&whole[..head])];
+                parts.extend((1..=count).map(event));
+                for part in parts {
+                    if stream.write_all(part.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    tokio::time::sleep(Duration::from_millis(gap_ms)).await;
+                }
+                if stream.write_all(END.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
             Act::WriteAndHang(text) => {
                 let _ = stream.write_all(fill(&text).as_bytes()).await;
                 let mut byte = [0; 1];
@@ -164,13 +191,14 @@
 pub fn events(from: usize, to: usize) -> String {
     let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s1\r\n\
                 Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let event = |number: usize| {
-        let event = format!("id: {number}\ndata: e{number}\n\n");
-        format!("{:x}\r\n{event}\r\n", event.len())
-    };
     head.to_owned() + &(from..=to).map(event).collect::<String>()
 }
 
+fn event(number: usize) -> String {
+    let event = format!("id: {number}\ndata: e{number}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
 /// The end of a stream.
 pub const END: &str = "0\r\n\r\n";
 
--- /dev/null
+++ b/tests/roles_support/mod.rs
@@ -0,0 +1,193 @@
+//! Voters and routers of the built binary on loopback, each a process with a settings file of its own.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+use super::common;
+use super::gateway_support::status;
+
+/// Longest time that any condition is waited for.
+const PATIENCE: Duration = Duration::from_secs(60);
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+const CALLERS: u16 = 8080;
+const READINESS: u16 = 8081;
+const CONTROL: u16 = 8090;
+
+/// One VM: its settings, its process, and what it logged.
+pub struct Vm {
+    pub ip: IpAddr,
+    pub settings: PathBuf,
+    role: &'static str,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// The VMs of one test, at addresses that no other test uses.
+pub struct Net {
+    folder: PathBuf,
+    net: [u8; 2],
+    voters: usize,
+}
+
+impl Net {
+    /// Room for this many voters, and for routers.
+    pub fn new(name: &str, voters: usize) -> Self {
+        let net = loop {
+            let net: [u8; 2] = [rand::random_range(2..250), rand::random_range(1..250)];
+            let ip = Ipv4Addr::new(127, net[0], net[1], 1);
+            if std::net::TcpListener::bind((ip, CONTROL)).is_ok() {
+                break net;
+            }
+        };
+        Self { folder: common::folder(name), net, voters }
+    }
+
+    fn ip(&self, number: usize) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.net[0], self.net[1], number as u8 + 1))
+    }
+
+    /// The text that all settings files have in common.
+    fn text(&self, role: &str, ip: IpAddr, keys: &str) -> String {
+        let first: Vec<String> = (0..self.voters).map(|n| self.ip(n).to_string()).collect();
+        format!(
+            "[vm]\nrole = {role}\nip = {ip}\navailability_zone = z\npeer_port = 7100\n{keys}\
+             [targets]\nheartbeat_ms = 500\ntakeover_ms = 300\n[stop]\nlimit_s = 12\n\
+             [group]\ncluster = c\nfirst = {}\nmay_form = true\nmax_lost = 1\n",
+            first.join(",")
+        )
+    }
+
+    fn vm(&self, role: &'static str, number: usize, text: &str) -> Vm {
+        let settings = self.folder.join(format!("{number}.ini"));
+        std::fs::write(&settings, text).unwrap();
+        let log = self.folder.join(format!("{number}.log"));
+        Vm { ip: self.ip(number), settings, role, log, child: None }
+    }
+
+    pub fn voter(&self, number: usize) -> Vm {
+        let ip = self.ip(number);
+        let data = self.folder.join(format!("data-{number}"));
+        let keys = format!("control = {ip}:{CONTROL}\n");
+        let text = self.text("voter", ip, &keys) + &format!("data_folder = {}\n", data.display());
+        self.vm("voter", number, &text)
+    }
+
+    pub fn router(&self, number: usize) -> Vm {
+        let ip = self.ip(number);
+        let keys = format!("callers = {ip}:{CALLERS}\nreadiness = {ip}:{READINESS}\n");
+        self.vm("router", number, &self.text("router", ip, &keys))
+    }
+}
+
+impl Vm {
+    pub fn start(&mut self) {
+        let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
+        let mut command = common::fescuebay();
+        command.args(["serve", "--role", self.role]).env("FESCUEBAY_BOOT", &self.settings);
+        command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        self.child = Some(command.spawn().unwrap());
+    }
+
+    /// Sends a signal by name to its process alone.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.as_ref().expect("it runs").id();
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Waits for its end and returns its exit code.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let mut child = self.child.take().expect("it runs");
+        let mut code = None;
+        until("the process ends", async || match child.try_wait().unwrap() {
+            Some(status) => {
+                code = status.code();
+                true
+            }
+            None => false,
+        })
+        .await;
+        code
+    }
+
+    /// The lines that it logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS)
+    }
+
+    pub fn readiness(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READINESS)
+    }
+
+    pub fn control(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CONTROL)
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Waits until a condition holds, which a busy machine may delay.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let started = Instant::now();
+    while !holds().await {
+        assert!(started.elapsed() < PATIENCE, "waited in vain: {what}");
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Sends a request over a connection of its own. `None`: it could not connect.
+pub async fn send(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(to).await.ok()?;
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\n{headers}Content-Length: {}\r\n\
+         Connection: close\r\n\r\n{body}",
+        body.len()
+    );
+    // A write that fails shows as an answer without a status.
+    let _ = stream.write_all(text.as_bytes()).await;
+    Some(stream)
+}
+
+/// All that comes back on a connection.
+pub async fn read(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut bytes)).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Sends a request and returns the whole answer, empty if nothing came.
+pub async fn ask(to: SocketAddr, method: &str, path: &str, headers: &str, body: &str) -> String {
+    match send(to, method, path, headers, body).await {
+        Some(stream) => read(stream).await,
+        None => String::new(),
+    }
+}
+
+/// The status of the answer to a call, 0 if there is none.
+pub async fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> u16 {
+    status(&ask(to, method, path, "", body).await)
+}
