A first document of version 0 reaches the routers

Cause: followers and the leader named "no document" by version 0, so a document of that version was stored and acknowledged, and never in force. Found while reading for tests/routes_document.rs. Change: the version that a follower has, and the leader's document, are optional. Test: a_first_document_of_version_0_reaches_followers. Conclusion: no effect on other versions.

--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -42,7 +42,7 @@
     pub feed: RefCell<feed::Feed>,
     clock: BootClock,
     term: RefCell<Term>,
-    version: RefCell<routes::Version>,
+    version: RefCell<Option<routes::Version>>,
     heard_ms: RefCell<Option<u64>>,
 }
 
@@ -105,9 +105,9 @@
     state.heard_ms.replace(Some(state.clock.now_ms()));
     client.learn(&news.voters);
     if let Some((version, text)) = news.document
-        && version > *state.version.borrow()
+        && Some(version) > *state.version.borrow()
     {
-        state.version.replace(version);
+        state.version.replace(Some(version));
         follower.take_document(version, &text);
     }
     follower.take_load(news.routers, &news.running);
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -59,7 +59,7 @@
     demand: RefCell<demand::Demand>,
     /// Routers and when they last asked for news, sorted.
     routers: RefCell<Vec<(DaemonId, u64)>>,
-    document: RefCell<(routes::Version, bytes::Bytes)>,
+    document: RefCell<Option<(routes::Version, bytes::Bytes)>>,
     news: watch::Sender<u64>,
     /// When followers were last woken, and whether they are about to be.
     told_ms: Cell<u64>,
@@ -124,7 +124,7 @@
         text: bytes::Bytes,
         decode: routes::Decode,
     ) {
-        if text.is_empty() || version <= self.document.borrow().0 {
+        if text.is_empty() || Some(version) <= self.version() {
             return;
         }
         match decode(&text) {
@@ -132,10 +132,15 @@
             Err(report) => log::error!("the document of version {version} is kept: {report}"),
         }
         log::info!("document {version} is in force, {} bytes", text.len());
-        self.document.replace((version, text));
+        self.document.replace(Some((version, text)));
         self.tell();
     }
 
+    /// The version of the document in force, if there is one.
+    fn version(&self) -> Option<routes::Version> {
+        self.document.borrow().as_ref().map(|(version, _)| *version)
+    }
+
     fn take_services(&self, document: &routes::Document) {
         let now_ms = self.parts.clock.now_ms();
         let mut planners = self.planners.borrow_mut();
@@ -337,15 +342,15 @@
     }
 
     fn has_news(&self, watch: &Watch) -> bool {
-        self.feed.borrow().cursor() != watch.cursor || self.document.borrow().0 > watch.routes
+        self.feed.borrow().cursor() != watch.cursor || self.version() > watch.routes
     }
 
     fn news_for(&self, watch: &Watch, voters: Vec<DaemonId>) -> News {
-        let document = self.document.borrow();
+        let is_newer = self.version() > watch.routes;
         News {
             term: self.term,
             batch: self.feed.borrow().since(watch.cursor),
-            document: (document.0 > watch.routes).then(|| document.clone()),
+            document: self.document.borrow().clone().filter(|_| is_newer),
             routers: self.routers.borrow().len().max(1) as u32,
             running: self.demand.borrow().by_target(),
             voters,
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -40,8 +40,8 @@
     pub is_router: bool,
     /// How far it is in the route table.
     pub cursor: feed::Cursor,
-    /// The document that it has.
-    pub routes: routes::Version,
+    /// The document that it has, if any.
+    pub routes: Option<routes::Version>,
     /// What it has waiting and running.
     pub usage: demand::Usage,
 }
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -81,22 +81,25 @@
     }
 }
 
-fn leader(takeover_ms: u64) -> Rc<Leader> {
-    let parts = Parts {
+fn parts(takeover_ms: u64) -> Parts {
+    Parts {
         own: daemon_at([10, 0, 0, 1].into()),
         clock: BootClock::with(|| 0),
         engines: Rc::new(Obedient),
         silence: targets::Settings { suspect_ms: 3_600, dead_ms: 6_000 },
         placement: Settings { takeover_ms, ..Settings::default() },
         is_leased: Rc::new(|| true),
-    };
-    let leader = Leader::start(Term(1), parts, &[]);
+    }
+}
+
+fn leader(takeover_ms: u64) -> Rc<Leader> {
+    let leader = Leader::start(Term(1), parts(takeover_ms), &[]);
     leader.take_document(Version(3), DOCUMENT.into(), platform::document::decode);
     leader
 }
 
 fn question(cursor: Cursor) -> Watch {
-    let routes = Version(3);
+    let routes = Some(Version(3));
     Watch { is_router: true, cursor, routes, usage: Usage::default() }
 }
 
@@ -145,6 +148,21 @@
         .await;
 }
 
+/// Version 0 is a version like any other.
+#[tokio::test(start_paused = true)]
+async fn a_first_document_of_version_0_reaches_followers() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = Leader::start(Term(1), parts(0), &[]);
+            let text = DOCUMENT.replace(r#""version":3"#, r#""version":0"#);
+            leader.take_document(Version(0), text.into(), platform::document::decode);
+            let asked = Watch { routes: None, ..question(Cursor::default()) };
+            let news = leader.watch(&router(), asked, Vec::new()).await.unwrap();
+            assert_eq!(news.document.map(|(version, _)| version), Some(Version(0)));
+        })
+        .await;
+}
+
 /// The load: an announcement that a cut held up, of a life that is over, at the address of another.
 #[tokio::test(start_paused = true)]
 async fn a_late_announcement_of_an_earlier_life_changes_nothing() {
