Planning looks at each engine once a round: a grown leader keeps its lease through a backlog

Each model in need looked at each engine, and for each pair went through all models of the document to find sizes and worked out anew what the engine could give up. Change: the document's models are sorted and looked up; what an engine can give up is worked out once a round (outlook.rs); a round ends where no engine is idle; rounds are further apart the more was looked at.

--- a/src/placement/swap/adapters.rs
+++ b/src/placement/swap/adapters.rs
@@ -31,7 +31,7 @@
         if self.sites.iter().any(|site| holds(site, adapter) || is_coming(site)) {
             return;
         }
-        let slots = self.engine.adapter_slots as usize;
+        let slots = self.specs.adapter_slots();
         let mut best: Option<((bool, u64, u32, usize), usize)> = None;
         for (at, site) in self.sites.iter().enumerate() {
             let base = site.find(&adapter.model).filter(|loaded| !loaded.is_closing);
--- a/src/placement/swap/census.rs
+++ b/src/placement/swap/census.rs
@@ -2,8 +2,8 @@
 
 use super::demand::Demand;
 use super::site::Site;
+use super::specs::Specs;
 use crate::ids::ModelName;
-use crate::routes;
 
 /// What is known of one model.
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,11 +26,9 @@
 }
 
 impl Census {
-    pub(super) fn take(engine: &routes::Engine, sites: &[Site], demand: &Demand) -> Self {
-        let names = engine.models.iter().map(|spec| (spec.name.clone(), Count::default()));
-        let mut counts: Vec<(ModelName, Count)> = names.collect();
-        counts.sort_unstable_by(|a, b| a.0.cmp(&b.0));
-        let mut census = Self { counts };
+    pub(super) fn take(specs: &Specs, sites: &[Site], demand: &Demand) -> Self {
+        let names = specs.models().iter().map(|spec| (spec.name.clone(), Count::default()));
+        let mut census = Self { counts: names.collect() };
         for waiting in demand.waiting() {
             census.add(&waiting.model.model, |count| count.waiting += waiting.count);
         }
--- a/src/placement/swap/mod.rs
+++ b/src/placement/swap/mod.rs
@@ -12,8 +12,10 @@
 mod adapters;
 mod census;
 pub mod demand;
+mod outlook;
 mod plan;
 mod site;
+mod specs;
 
 use crate::ids::{AdapterName, DaemonId, Incarnation, ModelName, ModelRef, TargetId, Term};
 use crate::routes;
@@ -146,6 +148,17 @@
     }
 }
 
+/// Why a model is loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Need {
+    /// Requests wait and no engine holds it.
+    Missing,
+    /// More requests are in flight than its replicas take.
+    Crowded,
+    /// No disk has a copy.
+    Unread,
+}
+
 /// Decides which engine of one service holds which models.
 #[derive(Debug)]
 pub struct Planner {
@@ -153,7 +166,7 @@
     settings: Settings,
     start_ms: u64,
     now_ms: u64,
-    engine: routes::Engine,
+    specs: specs::Specs,
     /// Sorted by target.
     sites: Vec<Site>,
     demand: demand::Demand,
@@ -181,7 +194,7 @@
             settings,
             start_ms: now_ms,
             now_ms,
-            engine: routes::Engine::default(),
+            specs: specs::Specs::default(),
             sites: Vec::new(),
             demand: demand::Demand::default(),
             store_starts_ms: std::collections::VecDeque::new(),
@@ -211,11 +224,11 @@
 
     /// One round of planning. Rounds are spaced out as there is more to look at.
     fn plan_round(&mut self) {
-        let pairs = (self.sites.len() * self.engine.models.len()) as u64;
+        let pairs = (self.sites.len() * self.specs.models().len()) as u64;
         self.plan_ms = self.now_ms + MIN_GAP_MS + pairs / PAIRS_PER_MS;
         self.is_plan_due = false;
         self.note_running();
-        self.census = census::Census::take(&self.engine, &self.sites, &self.demand);
+        self.census = census::Census::take(&self.specs, &self.sites, &self.demand);
         if self.may_order() {
             self.plan();
             self.plan_adapters();
@@ -262,7 +275,7 @@
 
     fn take(&mut self, event: Event) {
         match event {
-            Event::Engine(engine) => self.engine = engine,
+            Event::Engine(engine) => self.specs = specs::Specs::new(engine),
             Event::State(state) => self.on_state(&state),
             Event::Gone(target, incarnation) => self.on_gone(&target, incarnation),
             Event::Usage(daemon, usage) => self.demand.take(self.now_ms, daemon, usage),
@@ -356,8 +369,4 @@
             model,
         }));
     }
-
-    fn spec(&self, model: &ModelName) -> Option<&routes::Model> {
-        self.engine.models.iter().find(|spec| spec.name == *model)
-    }
 }
