Totals of requests at targets are told by what changed

Ruled out: the document (told once a version), orders and announcements (some hundred bytes each). Change: the leader numbers changes of totals (coordinator/loads.rs); a follower names how far it is and gets what changed since, or all of them from a new leader. Totals are kept up as routers tell, not counted anew for each answer. Test: tests/coordinator_loads.rs (random schedules with lost answers, silent routers and new leaders).

--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::client::Client;
+use super::loads;
 use super::message::{News, Reply, Request, Watch};
 use crate::clock::BootClock;
 use crate::ids::{DaemonId, Term};
@@ -32,8 +33,8 @@
     /// The route table has changed.
     fn table_changed(&self, feed: &feed::Feed);
 
-    /// Takes how many routers there are, and what they have running together.
-    fn take_load(&self, routers: u32, running: &[(crate::ids::TargetId, u32)]);
+    /// Takes how many routers there are, and what changed in what they have running together.
+    fn take_load(&self, routers: u32, changes: &loads::Changes);
 }
 
 /// How far a daemon follows.
@@ -42,6 +43,7 @@
     pub feed: RefCell<feed::Feed>,
     clock: BootClock,
     term: RefCell<Term>,
+    loads: RefCell<feed::Cursor>,
     version: RefCell<Option<routes::Version>>,
     heard_ms: RefCell<Option<u64>>,
 }
@@ -53,6 +55,7 @@
             feed: RefCell::default(),
             clock,
             term: RefCell::default(),
+            loads: RefCell::default(),
             version: RefCell::default(),
             heard_ms: RefCell::default(),
         })
@@ -76,6 +79,7 @@
         let watch = Watch {
             is_router,
             cursor: state.feed.borrow().cursor(),
+            loads: *state.loads.borrow(),
             routes: *state.version.borrow(),
             usage: follower.usage(),
         };
@@ -110,7 +114,8 @@
         state.version.replace(Some(version));
         follower.take_document(version, &text);
     }
-    follower.take_load(news.routers, &news.running);
+    state.loads.replace(news.loads.cursor);
+    follower.take_load(news.routers, &news.loads);
     let followed = state.feed.borrow_mut().follow(news.batch);
     match followed {
         feed::Followed::Same => {}
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -8,6 +8,7 @@
 use tokio::task::JoinHandle;
 
 use super::Engines;
+use super::loads::Loads;
 use super::message::{News, Watch};
 use crate::clock::BootClock;
 use crate::ids::{DaemonId, Incarnation, ServiceName, TargetId, Term};
@@ -56,7 +57,7 @@
     feed: RefCell<Feed>,
     /// Placement by service, sorted.
     planners: RefCell<Vec<(ServiceName, swap::Planner)>>,
-    demand: RefCell<demand::Demand>,
+    loads: RefCell<Loads>,
     /// Routers and when they last asked for news, sorted.
     routers: RefCell<Vec<(DaemonId, u64)>>,
     document: RefCell<Option<(routes::Version, bytes::Bytes)>>,
@@ -81,7 +82,7 @@
             directory: RefCell::new(Directory::adopt(now_ms, entries)),
             feed: RefCell::new(Feed::new(term, entries.to_vec())),
             planners: RefCell::default(),
-            demand: RefCell::default(),
+            loads: RefCell::new(Loads::new(term)),
             routers: RefCell::default(),
             document: RefCell::default(),
             news: watch::Sender::new(0),
@@ -303,7 +304,7 @@
     /// Takes what a router has waiting and running.
     pub fn usage(&self, from: &DaemonId, usage: demand::Usage) {
         let now_ms = self.parts.clock.now_ms();
-        self.demand.borrow_mut().take(now_ms, from.clone(), usage.clone());
+        self.loads.borrow_mut().take(now_ms, from, &usage.running);
         let mut actions = Vec::new();
         for (_, planner) in self.planners.borrow_mut().iter_mut() {
             actions.extend(planner.on(now_ms, swap::Event::Usage(from.clone(), usage.clone())));
@@ -352,7 +353,7 @@
             batch: self.feed.borrow().since(watch.cursor),
             document: self.document.borrow().clone().filter(|_| is_newer),
             routers: self.routers.borrow().len().max(1) as u32,
-            running: self.demand.borrow().by_target(),
+            loads: self.loads.borrow().since(watch.loads),
             voters,
         }
     }
@@ -449,7 +450,7 @@
         let now_ms = leader.parts.clock.now_ms();
         let effects = leader.directory.borrow_mut().tick(now_ms);
         leader.apply(effects);
-        leader.demand.borrow_mut().forget_silent(now_ms);
+        leader.loads.borrow_mut().forget_silent(now_ms);
         let is_there = |heard_ms: u64| now_ms.saturating_sub(heard_ms) < ROUTER_GONE_MS;
         leader.routers.borrow_mut().retain(|(_, heard_ms)| is_there(*heard_ms));
     }
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use super::loads;
 use crate::consensus::entry::VoterId;
 use crate::consensus::formation;
 use crate::ids::{DaemonId, Incarnation, TargetId, Term};
@@ -40,6 +41,8 @@
     pub is_router: bool,
     /// How far it is in the route table.
     pub cursor: feed::Cursor,
+    /// How far it is in the totals of requests at targets.
+    pub loads: feed::Cursor,
     /// The document that it has, if any.
     pub routes: Option<routes::Version>,
     /// What it has waiting and running.
@@ -58,8 +61,8 @@
     pub document: Option<(routes::Version, Bytes)>,
     /// Routers that asked for news lately, the asking one included.
     pub routers: u32,
-    /// Requests at each target, over all routers, sorted by target.
-    pub running: Vec<(TargetId, u32)>,
+    /// Changes of the requests at each target, over all routers.
+    pub loads: loads::Changes,
     /// The voters.
     pub voters: Vec<DaemonId>,
 }
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod follow;
 pub mod leader;
+pub mod loads;
 pub mod members;
 pub mod message;
 mod run;
--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -10,9 +10,8 @@
 
 use super::client::Client;
 use super::voter::{self, Answers, Voter};
-use super::{Engines, Error, Result, api, daemon_at, follow};
+use super::{Engines, Error, Result, api, daemon_at, follow, loads};
 use crate::clock::BootClock;
-use crate::ids::TargetId;
 use crate::membership::{feed, targets};
 use crate::peer;
 use crate::placement::swap::{self, demand};
@@ -49,7 +48,7 @@
 
     fn table_changed(&self, _feed: &feed::Feed) {}
 
-    fn take_load(&self, _routers: u32, _running: &[(TargetId, u32)]) {}
+    fn take_load(&self, _routers: u32, _changes: &loads::Changes) {}
 }
 
 /// Runs a voter on the current `LocalSet` until `stop` says so.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -3,6 +3,7 @@
 //! Load at its worst: a wave of requests for one model at all routers at once, beside targets that
 //! have just died, hang, or answer with errors.
 
+use crate::coordinator::loads;
 use crate::ids::{Incarnation, ModelRef, ServiceName, TargetId, Zone};
 use crate::membership::table::{Entry, Standing};
 use crate::placement::swap::demand::Running;
@@ -128,12 +129,14 @@
     targets: Vec<Target>,
     /// Which target last read a prompt that begins so, oldest first.
     prompts: std::collections::VecDeque<(u64, TargetId)>,
+    totals: loads::Totals,
 }
 
 impl Fleet {
     /// No targets, seen from `zone`.
     pub fn new(zone: Zone) -> Self {
-        Self { zone, targets: Vec::new(), prompts: std::collections::VecDeque::new() }
+        let prompts = std::collections::VecDeque::new();
+        Self { zone, targets: Vec::new(), prompts, totals: loads::Totals::default() }
     }
 
     /// The targets, sorted by id.
@@ -163,8 +166,10 @@
         self.targets.sort_unstable_by(|a, b| a.entry.target.cmp(&b.entry.target));
     }
 
-    /// Takes the requests at each target over all routers, sorted by target.
-    pub fn set_totals(&mut self, totals: &[(TargetId, u32)]) {
+    /// Takes what changed in the requests at each target over all routers.
+    pub fn take_totals(&mut self, changes: &loads::Changes) {
+        self.totals.take(changes);
+        let totals = self.totals.all();
         for target in &mut self.targets {
             let told = totals.binary_search_by(|(id, _)| id.cmp(&target.entry.target));
             let total = told.map_or(0, |at| totals[at].1);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -12,7 +12,7 @@
 use super::queue::{Queue, Ticket, Waiter};
 use super::{Protocol, events};
 use crate::clock::BootClock;
-use crate::coordinator::follow;
+use crate::coordinator::{follow, loads};
 use crate::ids::{Incarnation, ModelRef, TargetId, Zone};
 use crate::membership::{feed, table};
 use crate::placement::swap::demand;
@@ -253,10 +253,10 @@
         self.pump();
     }
 
-    fn take_load(&self, routers: u32, running: &[(TargetId, u32)]) {
+    fn take_load(&self, routers: u32, changes: &loads::Changes) {
         self.heard_ms.set(Some(self.now_ms()));
         self.budget.borrow_mut().set_routers(routers);
-        self.fleet.borrow_mut().set_totals(running);
+        self.fleet.borrow_mut().take_totals(changes);
         self.pump();
     }
 }
--- a/src/placement/swap/demand.rs
+++ b/src/placement/swap/demand.rs
@@ -124,16 +124,4 @@
     pub fn running(&self) -> impl Iterator<Item = &Running> {
         self.told.iter().flat_map(|told| &told.usage.running)
     }
-
-    /// Requests at each target, over all routers, sorted by target.
-    pub fn by_target(&self) -> Vec<(TargetId, u32)> {
-        let mut totals: Vec<(TargetId, u32)> = Vec::new();
-        for running in self.running() {
-            match totals.binary_search_by(|(target, _)| target.cmp(&running.target)) {
-                Ok(at) => totals[at].1 += running.count,
-                Err(at) => totals.insert(at, (running.target.clone(), running.count)),
-            }
-        }
-        totals
-    }
 }
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -100,7 +100,8 @@
 
 fn question(cursor: Cursor) -> Watch {
     let routes = Some(Version(3));
-    Watch { is_router: true, cursor, routes, usage: Usage::default() }
+    let loads = Cursor::default();
+    Watch { is_router: true, cursor, loads, routes, usage: Usage::default() }
 }
 
 async fn follow(leader: &Leader, feed: &mut Feed) {
--- /dev/null
+++ b/tests/coordinator_loads.rs
@@ -0,0 +1,129 @@
+//! Totals of requests at targets: told by what changed, and always what all routers have together.
+
+use std::collections::BTreeMap;
+
+use fescuebay::coordinator::loads::{Loads, Totals};
+use fescuebay::ids::{DaemonId, TargetId, Term};
+use fescuebay::membership::feed::Cursor;
+use fescuebay::placement::swap::demand::Running;
+use proptest::prelude::*;
+
+fn target(number: usize) -> TargetId {
+    format!("t{number}").parse().unwrap()
+}
+
+fn router(number: usize) -> DaemonId {
+    format!("r{number}").parse().unwrap()
+}
+
+fn running(counts: &[(usize, u32)]) -> Vec<Running> {
+    let each = |(number, count): &(usize, u32)| Running {
+        target: target(*number),
+        model: None,
+        count: *count,
+    };
+    counts.iter().map(each).collect()
+}
+
+/// A step: a router tells, or a follower asks (and its answer may be lost), or time passes.
+#[derive(Clone, Debug)]
+enum Step {
+    Tell(usize, Vec<(usize, u32)>),
+    Ask(usize, bool),
+    Pass(u64),
+    NewLeader,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let counts = proptest::collection::vec((0..7_usize, 0..4_u32), 0..9);
+    prop_oneof![
+        6 => (0..4_usize, counts).prop_map(|(router, counts)| Step::Tell(router, counts)),
+        4 => (0..3_usize, any::<bool>()).prop_map(|(at, is_lost)| Step::Ask(at, is_lost)),
+        2 => (1..3_000_u64).prop_map(Step::Pass),
+        1 => Just(Step::NewLeader),
+    ]
+}
+
+/// What one follower has.
+#[derive(Default)]
+struct Follower {
+    cursor: Cursor,
+    totals: Totals,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn followers_know_what_all_routers_have_together(
+        steps in proptest::collection::vec(step(), 1..120),
+    ) {
+        let mut loads = Loads::new(Term(1));
+        let mut term = 1;
+        let mut now_ms = 0;
+        let mut told: BTreeMap<usize, (u64, Vec<(usize, u32)>)> = BTreeMap::new();
+        let mut followers: Vec<Follower> = (0..3).map(|_| Follower::default()).collect();
+        for step in steps {
+            match step {
+                Step::Tell(number, counts) => {
+                    loads.take(now_ms, &router(number), &running(&counts));
+                    told.insert(number, (now_ms, counts));
+                }
+                Step::Ask(at, is_lost) => {
+                    let follower = &mut followers[at];
+                    let changes = loads.since(follower.cursor);
+                    if is_lost {
+                        continue;
+                    }
+                    follower.cursor = changes.cursor;
+                    follower.totals.take(&changes);
+                    let mut expected: BTreeMap<TargetId, u32> = BTreeMap::new();
+                    for (number, count) in told.values().flat_map(|(_, counts)| counts) {
+                        *expected.entry(target(*number)).or_default() += count;
+                    }
+                    expected.retain(|_, count| *count > 0);
+                    let expected: Vec<_> = expected.into_iter().collect();
+                    prop_assert_eq!(follower.totals.all(), expected);
+                }
+                Step::Pass(ms) => {
+                    now_ms += ms;
+                    loads.forget_silent(now_ms);
+                    told.retain(|_, (at_ms, _)| now_ms - *at_ms < 2_500);
+                }
+                Step::NewLeader => {
+                    term += 1;
+                    loads = Loads::new(Term(term));
+                    told.clear();
+                }
+            }
+        }
+    }
+}
+
+/// The load: many routers ask again and again while little changes.
+#[test]
+fn what_has_not_changed_is_not_told_again() {
+    let mut loads = Loads::new(Term(4));
+    let counts: Vec<(usize, u32)> = (0..140).map(|number| (number, 2)).collect();
+    loads.take(0, &router(1), &running(&counts));
+    let first = loads.since(Cursor::default());
+    assert_eq!((first.is_whole, first.totals.len()), (true, 140));
+    loads.take(10, &router(1), &running(&counts));
+    let mut one_more = counts.clone();
+    one_more[7].1 = 3;
+    loads.take(20, &router(1), &running(&one_more));
+    let later = loads.since(first.cursor);
+    assert_eq!((later.is_whole, later.totals), (false, vec![(target(7), 3)]));
+    // One request moves to another router: the total is the same.
+    loads.take(30, &router(1), &running(&counts));
+    loads.take(30, &router(2), &running(&[(7, 1)]));
+    let mut totals = Totals::default();
+    totals.take(&first);
+    totals.take(&loads.since(first.cursor));
+    assert_eq!(totals.all().iter().map(|(_, count)| count).sum::<u32>(), 281);
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use fescuebay::coordinator::follow::Follower as _;
+use fescuebay::coordinator::loads::Changes;
 use fescuebay::gateway::{self, Shared, budget};
 use fescuebay::ids::{Incarnation, Term};
 use fescuebay::membership::feed::Feed;
@@ -255,7 +256,7 @@
     /// Tells the router of its targets.
     pub fn set(&self, entries: Vec<Entry>) {
         self.feed.replace(Feed::new(Term(1), entries));
-        self.shared.take_load(1, &[]);
+        self.shared.take_load(1, &Changes::default());
         self.shared.table_changed(&self.feed.borrow());
     }
 
