fescuebay explain: the story of one request, from the lines of its routers

Change: `fescuebay explain ID [FILES]` reads files or standard input, puts the lines of one request in order of time and prints them in 40 columns, or as JSON. Lines that can't be read (not JSON, not UTF-8, over 1 MB, no time) are counted, the first five named, and passed over. A request that no line names ends with 1.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod defaults;
 mod exceptions;
+mod explain;
 mod fleet;
 mod output;
 mod report;
@@ -71,6 +72,7 @@
     Jobs(work::JobsCommand),
     #[command(subcommand)]
     Poison(work::PoisonCommand),
+    Explain(explain::Args),
     Completions(CompletionsArgs),
 }
 
@@ -156,6 +158,7 @@
         Command::Records(command) => connection::block_on(command.run()),
         Command::Jobs(command) => connection::block_on(command.run()),
         Command::Poison(command) => connection::block_on(command.run()),
+        Command::Explain(args) => args.run(),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod stand_in;
 pub mod stop;
 pub mod storage;
+pub mod story;
 pub mod target;
 pub mod traffic;
 pub mod units;
