A router that stops refuses who still waits before its process ends

Change: the time of the end is known to all who wait (Shared::stop_at); three seconds before it they are refused as not run, with a time to come back. Test: a_stop_refuses_who_still_waits_before_the_process_ends, by processes, red before (no answer at all). Conclusion: the fault is mended; it could come on any site with long waits.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -275,10 +275,15 @@
         target_ms: job.arrived_ms + job.route.latency_target_ms,
     };
     let waited = shared.wait(&job.facts.id, waiter, why);
-    match tokio::time::timeout(Duration::from_millis(wait_ms), waited).await {
-        Ok(Some(seat)) => Ok(seat),
-        Ok(None) | Err(_) if why == Choice::NoTarget => Err(NO_TARGETS),
-        Ok(None) | Err(_) => Err("no target was free in time"),
+    let seat = tokio::select! {
+        seat = waited => seat,
+        () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
+        () = shared.last_call() => return Err("the router stops"),
+    };
+    match seat {
+        Some(seat) => Ok(seat),
+        None if why == Choice::NoTarget => Err(NO_TARGETS),
+        None => Err("no target was free in time"),
     }
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -81,11 +81,11 @@
 
     stop.wait().await;
     log::info!("router {} drains", daemon_at(settings.vm.ip));
-    shared.is_draining.set(true);
+    let left_ms = settings.stop_limit_ms.0.saturating_sub(STOP_MARGIN_MS);
+    shared.stop_at(clock.now_ms() + left_ms);
     let _ = phase.send(Phase::Lingering);
     tokio::time::sleep(LINGER).await;
     let _ = phase.send(Phase::Closing);
-    let left_ms = settings.stop_limit_ms.0.saturating_sub(STOP_MARGIN_MS);
     let left = Duration::from_millis(left_ms).saturating_sub(LINGER);
     if tokio::time::timeout(left, serving).await.is_err() {
         log::warn!("some requests did not end before the limit of the stop");
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -3,8 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::budget::{self, Budget};
 use super::fleet::{Choice, Fleet, Wish};
@@ -18,6 +19,10 @@
 use crate::placement::swap::demand;
 use crate::routes::{self, index};
 
+/// Time that is left for a request which is sent on just before a planned end of the process: most
+/// streams are over by then, and a waiting caller has time to go elsewhere.
+const LAST_CALL_MS: u64 = 3_000;
+
 /// The state of a router.
 pub struct Shared {
     own: Weak<Shared>,
@@ -36,7 +41,8 @@
     heard_ms: Cell<Option<u64>>,
     /// Told when something waits that placement should know of at once.
     pub(super) demand_wake: Notify,
-    pub(super) is_draining: Cell<bool>,
+    /// When the process ends, once that is known.
+    stops_ms: watch::Sender<Option<u64>>,
     salt: Cell<u64>,
 }
 
@@ -68,7 +74,24 @@
 
     /// Whether it can serve requests: it has a document and is not about to stop.
     pub fn is_ready(&self) -> bool {
-        self.index.borrow().is_some() && !self.is_draining.get()
+        self.index.borrow().is_some() && self.stops_ms.borrow().is_none()
+    }
+
+    /// Notes that the process ends at this time: the balancer is told not to send more.
+    pub(super) fn stop_at(&self, stops_ms: u64) {
+        self.stops_ms.send_replace(Some(stops_ms));
+    }
+
+    /// Ends when the process is so near its end that a request that still waits would be cut off.
+    pub(super) async fn last_call(&self) {
+        let mut stops = self.stops_ms.subscribe();
+        let stops_ms = match stops.wait_for(Option::is_some).await {
+            Ok(stops_ms) => stops_ms.unwrap_or_default(),
+            // The sender is this router's own: it is there for as long as anybody waits.
+            Err(_) => return std::future::pending().await,
+        };
+        let left_ms = stops_ms.saturating_sub(LAST_CALL_MS).saturating_sub(self.now_ms());
+        tokio::time::sleep(Duration::from_millis(left_ms)).await;
     }
 
     /// How long ago a leader told of the targets.
@@ -291,7 +314,7 @@
             arrivals: RefCell::default(),
             heard_ms: Cell::new(None),
             demand_wake: Notify::new(),
-            is_draining: Cell::new(false),
+            stops_ms: watch::Sender::new(None),
             salt: Cell::new(rand::random()),
         })
     }
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -107,6 +107,35 @@
     });
 }
 
+/// The load: requests for a model that no engine holds, at a router that stops before it comes.
+#[test]
+fn a_stop_refuses_who_still_waits_before_the_process_ends() {
+    on_one_thread(async {
+        let net = Net::new("roles-waiting", 1);
+        let voters = start_voters(&net, 1).await;
+        let llm = Target::start("llm-1", vec![Act::Write(answer("200 OK", "x"))]).await;
+        announce(voters[0].control(), "llm", &llm);
+        let mut router = net.router(10);
+        let text = std::fs::read_to_string(&router.settings).unwrap();
+        std::fs::write(&router.settings, text.replace("limit_s = 12", "limit_s = 5")).unwrap();
+        router.start();
+        until("the router is ready", async || is_ready(router.readiness()).await).await;
+        let mut waiting = Vec::new();
+        for n in 0..8 {
+            let head = format!("Attempt-Id: w{n}\r\nDeadline-Ms: 19000\r\nModel: m1\r\n");
+            waiting.push(send(router.callers(), "POST", "/draft/x", &head, "b").await.unwrap());
+        }
+        let all_wait = async || router.log().matches("\"event\":\"queued\"").count() == 8;
+        until("all of them wait", all_wait).await;
+        router.signal("TERM");
+        for stream in waiting {
+            let answer = read(stream).await;
+            assert_eq!(status(&answer), 503, "cut off while it waited: {answer:?}");
+        }
+        assert_eq!((router.exit_code().await, llm.requests()), (Some(0), 0));
+    });
+}
+
 /// A target that is told that its leaving is known stops soon after; who is cut off must not say so.
 #[test]
 fn a_voter_that_is_cut_off_acknowledges_no_leaving_and_no_document() {
