--- a/tests/coordinator_members.rs
+++ b/tests/coordinator_members.rs
@@ -71,9 +71,8 @@
 #[test]
 fn a_voter_that_answers_keeps_its_place_and_one_that_lost_its_folder_has_none() {
     let full = group(1..=5);
-    let silent = |which: u64, ms: u64| {
-        move |id: &VoterId| Some(if *id == voter(which) { ms } else { 100 })
-    };
+    let silent =
+        |which: u64, ms: u64| move |id: &VoterId| Some(if *id == voter(which) { ms } else { 100 });
     let decide = |joining: &VoterId, silent_ms: &dyn Fn(&VoterId) -> Option<u64>| {
         members::decide(&full, joining, PLACES, silent_ms)
     };
