--- a/src/cli/connection.rs
+++ b/src/cli/connection.rs
@@ -6,7 +6,7 @@
 
 use error_stack::{Report, ResultExt, bail};
 
-use super::output::{print, print_json};
+use super::output::{Table, print, print_json};
 use super::{Error, Result};
 use crate::admin::client::{self, Client};
 use crate::admin::{self, view};
@@ -40,6 +40,28 @@
         Ok(Client::new(self.admin, self.token()?))
     }
 
+    /// Prints a list that a daemon has: a row for each, or JSON.
+    pub async fn show<T, const N: usize>(
+        &self,
+        path: &str,
+        headings: [&str; N],
+        nothing: &str,
+        row: impl Fn(&T) -> [String; N],
+    ) -> Result<()>
+    where
+        T: serde::Serialize + serde::de::DeserializeOwned,
+    {
+        let rows: Vec<T> = call(self.client()?.get(path).await)?;
+        if self.json {
+            print_json(&rows);
+            return Ok(());
+        }
+        let mut table = Table::new(&headings);
+        rows.iter().for_each(|known| table.row(row(known)));
+        print(&table.text(nothing));
+        Ok(())
+    }
+
     fn token(&self) -> Result<Secret> {
         let token = match &self.token_file {
             Some(file) => {
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -147,19 +147,12 @@
 impl TargetsArgs {
     /// Runs the command.
     pub async fn run(self) -> Result<()> {
-        let targets: Vec<view::Target> = call(self.connection.client()?.get("/targets").await)?;
-        if self.connection.json {
-            print_json(&targets);
-            return Ok(());
-        }
-        let headings = ["target", "kind", "zone", "standing", "taken", "memory", "replicas"];
-        let mut table = Table::new(&headings);
-        for target in &targets {
+        let row = |target: &view::Target| {
             let replicas = target.replicas.iter().map(|replica| match replica.phase.as_str() {
                 "loaded" => replica.model.to_string(),
                 phase => format!("{} ({phase})", replica.model),
             });
-            table.row([
+            [
                 target.target.to_string(),
                 target.kind.clone(),
                 target.availability_zone.to_string(),
@@ -167,25 +160,18 @@
                 target.taken_bytes.to_string(),
                 target.memory_bytes.to_string(),
                 replicas.collect::<Vec<_>>().join(", "),
-            ]);
-        }
-        print(&table.text("no targets"));
-        Ok(())
+            ]
+        };
+        let headings = ["target", "kind", "zone", "standing", "taken", "memory", "replicas"];
+        self.connection.show("/targets", headings, "no targets", row).await
     }
 }
 
 impl ModelsArgs {
     /// Runs the command.
     pub async fn run(self) -> Result<()> {
-        let models: Vec<view::Model> = call(self.connection.client()?.get("/models").await)?;
-        if self.connection.json {
-            print_json(&models);
-            return Ok(());
-        }
-        let headings = ["model", "version", "wanted", "loading", "loaded", "waiting", "why"];
-        let mut table = Table::new(&headings);
-        for model in &models {
-            table.row([
+        let row = |model: &view::Model| {
+            [
                 model.model.to_string(),
                 model.version.to_string(),
                 model.wanted.to_string(),
@@ -193,10 +179,10 @@
                 model.loaded.to_string(),
                 model.waiting.to_string(),
                 model.why.clone(),
-            ]);
-        }
-        print(&table.text("no model is wanted or loaded"));
-        Ok(())
+            ]
+        };
+        let headings = ["model", "version", "wanted", "loading", "loaded", "waiting", "why"];
+        self.connection.show("/models", headings, "no model is wanted or loaded", row).await
     }
 }
 
@@ -213,23 +199,17 @@
 
 impl VotersListArgs {
     async fn run(self) -> Result<()> {
-        let voters: Vec<view::Voter> = call(self.connection.client()?.get("/voters").await)?;
-        if self.connection.json {
-            print_json(&voters);
-            return Ok(());
-        }
-        let mut table = Table::new(&["daemon", "zone", "role", "synced", "heard"]);
-        for voter in &voters {
-            table.row([
+        let row = |voter: &view::Voter| {
+            [
                 voter.daemon.to_string(),
                 voter.availability_zone.to_string(),
                 voter.role.clone(),
                 voter.synced.to_string(),
                 heard(voter.silent_ms),
-            ]);
-        }
-        print(&table.text("no voters"));
-        Ok(())
+            ]
+        };
+        let headings = ["daemon", "zone", "role", "synced", "heard"];
+        self.connection.show("/voters", headings, "no voters", row).await
     }
 }
 
--- a/src/cli/work.rs
+++ b/src/cli/work.rs
@@ -2,7 +2,7 @@
 
 use super::Result;
 use super::connection::{Connection, call};
-use super::output::{Table, print, print_json};
+use super::output::print;
 use crate::admin::client::path_part;
 use crate::admin::view;
 use crate::ids::{Digest, IdempotencyKey, JobId, TenantId};
@@ -140,25 +140,19 @@
         if let Some(tenant) = self.tenant {
             path.push_str(&format!("&tenant={tenant}"));
         }
-        let records: Vec<view::Record> = call(self.connection.client()?.get(&path).await)?;
-        if self.connection.json {
-            print_json(&records);
-            return Ok(());
-        }
-        let mut table = Table::new(&["tenant", "key", "state", "daemon", "since"]);
-        for record in &records {
+        let row = |record: &view::Record| {
             let key = record.key.as_ref().map(ToString::to_string);
             let daemon = record.daemon.as_ref().map(ToString::to_string);
-            table.row([
+            [
                 record.tenant.to_string(),
                 key.unwrap_or_default(),
                 record.state.clone(),
                 daemon.unwrap_or_default(),
                 logging::time(record.created_ms).to_string(),
-            ]);
-        }
-        print(&table.text("no records"));
-        Ok(())
+            ]
+        };
+        let headings = ["tenant", "key", "state", "daemon", "since"];
+        self.connection.show(&path, headings, "no records", row).await
     }
 }
 
@@ -186,15 +180,9 @@
 impl JobsListArgs {
     async fn run(self) -> Result<()> {
         let path = format!("/jobs?limit={}", self.limit);
-        let jobs: Vec<view::Job> = call(self.connection.client()?.get(&path).await)?;
-        if self.connection.json {
-            print_json(&jobs);
-            return Ok(());
-        }
-        let mut table = Table::new(&["job", "tenant", "class", "state", "due", "tries", "reason"]);
-        for job in &jobs {
+        let row = |job: &view::Job| {
             let class = job.class.as_ref().map(ToString::to_string);
-            table.row([
+            [
                 job.job.to_string(),
                 job.tenant.to_string(),
                 class.unwrap_or_default(),
@@ -202,10 +190,10 @@
                 logging::time(job.deadline_ms).to_string(),
                 job.attempts.to_string(),
                 job.reason.clone().unwrap_or_default(),
-            ]);
-        }
-        print(&table.text("no jobs"));
-        Ok(())
+            ]
+        };
+        let headings = ["job", "tenant", "class", "state", "due", "tries", "reason"];
+        self.connection.show(&path, headings, "no jobs", row).await
     }
 }
 
@@ -231,25 +219,19 @@
 
 impl PoisonListArgs {
     async fn run(self) -> Result<()> {
-        let poison: Vec<view::Poison> = call(self.connection.client()?.get("/poison").await)?;
-        if self.connection.json {
-            print_json(&poison);
-            return Ok(());
-        }
-        let mut table = Table::new(&["digest", "model", "closed until", "died"]);
-        for request in &poison {
+        let row = |request: &view::Poison| {
             let died = request.died.iter().map(ToString::to_string);
             let model = request.model.as_ref().map(ToString::to_string);
             let closed = request.closed_until_ms.map(|until| logging::time(until).to_string());
-            table.row([
+            [
                 request.digest.to_string(),
                 model.unwrap_or_default(),
                 closed.unwrap_or_else(|| "suspected".to_owned()),
                 died.collect::<Vec<_>>().join(", "),
-            ]);
-        }
-        print(&table.text("no poison requests"));
-        Ok(())
+            ]
+        };
+        let headings = ["digest", "model", "closed until", "died"];
+        self.connection.show("/poison", headings, "no poison requests", row).await
     }
 }
 
