--- a/src/coordinator/loads.rs
+++ b/src/coordinator/loads.rs
@@ -90,21 +90,10 @@
 
     /// Replaces one router's part. Totals that come out the same have not changed.
     fn replace(&mut self, before: &[(TargetId, u32)], after: &[(TargetId, u32)]) {
+        after.iter().for_each(|(target, _)| self.know(target));
         let mut touched: Vec<(usize, u32)> = Vec::new();
         for (target, count) in after {
-            let at = self.place(target);
-            // Places after a new one have moved.
-            touched.iter_mut().filter(|_| at.is_err()).for_each(|(place, _)| {
-                *place += usize::from(*place >= at.unwrap_err());
-            });
-            let at = match at {
-                Ok(at) => at,
-                Err(at) => {
-                    let target = target.clone();
-                    self.totals.insert(at, Total { target, count: 0, sequence: 0 });
-                    at
-                }
-            };
+            let Ok(at) = self.place(target) else { continue };
             touched.push((at, self.totals[at].count));
             self.totals[at].count += count;
         }
@@ -113,8 +102,8 @@
             touched.push((at, self.totals[at].count));
             self.totals[at].count = self.totals[at].count.saturating_sub(*count);
         }
+        // The first note of a place says what it had at the begin; the sort keeps their order.
         touched.sort_by_key(|(at, _)| *at);
-        // The first note of a target says what it had at the begin.
         touched.dedup_by_key(|(at, _)| *at);
         for (at, count) in touched {
             let total = &mut self.totals[at];
@@ -124,6 +113,13 @@
         }
     }
 
+    /// Makes a place for a target that is new.
+    fn know(&mut self, target: &TargetId) {
+        if let Err(at) = self.place(target) {
+            self.totals.insert(at, Total { target: target.clone(), count: 0, sequence: 0 });
+        }
+    }
+
     fn place(&self, target: &TargetId) -> Result<usize, usize> {
         self.totals.binary_search_by(|total| total.target.cmp(target))
     }
