A request that ran and finds no second target is not called not run

A request that waited for a target was refused with 503 whatever had become of it before: also after an attempt that may have run, whose target died and was the last one. 503 promises that it never ran. Ruled out: after_failure, which counts runs and ends such a request with 502 or 504. Change: the end of a request that finds no target is decided by its runs, by the same function (next::give_up).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -172,7 +172,10 @@
     loop {
         let seat = match seat(&shared, &job).await {
             Ok(seat) => seat,
-            Err(why) => return give_up(&shared, &job, End::NotRun, why),
+            Err(why) => {
+                let end = next::give_up(job.runs.get(), job.left_ms(&shared) == 0);
+                return give_up(&shared, &job, end, why);
+            }
         };
         let target = seat.target.clone();
         let sent_ms = shared.now_ms();
@@ -227,7 +230,7 @@
         // What was not sent has not arrived anywhere, and takes nothing from the budget.
         Next::Again if failure == Failure::NotSent => Ok(()),
         Next::Again if shared.budget.borrow_mut().take(now_ms, &job.service) => Ok(()),
-        Next::Again => Err(next::give_up(&case)),
+        Next::Again => Err(next::give_up(case.runs, case.is_over)),
     }
 }
 
--- a/src/gateway/next.rs
+++ b/src/gateway/next.rs
@@ -63,11 +63,11 @@
     TimedOut,
 }
 
-/// The end of a request that is given up now.
-pub fn give_up(case: &Case) -> End {
-    match case.runs {
+/// The end of a request that is given up now, after `runs` attempts that may have run.
+pub fn give_up(runs: u32, is_over: bool) -> End {
+    match runs {
         0 => End::NotRun,
-        _ if case.is_over => End::TimedOut,
+        _ if is_over => End::TimedOut,
         _ => End::Failed,
     }
 }
@@ -77,6 +77,6 @@
     let may_run = case.runs == 0 || (case.kind.is_repeatable() && case.runs < case.max_runs);
     match may_run && !case.is_over {
         true => Next::Again,
-        false => Next::End(give_up(case)),
+        false => Next::End(give_up(case.runs, case.is_over)),
     }
 }
--- a/tests/gateway_faults.rs
+++ b/tests/gateway_faults.rs
@@ -155,6 +155,23 @@
     });
 }
 
+/// The load: the last target of a service dies while it runs a request.
+#[test]
+fn a_request_that_ran_and_finds_no_second_target_is_not_called_not_run() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![Act::WriteAndReset(String::new())]).await;
+        let router = Router::start(vec![target.entry("app", &[])]).await;
+        let mut stream = router.send("GET", "/safe/x", "Deadline-Ms: 900\r\n", "").await;
+        eventually(|| target.requests() == 1).await;
+        router.set(Vec::new());
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await.unwrap();
+        let answer = String::from_utf8_lossy(&bytes).into_owned();
+        assert!(matches!(status(&answer), 502 | 504), "a promise that it did not run: {answer}");
+        assert_eq!(target.requests(), 1);
+    });
+}
+
 /// The bytes have left, and only the target knows whether it ran them.
 #[test]
 fn a_kept_connection_that_breaks_under_a_request_is_no_reason_to_repeat_it() {
