A router that stops answers whoever has no answer yet, also who is at a target

Cause: found while reading again: it was made one level too deep. It refused who waits for a target; a request that was sent and whose target hangs, or has not begun, was still cut off at the end of the process. Change: the whole way of a request ends a quarter of a second before the process does: 503 if it was sent nowhere, else 502, which promises nothing. Nothing is sent on in the last three seconds, as before. Streams that have begun go on to the end of the process. Test: a_stop_answers_whoever_has_no_answer_yet_before_the_process_ends now plays both, waiting and sent; red before for those sent (no answer at all). After: 502 for eight of eight. The test that it replaces is its first case, with all of its expectations.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -37,12 +37,18 @@
 /// The same where no document or no target is known: a group of voters that comes back needs so long
 /// to choose a leader and to hear of the targets.
 const UNKNOWN_RETRY_MS: std::ops::Range<u64> = 1_500..3_500;
+/// A request is sent to no target when the process ends this soon: most streams would be cut off, and
+/// the caller still has time to go elsewhere.
+const LAST_SEND_MS: u64 = 3_000;
+/// A request without an answer is answered this long before the process ends.
+const LAST_ANSWER_MS: u64 = 250;
 /// Pause before a request is sent again to a service that just refused it.
 const AGAIN_PAUSE_MS: u64 = 15;
 
 /// Why a request was refused, where that decides when its caller should come back.
 const NO_DOCUMENT: &str = "no document is known yet";
 const NO_TARGETS: &str = "the service has no targets";
+const STOPS: &str = "the router stops";
 
 /// A request that has a route.
 pub(super) struct Job {
@@ -146,7 +152,16 @@
         facts,
     };
     admit(&shared, &job, index.document());
-    Answer::Send(run(shared, Rc::new(job)).await)
+    let job = Rc::new(job);
+    let response = tokio::select! {
+        response = run(Rc::clone(&shared), Rc::clone(&job)) => response,
+        () = shared.before_end(LAST_ANSWER_MS) => {
+            // What is at a target now may run there.
+            let end = next::give_up(job.attempts.get(), false);
+            give_up(&shared, &job, end, STOPS)
+        }
+    };
+    Answer::Send(response)
 }
 
 fn admit(shared: &Shared, job: &Job, document: &routes::Document) {
@@ -281,7 +296,7 @@
     let seat = tokio::select! {
         seat = waited => seat,
         () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
-        () = shared.last_call() => return Err("the router stops"),
+        () = shared.before_end(LAST_SEND_MS) => return Err(STOPS),
     };
     match seat {
         Some(seat) => Ok(seat),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,10 +19,6 @@
 use crate::placement::swap::demand;
 use crate::routes::{self, index};
 
-/// Time that is left for a request which is sent on just before a planned end of the process: most
-/// streams are over by then, and a waiting caller has time to go elsewhere.
-const LAST_CALL_MS: u64 = 3_000;
-
 /// The state of a router.
 pub struct Shared {
     own: Weak<Shared>,
@@ -82,15 +78,15 @@
         self.stops_ms.send_replace(Some(stops_ms));
     }
 
-    /// Ends when the process is so near its end that a request that still waits would be cut off.
-    pub(super) async fn last_call(&self) {
+    /// Waits until the planned end of the process is so near; for ever while none is planned.
+    pub(super) async fn before_end(&self, margin_ms: u64) {
         let mut stops = self.stops_ms.subscribe();
         let stops_ms = match stops.wait_for(Option::is_some).await {
             Ok(stops_ms) => stops_ms.unwrap_or_default(),
             // The sender is this router's own: it is there for as long as anybody waits.
             Err(_) => return std::future::pending().await,
         };
-        let left_ms = stops_ms.saturating_sub(LAST_CALL_MS).saturating_sub(self.now_ms());
+        let left_ms = stops_ms.saturating_sub(margin_ms).saturating_sub(self.now_ms());
         tokio::time::sleep(Duration::from_millis(left_ms)).await;
     }
 
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -107,33 +107,53 @@
     });
 }
 
-/// The load: requests for a model that no engine holds, at a router that stops before it comes.
+/// The load: requests that have no answer yet at a router whose process is about to end, for a model
+/// that no engine holds or at an engine that hangs.
 #[test]
-fn a_stop_refuses_who_still_waits_before_the_process_ends() {
-    on_one_thread(async {
-        let net = Net::new("roles-waiting", 1);
-        let voters = start_voters(&net, 1).await;
-        let llm = Target::start("llm-1", vec![Act::Write(answer("200 OK", "x"))]).await;
-        announce(voters[0].control(), "llm", &llm);
-        let mut router = net.router(10);
-        let text = std::fs::read_to_string(&router.settings).unwrap();
-        std::fs::write(&router.settings, text.replace("limit_s = 12", "limit_s = 5")).unwrap();
-        router.start();
-        until("the router is ready", async || is_ready(router.readiness()).await).await;
-        let mut waiting = Vec::new();
-        for n in 0..8 {
-            let head = format!("Attempt-Id: w{n}\r\nDeadline-Ms: 19000\r\nModel: m1\r\n");
-            waiting.push(send(router.callers(), "POST", "/draft/x", &head, "b").await.unwrap());
-        }
-        let all_wait = async || router.log().matches("\"event\":\"queued\"").count() == 8;
-        until("all of them wait", all_wait).await;
-        router.signal("TERM");
-        for stream in waiting {
-            let answer = read(stream).await;
-            assert_eq!(status(&answer), 503, "cut off while it waited: {answer:?}");
-        }
-        assert_eq!((router.exit_code().await, llm.requests()), (Some(0), 0));
-    });
+fn a_stop_answers_whoever_has_no_answer_yet_before_the_process_ends() {
+    // What callers ask for, where that leaves them, and what they are told.
+    let cases = [("Model: m1\r\n", "queued", 503, 0), ("", "sent", 502, 8)];
+    for (model, event, expected, requests) in cases {
+        on_one_thread(async move {
+            let net = Net::new(&format!("roles-{event}"), 1);
+            let voters = start_voters(&net, 1).await;
+            let llm = Target::start("llm-1", vec![Act::WriteAndHang(String::new())]).await;
+            announce(voters[0].control(), "llm", &llm);
+            let mut router = net.router(10);
+            let text = std::fs::read_to_string(&router.settings).unwrap();
+            let text = text.replace("limit_s = 12", "limit_s = 5");
+            std::fs::write(&router.settings, text).unwrap();
+            router.start();
+            until("the router is ready", async || is_ready(router.readiness()).await).await;
+            // Refused until the router knows the engine, which then hangs.
+            let hangs = async || {
+                let asked = call(router.callers(), "POST", "/draft/x", "b");
+                tokio::time::timeout(Duration::from_secs(2), asked).await.is_err()
+            };
+            until("the engine is known", hangs).await;
+            let before = llm.requests();
+            let mut open = Vec::new();
+            for n in 0..8 {
+                let head = format!("Attempt-Id: w{n}\r\nDeadline-Ms: 19000\r\n{model}");
+                open.push(send(router.callers(), "POST", "/draft/x", &head, "b").await.unwrap());
+            }
+            let line = format!("\"event\":\"{event}\"");
+            let are_there = async || {
+                let log = router.log();
+                (0..8).all(|n| {
+                    let own = format!("\"id\":\"w{n}\"");
+                    log.lines().any(|l| l.contains(&own) && l.contains(&line))
+                })
+            };
+            until("all of them are there", are_there).await;
+            router.signal("TERM");
+            for stream in open {
+                let answer = read(stream).await;
+                assert_eq!(status(&answer), expected, "{event}, and cut off: {answer:?}");
+            }
+            assert_eq!((router.exit_code().await, llm.requests() - before), (Some(0), requests));
+        });
+    }
 }
 
 /// A target that is told that its leaving is known stops soon after; who is cut off must not say so.
