A second try that fails is told in the lines and held against its target

Cause: found while reading the whole change again. The second try of an idempotent request whose target answered that it failed was a way of its own: a failure of it was dropped without a line, did not count as a run, and was not held against its target, and the first answer, passed on then, had no line of its own. Change: both failures are noted by the function that notes all others; the first answer goes on through the ordinary end of an answer. A failure that a target answers itself is not held against it, as before. Test: failed_twice_and_answered_500 in tests/gateway_explain.rs; before: admitted, sent, sent. After: admitted, sent, attempt_failed, sent, attempt_failed, answered.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -219,19 +219,7 @@
     sent_ms: u64,
 ) -> Result<(), End> {
     let now_ms = shared.now_ms();
-    events::emit(
-        &job.facts.id,
-        &Event::AttemptFailed {
-            target: target.as_str(),
-            failure: events::failure(failure),
-            after_ms: now_ms.saturating_sub(sent_ms),
-        },
-    );
-    metrics::counter!("fescuebay_attempts_failed_total", "failure" => events::failure(failure))
-        .increment(1);
-    if failure.may_have_run() {
-        job.runs.set(job.runs.get() + 1);
-    }
+    note_failure(shared, job, target, failure, sent_ms);
     blame(shared, job, target, failure);
     let case = Case {
         failure,
@@ -249,8 +237,29 @@
     }
 }
 
+/// Tells of a failed attempt, and counts it if it may have run.
+pub(super) fn note_failure(
+    shared: &Shared,
+    job: &Job,
+    target: &TargetId,
+    failure: Failure,
+    sent_ms: u64,
+) {
+    let event = Event::AttemptFailed {
+        target: target.as_str(),
+        failure: events::failure(failure),
+        after_ms: shared.now_ms().saturating_sub(sent_ms),
+    };
+    events::emit(&job.facts.id, &event);
+    metrics::counter!("fescuebay_attempts_failed_total", "failure" => events::failure(failure))
+        .increment(1);
+    if failure.may_have_run() {
+        job.runs.set(job.runs.get() + 1);
+    }
+}
+
 /// Holds a failure against the target.
-fn blame(shared: &Shared, job: &Job, target: &TargetId, failure: Failure) {
+pub(super) fn blame(shared: &Shared, job: &Job, target: &TargetId, failure: Failure) {
     job.avoid.borrow_mut().push(target.clone());
     let mut fleet = shared.fleet.borrow_mut();
     match (failure, &job.facts.model) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -66,8 +66,10 @@
         let is_allowed = shared.budget.borrow_mut().take(now_ms, &job.service);
         if is_allowed {
             job.avoid.borrow_mut().push(seat.target.clone());
-            job.runs.set(job.runs.get() + 1);
-            return Box::pin(again(shared, job, head, bytes)).await;
+            exchange::note_failure(shared, job, &seat.target, Failure::Failed, sent_ms);
+            if let Some(response) = Box::pin(again(shared, job)).await {
+                return Ok(response);
+            }
         }
     }
     if !head.status.is_server_error() {
@@ -77,14 +79,9 @@
     Ok(respond(head, web::whole(bytes)))
 }
 
-/// Sends an idempotent request once more whose target answered that it failed. If that fails too,
-/// the first answer is passed on.
-async fn again(
-    shared: &Rc<Shared>,
-    job: &Rc<Job>,
-    head: http::response::Parts,
-    bytes: Bytes,
-) -> Result<http::Response<Body>, Failure> {
+/// Sends an idempotent request once more whose target answered that it failed. `None` if that
+/// brought no answer either.
+async fn again(shared: &Rc<Shared>, job: &Rc<Job>) -> Option<http::Response<Body>> {
     let avoid = job.avoid.borrow().clone();
     let wish = Wish {
         service: &job.service,
@@ -93,14 +90,17 @@
         avoid: &avoid,
         salt: shared.next_salt(),
     };
-    let seat = shared.try_seat(&wish, job.tokens());
-    if let Ok(seat) = seat
-        && let Ok(attempt) = exchange::attempt(shared, job, seat, None).await
-        && let Ok(response) = Box::pin(whole(shared, job, attempt)).await
-    {
-        return Ok(response);
+    let seat = shared.try_seat(&wish, job.tokens()).ok()?;
+    let (target, sent_ms) = (seat.target.clone(), shared.now_ms());
+    let answered = match exchange::attempt(shared, job, seat, None).await {
+        Ok(attempt) => Box::pin(whole(shared, job, attempt)).await,
+        Err(failure) => Err(failure),
+    };
+    if let Err(failure) = &answered {
+        exchange::note_failure(shared, job, &target, *failure, sent_ms);
+        exchange::blame(shared, job, &target, *failure);
     }
-    Ok(respond(head, web::whole(bytes)))
+    answered.ok()
 }
 
 fn answered(job: &Job, target: &str, status: http::StatusCode, first_ms: u64) {
--- a/tests/gateway_explain.rs
+++ b/tests/gateway_explain.rs
@@ -47,6 +47,7 @@
         refused_for_lack_of_a_model().await;
         cut_in_the_middle_of_a_stream().await;
         sent_once_and_answered_502().await;
+        failed_twice_and_answered_500().await;
     });
 }
 
@@ -75,6 +76,21 @@
     assert_eq!(story[4]["how"], "broken");
 }
 
+/// The second try breaks, and the first answer is passed on: the lines tell both.
+async fn failed_twice_and_answered_500() {
+    let first = Target::start("a", vec![Act::Write(answer("500 Oops", "why"))]).await;
+    let second = Target::start("b", vec![Act::WriteAndReset(String::new())]).await;
+    let router = Router::start(vec![first.entry("app", &[]), second.last("app", &[])]).await;
+    let answer = router.ask("GET", "/safe/x", "Deadline-Ms: 1000\r\n", "").await;
+    assert_eq!(status(&answer), 500);
+    let story = story();
+    let expected = ["admitted", "sent", "attempt_failed", "sent", "attempt_failed", "answered"];
+    assert_eq!(names(&story), expected);
+    assert_eq!((&story[2]["target"], &story[2]["failure"]), (&"a".into(), &"failed".into()));
+    assert_eq!((&story[4]["target"], &story[4]["failure"]), (&"b".into(), &"broken".into()));
+    assert_eq!((&story[5]["target"], &story[5]["status"]), (&"a".into(), &500.into()));
+}
+
 async fn sent_once_and_answered_502() {
     let foreign = answer("200 OK", "x").replace("{id}", "another");
     let target = Target::start("a", vec![Act::Write(foreign)]).await;
