--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod process;
+
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
--- a/tests/nine/cluster.rs
+++ b/tests/nine/cluster.rs
@@ -2,19 +2,17 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::process::Stdio;
+use std::time::Instant;
 
 use fescuebay::settings::Secret;
 use fescuebay::stand_in;
 use serde_json::{Value, json};
 
 use super::common;
+use super::common::process::{self, LOOK_PAUSE, PATIENCE, Process};
 use super::web;
 
-/// Longest time that any condition is waited for.
-const PATIENCE: Duration = Duration::from_secs(60);
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
 const ZONES: [&str; 3] = ["andina-a", "andina-b", "andina-c"];
 
 /// One daemon's process and where it listens.
@@ -24,7 +22,7 @@
     pub folder: Option<PathBuf>,
     settings: PathBuf,
     log: PathBuf,
-    child: Option<Child>,
+    process: Option<Process>,
 }
 
 impl Daemon {
@@ -45,50 +43,31 @@
         let mut command = common::fescuebay();
         command.arg("serve").arg("--settings").arg(&self.settings);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        self.child = Some(command.spawn().unwrap());
+        self.process = Some(Process::spawn(&mut command));
     }
 
     /// The id of its process, while it runs.
     pub fn process_id(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
+        self.process.as_ref().map(Process::id)
     }
 
     pub fn is_running(&self) -> bool {
-        self.child.is_some()
+        self.process.is_some()
     }
 
     /// Ends it at once, as a lost VM would.
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            child.kill().unwrap();
-            child.wait().unwrap();
-        }
+        self.process = None;
     }
 
     /// Sends a signal by name to its process alone.
     pub fn signal(&self, name: &str) {
-        let id = self.child.as_ref().expect("it runs").id();
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
-        assert!(sent.unwrap().success());
+        self.process.as_ref().expect("it runs").signal(name);
     }
 
     /// Waits for its end after a signal and returns its exit code.
     pub async fn exit_code(&mut self) -> Option<i32> {
-        let mut child = self.child.take().expect("it runs");
-        let started = Instant::now();
-        loop {
-            if let Some(status) = child.try_wait().unwrap() {
-                return status.code();
-            }
-            assert!(started.elapsed() < PATIENCE, "{} does not end", self.name);
-            tokio::time::sleep(LOOK_PAUSE).await;
-        }
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        self.kill();
+        self.process.take().expect("it runs").exit_code().await
     }
 }
 
@@ -120,7 +99,7 @@
         let (operator, operator_hash) = Secret::generate(&mut rng);
         let (target, target_hash) = Secret::generate(&mut rng);
         let (_, key) = Secret::generate(&mut rng);
-        let net = free_net();
+        let net = process::free_net(fescuebay::settings::TRAFFIC_PORT);
         let names: Vec<String> =
             (0..count).map(|n| format!("{}-{}", ZONES[n % 3], n / 3 + 1)).collect();
         let ip = |n: usize| IpAddr::V4(Ipv4Addr::new(127, net[0], net[1], n as u8 + 1));
@@ -148,7 +127,7 @@
             let settings = folder.join(format!("{}.ini", names[n]));
             std::fs::write(&settings, text).unwrap();
             let log = folder.join(format!("{}.log", names[n]));
-            Daemon { name: names[n].clone(), ip: ip(n), folder: data, settings, log, child: None }
+            Daemon { name: names[n].clone(), ip: ip(n), folder: data, settings, log, process: None }
         };
         Self {
             daemons: (0..count).map(daemon).collect(),
@@ -227,12 +206,8 @@
     }
 
     /// Waits until a condition holds.
-    pub async fn until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
-        let started = Instant::now();
-        while !holds().await {
-            assert!(started.elapsed() < PATIENCE, "not in time: {what}");
-            tokio::time::sleep(LOOK_PAUSE).await;
-        }
+    pub async fn until(&self, what: &str, holds: impl AsyncFnMut() -> bool) {
+        process::until(what, holds).await;
     }
 
     /// The voters as the leader shows them, asked at any running daemon.
@@ -288,14 +263,3 @@
 pub fn service(name: &str) -> Value {
     json!([{ "put_service": { "name": name, "idempotent": [] } }])
 }
-
-/// The middle bytes of a loopback network whose first address has its ports free.
-fn free_net() -> [u8; 2] {
-    loop {
-        let net: [u8; 2] = [rand::random_range(2..250), rand::random_range(1..250)];
-        let ip = Ipv4Addr::new(127, net[0], net[1], 1);
-        if std::net::TcpListener::bind((ip, fescuebay::settings::TRAFFIC_PORT)).is_ok() {
-            return net;
-        }
-    }
-}
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -9,8 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use common::process::until;
 use gateway_support::{Act, END, Target, answer, on_one_thread, status};
-use roles_support::{Net, Vm, ask, call, read, send, until};
+use roles_support::{Net, Vm, ask, call, read, send};
 
 const DOCUMENT: &str = r#"{"version":5,"routes":[
  {"name":"unsafe","host":"h.example","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":9000,
--- a/tests/roles_support/mod.rs
+++ b/tests/roles_support/mod.rs
@@ -4,18 +4,15 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::process::Stdio;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
 use super::common;
+use super::common::process::{self, PATIENCE, Process};
 use super::gateway_support::status;
 
-/// Longest time that any condition is waited for.
-const PATIENCE: Duration = Duration::from_secs(60);
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
 const CALLERS: u16 = 8080;
 const READINESS: u16 = 8081;
 const CONTROL: u16 = 8090;
@@ -26,7 +23,7 @@
     pub settings: PathBuf,
     role: &'static str,
     log: PathBuf,
-    child: Option<Child>,
+    process: Option<Process>,
 }
 
 /// The VMs of one test, at addresses that no other test uses.
@@ -39,14 +36,7 @@
 impl Net {
     /// Room for this many voters, and for routers.
     pub fn new(name: &str, voters: usize) -> Self {
-        let net = loop {
-            let net: [u8; 2] = [rand::random_range(2..250), rand::random_range(1..250)];
-            let ip = Ipv4Addr::new(127, net[0], net[1], 1);
-            if std::net::TcpListener::bind((ip, CONTROL)).is_ok() {
-                break net;
-            }
-        };
-        Self { folder: common::folder(name), net, voters }
+        Self { folder: common::folder(name), net: process::free_net(CONTROL), voters }
     }
 
     fn ip(&self, number: usize) -> IpAddr {
@@ -68,7 +58,7 @@
         let settings = self.folder.join(format!("{number}.ini"));
         std::fs::write(&settings, text).unwrap();
         let log = self.folder.join(format!("{number}.log"));
-        Vm { ip: self.ip(number), settings, role, log, child: None }
+        Vm { ip: self.ip(number), settings, role, log, process: None }
     }
 
     pub fn voter(&self, number: usize) -> Vm {
@@ -92,29 +82,17 @@
         let mut command = common::fescuebay();
         command.args(["serve", "--role", self.role]).env("FESCUEBAY_BOOT", &self.settings);
         command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
-        self.child = Some(command.spawn().unwrap());
+        self.process = Some(Process::spawn(&mut command));
     }
 
     /// Sends a signal by name to its process alone.
     pub fn signal(&self, name: &str) {
-        let id = self.child.as_ref().expect("it runs").id();
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status();
-        assert!(sent.unwrap().success());
+        self.process.as_ref().expect("it runs").signal(name);
     }
 
     /// Waits for its end and returns its exit code.
     pub async fn exit_code(&mut self) -> Option<i32> {
-        let mut child = self.child.take().expect("it runs");
-        let mut code = None;
-        until("the process ends", async || match child.try_wait().unwrap() {
-            Some(status) => {
-                code = status.code();
-                true
-            }
-            None => false,
-        })
-        .await;
-        code
+        self.process.take().expect("it runs").exit_code().await
     }
 
     /// The lines that it logged so far.
@@ -135,24 +113,6 @@
     }
 }
 
-impl Drop for Vm {
-    fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-/// Waits until a condition holds, which a busy machine may delay.
-pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let started = Instant::now();
-    while !holds().await {
-        assert!(started.elapsed() < PATIENCE, "waited in vain: {what}");
-        tokio::time::sleep(LOOK_PAUSE).await;
-    }
-}
-
 /// Sends a request over a connection of its own. `None`: it could not connect.
 pub async fn send(
     to: SocketAddr,
