--- a/src/coordinator/loads.rs
+++ b/src/coordinator/loads.rs
@@ -5,10 +5,8 @@
 
 use crate::ids::{DaemonId, TargetId, Term};
 use crate::membership::feed::Cursor;
-use crate::placement::swap::demand::Running;
+use crate::placement::swap::demand::{Running, SILENT_MS};
 
-/// A router that told nothing for this long has nothing running.
-const SILENT_MS: u64 = 2_500;
 /// Targets that are kept; those without requests go when there are more.
 const MAX_TARGETS: usize = 4_096;
 
--- a/src/placement/swap/demand.rs
+++ b/src/placement/swap/demand.rs
@@ -7,7 +7,7 @@
 /// Time in which the count of past arrivals falls to a third.
 const RATE_TAU_MS: f64 = 3_000.0;
 /// A router that told nothing for this long has nothing waiting or running.
-const SILENT_MS: u64 = 2_500;
+pub const SILENT_MS: u64 = 2_500;
 
 /// What one router has waiting and running, and what arrived since it last told.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/src/placement/swap/mod.rs
+++ b/src/placement/swap/mod.rs
@@ -181,9 +181,9 @@
     actions: Vec<Action>,
 }
 
-/// Shortest time between two rounds of planning, without and for each thousand pairs of a model and
-/// an engine.
+/// Shortest time between two rounds of planning.
 const MIN_GAP_MS: u64 = 4;
+/// Pairs of a model and an engine for each millisecond that is added to it: counts are taken over all.
 const PAIRS_PER_MS: u64 = 4_000;
 
 impl Planner {
--- a/src/placement/swap/outlook.rs
+++ b/src/placement/swap/outlook.rs
@@ -67,7 +67,7 @@
     }
 
     fn count(&mut self, sites: &[Site]) {
-        self.at_store = sites.iter().filter(|site| site.is_at_store()).count();
+        self.at_store = at_store(sites);
         self.idle = sites.iter().filter(|site| site.is_idle()).count();
     }
 
@@ -77,6 +77,11 @@
     }
 }
 
+/// Loads from the weight store that are under way.
+pub(super) fn at_store(sites: &[Site]) -> usize {
+    sites.iter().filter(|site| site.is_at_store()).count()
+}
+
 /// Memory of an engine for weights that is not taken, in megabytes. A load that was sent counts as
 /// taken.
 pub(super) fn free_mb(specs: &Specs, site: &Site) -> f64 {
--- a/src/placement/swap/plan.rs
+++ b/src/placement/swap/plan.rs
@@ -4,7 +4,7 @@
 //! minute, beside two models that take most of the traffic and change places every few seconds.
 
 use super::census::Count;
-use super::outlook::{Outlook, free_mb};
+use super::outlook::{self, Outlook};
 use super::site::{Source, Work};
 use super::{Need, Planner};
 use crate::ids::ModelName;
@@ -79,9 +79,8 @@
             }
             let Some(model) = self.sites[at].take_next() else { continue };
             let site = &self.sites[at];
-            let fits = free_mb(&self.specs, site) >= self.specs.weights_mb(&model);
-            let at_store = self.sites.iter().filter(|site| site.is_at_store()).count();
-            let load_ms = self.load_ms(site, &model, at_store);
+            let fits = outlook::free_mb(&self.specs, site) >= self.specs.weights_mb(&model);
+            let load_ms = self.load_ms(site, &model, outlook::at_store(&self.sites));
             if fits && site.find(&model).is_none() {
                 self.sites[at].begin_load(self.now_ms, &model, load_ms);
             }
