An engine that was last heard at work is asked until it rests

Its load took longer than expected and ended while the engine was being asked. The announcement of its end came first and let an adapter's order go out; then the answer to the question came, of a time before the end: at work. While an order awaits its answer no further question was planned, so the engine counted as at work for good, and got nothing more. Change: an engine that tells that it is at work is asked again, whatever else is under way. Test: an_engine_that_was_last_heard_at_work_is_asked_until_it_rests, red before.

--- a/src/placement/swap/site/orders.rs
+++ b/src/placement/swap/site/orders.rs
@@ -306,22 +306,27 @@
         }
     }
 
-    /// Asks again while an accepted order does not show its end.
+    /// Asks again while the engine is at work, or an accepted order does not show its end.
     fn ask_while_at_work(&mut self, now_ms: u64, reading: &Reading, is_current: bool) {
+        if reading.is_busy {
+            // It may tell of a time before its last order ended. Until it is heard at rest it gets
+            // no orders, so it has to be asked, whatever else is under way.
+            self.read_due_ms = Some(now_ms + READ_AGAIN_MS);
+            return;
+        }
         let is_accepted = match &self.work {
             Work::Unload { is_accepted, .. } | Work::Load { is_accepted, .. } => *is_accepted,
             Work::None => false,
         };
-        let is_another_at_work = reading.is_busy && self.work == Work::None;
-        if self.sent.is_some() || !(is_accepted || is_another_at_work) {
+        if self.sent.is_some() || !is_accepted {
             return;
         }
-        if reading.is_busy || !is_current {
-            self.read_due_ms = Some(now_ms + READ_AGAIN_MS);
-        } else {
+        if is_current {
             // It is over, and did not lead to what was asked for.
             self.work = Work::None;
             self.finish_work();
+        } else {
+            self.read_due_ms = Some(now_ms + READ_AGAIN_MS);
         }
     }
 }
--- a/tests/swap_fake/mod.rs
+++ b/tests/swap_fake/mod.rs
@@ -96,7 +96,8 @@
         self.disk.push(model(number));
     }
 
-    fn state(&mut self) -> State {
+    /// Its next announcement.
+    pub fn state(&mut self) -> State {
         self.sequence += 1;
         let held = |model: ModelRef| Held {
             model,
--- a/tests/swap_planner.rs
+++ b/tests/swap_planner.rs
@@ -5,7 +5,8 @@
 use std::collections::VecDeque;
 
 use fescuebay::ids::ModelRef;
-use fescuebay::placement::swap::demand::Running;
+use fescuebay::placement::swap::demand::{Running, Usage, Waiting};
+use fescuebay::placement::swap::{Action, Event, Reading, Reply};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -111,6 +112,62 @@
     }
 }
 
+/// The load: a load that takes longer than expected ends while the engine is being asked, so that its
+/// answer is of the time before; an adapter is ordered in between.
+#[test]
+fn an_engine_that_was_last_heard_at_work_is_asked_until_it_rests() {
+    let mut world = World::new(1, 1, 4, Trouble::default());
+    let [first, second] = [3, 2].map(|number| model_ref(number, None));
+    let target = world.engines[0].target.clone();
+    world.engines[0].holds.clear();
+    world.engines[0].put_on_disk(3);
+    let sent = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send(order) => Some(order.ticket),
+            Action::Read { .. } | Action::Changed(_) => None,
+        })
+    };
+    let usage = |models: &[&ModelRef]| {
+        let waiting =
+            |model: &&ModelRef| Waiting { model: (*model).clone(), count: 1, slack_ms: 500 };
+        let waiting = models.iter().map(waiting).collect();
+        Event::Usage("r".parse().unwrap(), Usage { waiting, ..Usage::default() })
+    };
+    let told = |orders, is_busy| {
+        let reading = Reading { orders, is_busy, ..Reading::default() };
+        Event::Read { target: target.clone(), reading: Some(reading) }
+    };
+    let accepted = |ticket| {
+        let (target, reply) = (target.clone(), Reply::Accepted);
+        Event::Answered { target, ticket, reply }
+    };
+    let state = |world: &mut World| Event::State(Box::new(world.engines[0].state()));
+
+    let announced = state(&mut world);
+    world.planner.on(0, announced);
+    world.planner.on(10, told(0, false));
+    let adapter = model_ref(3, Some(1));
+    let ticket = sent(&world.planner.on(30, usage(&[&first, &adapter]))).expect("a load");
+    world.planner.on(40, accepted(ticket));
+    let actions = world.planner.on(1_500, Event::Tick);
+    assert!(actions.iter().any(|action| matches!(action, Action::Read { .. })), "{actions:?}");
+    world.engines[0].holds.insert(first.model.clone(), Vec::new());
+    let announced = state(&mut world);
+    world.planner.on(1_501, usage(&[&adapter]));
+    let ticket = sent(&world.planner.on(1_520, announced)).expect("the adapter");
+    world.planner.on(1_521, told(1, true));
+    world.planner.on(1_522, accepted(ticket));
+
+    let is_ordered = (1_600..6_000).step_by(100).any(|now_ms| {
+        let mut actions = world.planner.on(now_ms, usage(&[&second]));
+        if actions.iter().any(|action| matches!(action, Action::Read { .. })) {
+            actions = world.planner.on(now_ms + 50, told(2, false));
+        }
+        sent(&actions).is_some()
+    });
+    assert!(is_ordered, "the engine is given up for good");
+}
+
 #[test]
 fn the_weight_store_is_asked_no_more_often_than_allowed() {
     for seed in 0..3 {
