Elections: a group whose voters have all started again waits for no lease

Cause: after all power is lost, each voter held back its vote for 1.8 s, as if a leader from before its start could still hold a lease.

Ruled out: slow starts (all processes run 1.1 s after the cut), connections between voters (there 0.25 s later), reading the log.

Change: a pre-vote carries the start of its sender; the answer says whether the receiver has followed no leader since its own start. If all voters of the group say so, and the log ends with an entry of the newest term (so that its leader is among them), no lease can be in force, and the vote is asked for as after a transfer. Right after a start voters ask soon and often.

--- a/src/consensus/core/election.rs
+++ b/src/consensus/core/election.rs
@@ -4,17 +4,16 @@
 
 use super::{Core, Role};
 use crate::consensus::entry::VoterId;
-use crate::consensus::message::{Body, LastEntry, Message};
+use crate::consensus::message::{Body, LastEntry, Message, StartId};
 use crate::ids::Term;
 
 impl Core {
-    /// A single voter need not wait for anyone; a new group need not wait for an old leader.
+    /// A single voter need not wait for anyone. Others ask soon: a new group has no old leader, and
+    /// one whose voters have all started again has none any more.
     pub(super) fn plan_first_election(&mut self, now_ms: u64) {
         let is_alone = self.log.membership().voters == [self.config.id.clone()];
         if is_alone {
             self.election_due_ms = now_ms;
-        } else if self.is_leader_heard {
-            self.reset_election(now_ms);
         } else {
             let jitter_ms = self.config.timing.election_jitter_ms;
             self.election_due_ms = now_ms + self.rng.random_range(0..jitter_ms);
@@ -43,7 +42,7 @@
             return false;
         }
         match message.body {
-            Body::Vote { is_transfer: false, .. } if self.upholds_leader(now_ms) => false,
+            Body::Vote { is_lease_over: false, .. } if self.upholds_leader(now_ms) => false,
             Body::Append { .. } | Body::Chunk { .. } => {
                 self.become_follower(now_ms, message.term, Some(message.from.clone()));
                 true
@@ -101,11 +100,25 @@
         voters.iter().filter(|id| **id != self.config.id).cloned().collect()
     }
 
-    /// Nobody leads, so a split vote is tried again soon.
+    /// Nobody leads, so a split vote is tried again soon; sooner yet while others may be starting
+    /// too.
     fn plan_retry(&mut self, now_ms: u64) {
         let jitter_ms = self.config.timing.election_jitter_ms;
         let random_ms = self.rng.random_range(0..jitter_ms);
-        self.election_due_ms = now_ms + jitter_ms / 2 + random_ms;
+        let pause_ms = jitter_ms / 2 + random_ms;
+        self.election_due_ms = now_ms + if self.is_free { 1 + pause_ms / 4 } else { pause_ms };
+    }
+
+    /// Whether no lease of an earlier leader can be in force.
+    ///
+    /// The leader of this term is among the voters of a log that holds an entry of the term. If
+    /// all of them have followed nobody since they started, it has started again too, and leads
+    /// no more.
+    fn is_lease_over(&self) -> bool {
+        let Role::PreCandidate { free, .. } = &self.role else { return false };
+        let others = self.other_voters();
+        let is_newest = self.log.last().term == self.hard.term;
+        self.is_free && is_newest && others.iter().all(|voter| free.contains(voter))
     }
 
     pub(super) fn start_pre_vote(&mut self, now_ms: u64) {
@@ -114,11 +127,11 @@
             return;
         }
         self.leader = None;
-        self.role = Role::PreCandidate { grants: vec![self.config.id.clone()] };
+        self.role = Role::PreCandidate { grants: vec![self.config.id.clone()], free: Vec::new() };
         let next_term = self.hard.term.next();
-        let last = self.log.last();
+        let (last, start) = (self.log.last(), self.start);
         for voter in self.other_voters() {
-            self.send(&voter, Body::PreVote { next_term, last });
+            self.send(&voter, Body::PreVote { next_term, last, start });
         }
         if self.log.membership().quorum() == 1 {
             self.start_election(now_ms, false);
@@ -131,10 +144,12 @@
         from: VoterId,
         next_term: Term,
         last: LastEntry,
+        start: StartId,
     ) {
         let is_granted =
             next_term > self.hard.term && !self.upholds_leader(now_ms) && self.is_up_to_date(last);
-        self.send(&from, Body::PreVoteReply { next_term, is_granted });
+        let free_for = self.is_free.then_some(start);
+        self.send(&from, Body::PreVoteReply { next_term, is_granted, free_for });
     }
 
     pub(super) fn on_pre_vote_reply(
@@ -143,23 +158,29 @@
         from: VoterId,
         next_term: Term,
         is_granted: bool,
+        free_for: Option<StartId>,
     ) {
         let is_current = next_term == self.hard.term.next();
         let is_voter = self.log.membership().is_voter(&from);
-        let quorum = self.log.membership().quorum();
-        let Role::PreCandidate { grants } = &mut self.role else { return };
-        if !is_granted || !is_current || !is_voter {
+        let Role::PreCandidate { grants, free } = &mut self.role else { return };
+        if !is_current || !is_voter {
             return;
         }
-        if let Err(at) = grants.binary_search(&from) {
-            grants.insert(at, from);
+        if free_for == Some(self.start) {
+            insert(free, &from);
         }
-        if grants.len() >= quorum {
-            self.start_election(now_ms, false);
+        if is_granted {
+            insert(grants, &from);
+        }
+        let has_majority = grants.len() >= self.log.membership().quorum();
+        let is_lease_over = self.is_lease_over();
+        // A voter that asks right after its start may still uphold a lease itself.
+        if (has_majority && !self.upholds_leader(now_ms)) || is_lease_over {
+            self.start_election(now_ms, is_lease_over);
         }
     }
 
-    pub(super) fn start_election(&mut self, now_ms: u64, is_transfer: bool) {
+    pub(super) fn start_election(&mut self, now_ms: u64, is_lease_over: bool) {
         if self.is_leader() || !self.log.membership().is_voter(&self.config.id) {
             return;
         }
@@ -172,7 +193,7 @@
         self.plan_retry(now_ms);
         let last = self.log.last();
         for voter in self.other_voters() {
-            self.send(&voter, Body::Vote { last, is_transfer });
+            self.send(&voter, Body::Vote { last, is_lease_over });
         }
     }
 
@@ -181,10 +202,10 @@
         now_ms: u64,
         from: VoterId,
         last: LastEntry,
-        is_transfer: bool,
+        is_lease_over: bool,
     ) {
         let is_free = self.hard.vote.as_ref().is_none_or(|vote| *vote == from);
-        let is_allowed = is_transfer || !self.upholds_leader(now_ms);
+        let is_allowed = is_lease_over || !self.upholds_leader(now_ms);
         let is_granted = is_free && is_allowed && self.is_up_to_date(last);
         if is_granted {
             if self.hard.vote.is_none() {
@@ -202,9 +223,7 @@
         if !is_granted || !is_voter {
             return;
         }
-        if let Err(at) = grants.binary_search(&from) {
-            grants.insert(at, from);
-        }
+        insert(grants, &from);
         self.try_win(now_ms);
     }
 
@@ -217,3 +236,9 @@
         }
     }
 }
+
+fn insert(voters: &mut Vec<VoterId>, voter: &VoterId) {
+    if let Err(at) = voters.binary_search(voter) {
+        voters.insert(at, voter.clone());
+    }
+}
--- a/src/consensus/core/follower.rs
+++ b/src/consensus/core/follower.rs
@@ -14,6 +14,7 @@
         self.leader = Some(leader.clone());
         self.heard_ms = now_ms;
         self.is_leader_heard = true;
+        self.is_free = false;
         self.reset_election(now_ms);
     }
 
--- a/src/consensus/core/leader.rs
+++ b/src/consensus/core/leader.rs
@@ -60,6 +60,7 @@
     pub(super) fn become_leader(&mut self, now_ms: u64) {
         let own = self.config.id.clone();
         self.leader = Some(own);
+        self.is_free = false;
         let term_start = self.log.last().index.next();
         self.role = Role::Leader(Box::new(Leader {
             peers: Vec::new(),
--- a/src/consensus/core/mod.rs
+++ b/src/consensus/core/mod.rs
@@ -22,9 +22,11 @@
 
 use std::collections::VecDeque;
 
+use rand::Rng as _;
+
 use super::entry::{Entry, HardState, Payload, Snapshot, VoterId};
 use super::log::Log;
-use super::message::{Body, Message};
+use super::message::{Body, Message, StartId};
 use crate::ids::{LogIndex, Term};
 use crate::storage::record::Record;
 
@@ -36,8 +38,14 @@
 #[derive(Debug)]
 enum Role {
     Follower,
-    PreCandidate { grants: Vec<VoterId> },
-    Candidate { grants: Vec<VoterId> },
+    PreCandidate {
+        grants: Vec<VoterId>,
+        /// Voters that have followed no leader since they started.
+        free: Vec<VoterId>,
+    },
+    Candidate {
+        grants: Vec<VoterId>,
+    },
     Leader(Box<Leader>),
 }
 
@@ -69,6 +77,9 @@
     /// When a leader was last heard; helping another to power waits for `election_ms` after it.
     heard_ms: u64,
     is_leader_heard: bool,
+    start: StartId,
+    /// Whether it has followed no leader, and led nobody, since it started.
+    is_free: bool,
     election_due_ms: u64,
     incoming: Option<Incoming>,
     /// Records that the next write will hold; its number is `writes + 1`.
@@ -85,15 +96,23 @@
 
 impl Core {
     /// A voter that starts with what its folder holds.
-    pub fn new(config: Config, stored: Stored, now_ms: u64, rng: Box<dyn rand::RngCore>) -> Self {
+    pub fn new(
+        config: Config,
+        stored: Stored,
+        now_ms: u64,
+        mut rng: Box<dyn rand::RngCore>,
+    ) -> Self {
         let log = Log::new(&stored.snapshot.meta, stored.entries);
         let start = stored.snapshot.meta.index;
         let durable = log.last().index;
         // A voter that took part before may have upheld a lease right before it stopped.
         let is_leader_heard = stored.hard.term > Term(0);
+        let started = StartId(rng.random());
         let mut core = Self {
             config,
             rng,
+            start: started,
+            is_free: true,
             hard: stored.hard,
             log,
             snapshot: stored.snapshot,
@@ -188,11 +207,13 @@
         }
         let Message { from, body, .. } = message;
         match body {
-            Body::PreVote { next_term, last } => self.on_pre_vote(now_ms, from, next_term, last),
-            Body::PreVoteReply { next_term, is_granted } => {
-                self.on_pre_vote_reply(now_ms, from, next_term, is_granted);
+            Body::PreVote { next_term, last, start } => {
+                self.on_pre_vote(now_ms, from, next_term, last, start);
+            }
+            Body::PreVoteReply { next_term, is_granted, free_for } => {
+                self.on_pre_vote_reply(now_ms, from, next_term, is_granted, free_for);
             }
-            Body::Vote { last, is_transfer } => self.on_vote(now_ms, from, last, is_transfer),
+            Body::Vote { last, is_lease_over } => self.on_vote(now_ms, from, last, is_lease_over),
             Body::VoteReply { is_granted } => self.on_vote_reply(now_ms, from, is_granted),
             Body::Append { prev_index, prev_term, entries, commit, round } => {
                 self.on_append(now_ms, from, (prev_index, prev_term), entries, commit, round);
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -60,6 +60,11 @@
     pub sent_ms: u64,
 }
 
+/// Names one start of a voter's process, so that answers to an earlier one are told apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct StartId(pub u64);
+
 /// The last entry of a candidate's log, by which its log is compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -80,6 +85,8 @@
         next_term: Term,
         /// The end of the sender's log.
         last: LastEntry,
+        /// The start of the sender's process.
+        start: StartId,
     },
     /// Answers `PreVote`.
     PreVoteReply {
@@ -87,13 +94,17 @@
         next_term: Term,
         /// Whether the vote would be given.
         is_granted: bool,
+        /// The `start` that was asked with, if the receiver has followed no leader since its own
+        /// start.
+        free_for: Option<StartId>,
     },
     /// Asks for a vote in the message's term.
     Vote {
         /// The end of the sender's log.
         last: LastEntry,
-        /// Whether the leader itself asked for this election and gave up its lease.
-        is_transfer: bool,
+        /// Whether no lease can be in force: the leader itself gave its own up and asked for this
+        /// election, or every voter has started since the last one was granted.
+        is_lease_over: bool,
     },
     /// Answers `Vote`.
     VoteReply {
--- a/tests/consensus_core.rs
+++ b/tests/consensus_core.rs
@@ -29,6 +29,8 @@
     Transfer(usize),
     LoseDisk(usize),
     Repair,
+    /// All members stop and start again; what was on its way may still come.
+    RestartAll(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -48,6 +50,7 @@
         1 => (0..3_usize).prop_map(Step::Transfer),
         1 => (0..3_usize).prop_map(Step::LoseDisk),
         4 => proptest::strategy::Just(Step::Repair),
+        1 => (0..4_usize).prop_map(Step::RestartAll),
     ]
 }
 
@@ -84,6 +87,10 @@
         }
         Step::LoseDisk(at) => world.lose_disk(at),
         Step::Repair => world.repair(),
+        Step::RestartAll(kept) => {
+            (0..3).for_each(|at| world.crash(at, kept));
+            (0..3).for_each(|at| world.restart(at));
+        }
     }
 }
 
@@ -403,7 +410,7 @@
             from: world.members[candidate].id.clone(),
             to: world.members[voter].id.clone(),
             term,
-            body: Body::Vote { last, is_transfer: true },
+            body: Body::Vote { last, is_lease_over: true },
         };
         world.with(voter, |core, now_ms| core.receive(now_ms, message));
         world.sync(voter, usize::MAX);
--- a/tests/consensus_five.rs
+++ b/tests/consensus_five.rs
@@ -217,3 +217,44 @@
         }
     }
 }
+
+/// Time for all voters to start, find each other and elect a leader that owes nothing to an old one.
+const LEADER_AFTER_RESTART_MS: u64 = 700;
+
+#[test]
+fn a_group_that_was_killed_whole_does_not_wait_for_a_lease_that_nobody_holds() {
+    for seed in 0..SEEDS {
+        let (mut world, _) = settled(seed);
+        (0..VOTERS).for_each(|at| world.crash(at, usize::MAX));
+        (0..VOTERS).for_each(|at| world.restart(at));
+        world.run(LEADER_AFTER_RESTART_MS);
+        assert!(world.leader().is_some(), "seed {seed}");
+        world.converge();
+    }
+}
+
+/// All but the leader start again. Its lease rests on them, so they help nobody else to power.
+#[test]
+fn voters_that_start_again_uphold_the_lease_of_a_leader_that_did_not() {
+    for seed in 0..SEEDS {
+        let (mut world, leader) = settled(seed);
+        let term = world.status(leader).unwrap().term;
+        let left_ms = world.lease_left_ms(leader);
+        assert!(left_ms > 0, "seed {seed}");
+        let others: Vec<usize> = (0..VOTERS).filter(|at| *at != leader).collect();
+        others.iter().for_each(|at| world.crash(*at, usize::MAX));
+        others.iter().for_each(|at| world.restart(*at));
+        // It is cut off, but may still serve reads until its lease ends.
+        for at in &others {
+            world.cut.insert((leader, *at));
+            world.cut.insert((*at, leader));
+        }
+        let end_ms = world.now_ms + left_ms * 9 / 10;
+        while world.now_ms < end_ms {
+            world.run(10);
+            let newest = others.iter().filter_map(|at| world.status(*at)).map(|s| s.term).max();
+            assert_eq!(newest, Some(term), "seed {seed}: an election within the lease");
+        }
+        world.converge();
+    }
+}
