Waiting: callers are refused while they are still there, and wait for a first document

(2) A request waited 0.45 of its time whatever its caller does: callers of chats leave after 2.4 s without an event, and were held for 5.4 s. (3) A service known to have no targets was waited for.

Ruled out: longer waits at the balancer; readiness off until a document is there (all routers start at once, so all are used anyway).

Change: gateway/wait.rs decides, as a pure function, how long a request may wait: at most until its caller leaves a silent stream, less half of the latency target for the answer to begin; for a first document 0.3 of its time, 1.5 s at most; for a service without targets only while this router has just begun to learn of them. gateway/refusal.rs names the reasons as a type. A stream that is resumed waits from the moment it broke.

--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -33,6 +33,9 @@
     /// The route table has changed.
     fn table_changed(&self, feed: &feed::Feed);
 
+    /// Another leader tells news from now on: it may not have heard of all targets yet.
+    fn leader_changed(&self);
+
     /// Takes how many routers there are, and what changed in what they have running together.
     fn take_load(&self, routers: u32, changes: &loads::Changes);
 }
@@ -105,6 +108,7 @@
         state.term.replace(news.term);
         let leader = client.leader().map(|leader: DaemonId| leader.to_string());
         log::info!("following the leader {leader:?} of term {}", news.term);
+        follower.leader_changed();
     }
     state.heard_ms.replace(Some(state.clock.now_ms()));
     client.learn(&news.voters);
--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -48,6 +48,8 @@
 
     fn table_changed(&self, _feed: &feed::Feed) {}
 
+    fn leader_changed(&self) {}
+
     fn take_load(&self, _routers: u32, _changes: &loads::Changes) {}
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode, header};
+use http::{HeaderMap, Method, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rand::Rng as _;
@@ -13,8 +13,9 @@
 use super::fleet::{Choice, Wish};
 use super::next::{self, Case, End, Failure, Next};
 use super::queue::{Ticket, Waiter};
+use super::refusal::{self, Why};
 use super::shared::{Seat, Shared};
-use super::{Dispatch, Facts, Verdict, relay};
+use super::{Dispatch, Facts, Verdict, relay, wait};
 use crate::ids::{ServiceName, TargetId};
 use crate::routes::{self, Route, index};
 use crate::web::client::Connection;
@@ -29,14 +30,6 @@
 const PATIENCE_SHARE: f64 = 0.7;
 /// Shortest time that a target has for the answer to an idempotent request.
 const MIN_PATIENCE_MS: u64 = 60;
-/// Share of a request's time that it may wait for a target.
-const WAIT_SHARE: f64 = 0.45;
-/// The least and most that a caller is asked to wait who was refused since targets are busy, in
-/// milliseconds.
-const BUSY_RETRY_MS: std::ops::Range<u64> = 250..900;
-/// The same where no document or no target is known: a group of voters that comes back needs so long
-/// to choose a leader and to hear of the targets.
-const UNKNOWN_RETRY_MS: std::ops::Range<u64> = 1_500..3_500;
 /// A request is sent to no target when the process ends this soon: most streams would be cut off, and
 /// the caller still has time to go elsewhere.
 const LAST_SEND_MS: u64 = 3_000;
@@ -45,11 +38,6 @@
 /// Pause before a request is sent again to a service that just refused it.
 const AGAIN_PAUSE_MS: u64 = 15;
 
-/// Why a request was refused, where that decides when its caller should come back.
-const NO_DOCUMENT: &str = "no document is known yet";
-const NO_TARGETS: &str = "the service has no targets";
-const STOPS: &str = "the router stops";
-
 /// A request that has a route.
 pub(super) struct Job {
     pub facts: Facts,
@@ -90,6 +78,11 @@
         self.end_ms.saturating_sub(shared.now_ms())
     }
 
+    /// Ends it without an answer of a target.
+    fn give_up(&self, shared: &Shared, end: End, why: Why) -> http::Response<Body> {
+        refusal::give_up(&self.facts.id, end, why, self.after_ms(shared))
+    }
+
     /// Whether a target may still run it.
     pub fn may_run(&self) -> bool {
         self.runs.get() < self.route.max_attempts.max(1)
@@ -109,32 +102,27 @@
 pub(super) async fn serve(shared: Rc<Shared>, request: http::Request<Incoming>) -> Answer {
     let arrived_ms = shared.now_ms();
     let (head, body) = request.into_parts();
-    let found = shared.index.borrow().clone();
-    let Some(index) = found else {
-        return Answer::Send(refused("", StatusCode::SERVICE_UNAVAILABLE, NO_DOCUMENT, false, 0));
-    };
     let facts = shared.protocol.read(&head.headers);
-    let host = host(&head);
-    let Some(route) = index.find(&host, head.uri.path()) else {
-        let why = "no route matches";
-        return Answer::Send(refused(&facts.id, StatusCode::NOT_FOUND, why, false, 0));
+    let refuse = |why| {
+        let after_ms = shared.now_ms().saturating_sub(arrived_ms);
+        Answer::Send(refusal::refuse(&facts.id, why, after_ms))
+    };
+    let limit_ms = wait::first_document_ms(facts.patience_ms.unwrap_or(u64::MAX));
+    let Some(index) = shared.document_within(limit_ms).await else {
+        return refuse(Why::NoDocument);
     };
-    let limit_bytes = index.document().limits.max_body_bytes;
-    let body = match web::collect(body, limit_bytes).await {
+    let Some(route) = index.find(&host(&head), head.uri.path()) else {
+        return refuse(Why::NoRoute);
+    };
+    let body = match web::collect(body, index.document().limits.max_body_bytes).await {
         Ok(body) => body,
-        Err(web::Error::TooLarge) => {
-            let why = "the body is too large";
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return Answer::Send(refused(&facts.id, status, why, false, 0));
-        }
+        Err(web::Error::TooLarge) => return refuse(Why::BodyTooLarge),
         // The caller left.
         Err(_) => return Answer::Close,
     };
     let draw = rand::rng().random();
     let Some(destination) = index::destination(route, draw) else {
-        let why = "the route has no service";
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Answer::Send(refused(&facts.id, status, why, false, 0));
+        return refuse(Why::NoService);
     };
     let patience_ms = facts.patience_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let job = Job {
@@ -158,7 +146,7 @@
         () = shared.before_end(LAST_ANSWER_MS) => {
             // What is at a target now may run there.
             let end = next::give_up(job.attempts.get(), false);
-            give_up(&shared, &job, end, STOPS)
+            job.give_up(&shared, end, Why::Stops)
         }
     };
     Answer::Send(response)
@@ -185,11 +173,11 @@
 /// Sends attempts until one is answered or the request is given up.
 async fn run(shared: Rc<Shared>, job: Rc<Job>) -> http::Response<Body> {
     loop {
-        let seat = match seat(&shared, &job).await {
+        let seat = match seat(&shared, &job, job.arrived_ms).await {
             Ok(seat) => seat,
             Err(why) => {
                 let end = next::give_up(job.runs.get(), job.left_ms(&shared) == 0);
-                return give_up(&shared, &job, end, why);
+                return job.give_up(&shared, end, why);
             }
         };
         let target = seat.target.clone();
@@ -202,7 +190,7 @@
             Err(failure) => failure,
         };
         if let Err(end) = after_failure(&shared, &job, &target, failure, sent_ms) {
-            return give_up(&shared, &job, end, events::failure(failure));
+            return job.give_up(&shared, end, Why::Failed(failure));
         }
         if matches!(failure, Failure::NotRun | Failure::Lacking) {
             tokio::time::sleep(Duration::from_millis(AGAIN_PAUSE_MS)).await;
@@ -269,8 +257,8 @@
     }
 }
 
-/// Finds a place at a target, at once or after a wait.
-pub(super) async fn seat(shared: &Shared, job: &Job) -> Result<Seat, &'static str> {
+/// Finds a place at a target, at once or after a wait that began at `since_ms`.
+pub(super) async fn seat(shared: &Shared, job: &Job, since_ms: u64) -> Result<Seat, Why> {
     let avoid = job.avoid.borrow().clone();
     let wish = Wish {
         service: &job.service,
@@ -283,14 +271,14 @@
         Ok(seat) => return Ok(seat),
         Err(why) => why,
     };
-    let total_ms = job.end_ms - job.arrived_ms;
-    let mut may_wait_ms = (total_ms as f64 * WAIT_SHARE) as u64;
-    if why == Choice::NoTarget {
-        // They may be heard of any moment after a start; if not, the service is gone.
-        may_wait_ms = may_wait_ms.min(job.route.latency_target_ms);
-    }
-    let wait_until_ms = job.arrived_ms + may_wait_ms;
-    let wait_ms = wait_until_ms.saturating_sub(shared.now_ms());
+    let limit_ms = wait::limit_ms(&wait::Case {
+        why,
+        kind: job.route.kind,
+        latency_target_ms: job.route.latency_target_ms,
+        total_ms: job.end_ms.saturating_sub(since_ms),
+        learning_ms: shared.learning_ms(),
+    });
+    let wait_ms = (since_ms + limit_ms).saturating_sub(shared.now_ms());
     let waiter = Waiter {
         ticket: Ticket(0),
         service: job.service.clone(),
@@ -305,12 +293,12 @@
     let seat = tokio::select! {
         seat = waited => seat,
         () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
-        () = shared.before_end(LAST_SEND_MS) => return Err(STOPS),
+        () = shared.before_end(LAST_SEND_MS) => return Err(Why::Stops),
     };
     match seat {
         Some(seat) => Ok(seat),
-        None if why == Choice::NoTarget => Err(NO_TARGETS),
-        None => Err("no target was free in time"),
+        None if why == Choice::NoTarget => Err(Why::NoTargets),
+        None => Err(Why::NoneFree),
     }
 }
 
@@ -414,42 +402,6 @@
     share_ms.max(MIN_PATIENCE_MS).min(left_ms)
 }
 
-/// The answer to a request that no target answered.
-fn give_up(shared: &Shared, job: &Job, end: End, why: &str) -> http::Response<Body> {
-    let status = match end {
-        End::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-        End::Failed => StatusCode::BAD_GATEWAY,
-        End::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-    };
-    let may_have_run = end != End::NotRun;
-    refused(&job.facts.id, status, why, may_have_run, job.after_ms(shared))
-}
-
-fn refused(
-    id: &str,
-    status: StatusCode,
-    why: &str,
-    may_have_run: bool,
-    after_ms: u64,
-) -> http::Response<Body> {
-    let retry_after = match why {
-        NO_DOCUMENT | NO_TARGETS => UNKNOWN_RETRY_MS,
-        _ => BUSY_RETRY_MS,
-    };
-    events::emit(id, &Event::Refused { status: status.as_u16(), why, may_have_run, after_ms });
-    let code = status.as_str().to_owned();
-    metrics::counter!("fescuebay_refused_total", "status" => code).increment(1);
-    let mut response = web::empty(status);
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        let after_ms = rand::rng().random_range(retry_after);
-        let text = format!("{:.2}", after_ms as f64 / 1_000.0);
-        if let Ok(value) = http::HeaderValue::from_str(&text) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
-    }
-    response
-}
-
 /// The host that the caller names, without a port.
 fn host(head: &http::request::Parts) -> String {
     let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //! answer.
 //!
 //! What is decided stands apart from what is sent: [`fleet`] chooses targets, [`queue`] orders what
-//! waits, [`budget`] and [`next`] decide about repeats. The rest carries bytes.
+//! waits and [`wait`] for how long, [`budget`] and [`next`] decide about repeats, [`refusal`] tells
+//! callers. The rest carries bytes.
 
 pub mod budget;
 pub mod events;
@@ -11,9 +12,11 @@
 pub mod next;
 mod pool;
 pub mod queue;
+pub mod refusal;
 mod relay;
 mod run;
 mod shared;
+pub mod wait;
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -327,7 +327,7 @@
             if !is_allowed || !self.is_resumable() {
                 return false;
             }
-            let Ok(seat) = exchange::seat(shared, job).await else { return false };
+            let Ok(seat) = exchange::seat(shared, job, shared.now_ms()).await else { return false };
             target = seat.target.clone();
             sent_ms = shared.now_ms();
             match exchange::attempt(shared, job, seat, self.last_event.as_deref()).await {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -107,7 +107,7 @@
 ) {
     let limits = Rc::clone(&shared);
     let head = move || {
-        let index = limits.index.borrow();
+        let index = limits.index();
         let limits = index.as_ref().map(|index| index.document().limits).unwrap_or_default();
         server::Settings {
             head_timeout_ms: limits.idle_timeout_ms.max(limits.head_timeout_ms),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -27,7 +27,7 @@
     pub(super) clock: BootClock,
     pub(super) protocol: &'static dyn Protocol,
     decode: routes::Decode,
-    pub(super) index: RefCell<Option<Rc<index::Index>>>,
+    index: watch::Sender<Option<Rc<index::Index>>>,
     pub(super) fleet: RefCell<Fleet>,
     pub(super) budget: RefCell<Budget>,
     pub(super) pool: RefCell<Pool>,
@@ -35,6 +35,8 @@
     waiting: RefCell<Vec<(Ticket, oneshot::Sender<Seat>)>>,
     arrivals: RefCell<Vec<(ModelRef, u32)>>,
     heard_ms: Cell<Option<u64>>,
+    /// When this router began to learn of the targets from the leader that it follows.
+    learning_since_ms: Cell<Option<u64>>,
     /// Told when something waits that placement should know of at once.
     pub(super) demand_wake: Notify,
     /// When the process ends, once that is known.
@@ -70,7 +72,28 @@
 
     /// Whether it can serve requests: it has a document and is not about to stop.
     pub fn is_ready(&self) -> bool {
-        self.index.borrow().is_some() && self.stops_ms.borrow().is_none()
+        self.index().is_some() && self.stops_ms.borrow().is_none()
+    }
+
+    /// The document in force, arranged for lookups.
+    pub(super) fn index(&self) -> Option<Rc<index::Index>> {
+        self.index.borrow().clone()
+    }
+
+    /// The document in force, or the first one if it comes within `limit_ms`.
+    pub(super) async fn document_within(&self, limit_ms: u64) -> Option<Rc<index::Index>> {
+        if let Some(index) = self.index() {
+            return Some(index);
+        }
+        let mut documents = self.index.subscribe();
+        let limit = Duration::from_millis(limit_ms);
+        let known = tokio::time::timeout(limit, documents.wait_for(Option::is_some)).await;
+        known.ok()?.ok()?.clone()
+    }
+
+    /// Time since this router began to learn of the targets.
+    pub(super) fn learning_ms(&self) -> Option<u64> {
+        Some(self.now_ms().saturating_sub(self.learning_since_ms.get()?))
     }
 
     /// Notes that the process ends at this time: the balancer is told not to send more.
@@ -260,7 +283,7 @@
         match (self.decode)(text) {
             Ok(document) => {
                 log::info!("document {version} is in force");
-                self.index.replace(Some(Rc::new(index::Index::new(document))));
+                self.index.send_replace(Some(Rc::new(index::Index::new(document))));
             }
             Err(report) => log::error!("document {version} cannot be read: {report}"),
         }
@@ -272,6 +295,10 @@
         self.pump();
     }
 
+    fn leader_changed(&self) {
+        self.learning_since_ms.set(Some(self.now_ms()));
+    }
+
     fn take_load(&self, routers: u32, changes: &loads::Changes) {
         self.heard_ms.set(Some(self.now_ms()));
         self.budget.borrow_mut().set_routers(routers);
@@ -301,7 +328,7 @@
             clock: self.clock,
             protocol: self.protocol,
             decode: self.decode,
-            index: RefCell::default(),
+            index: watch::Sender::new(None),
             fleet: RefCell::new(Fleet::new(self.zone)),
             budget: RefCell::new(Budget::new(self.budget)),
             pool: RefCell::default(),
@@ -309,6 +336,7 @@
             waiting: RefCell::default(),
             arrivals: RefCell::default(),
             heard_ms: Cell::new(None),
+            learning_since_ms: Cell::new(None),
             demand_wake: Notify::new(),
             stops_ms: watch::Sender::new(None),
             salt: Cell::new(rand::random()),
--- a/src/routes/mod.rs
+++ b/src/routes/mod.rs
@@ -88,6 +88,8 @@
         is_resumable: bool,
         /// The longest pause between events that callers accept as timely.
         gap_target_ms: u64,
+        /// The silence after which callers leave, also before the first event.
+        max_gap_ms: u64,
     },
 }
 
