News: routers are told a document without the models of engines, voters none

Cause: each document went to each router as the operator wrote it. Each change of the document, each start of a router and each config storm sent it again, and each router parsed it.

Change: the leader decodes a document once and tells routers the decoded one without models (routes::Document::without_models); voters, which have it in their log, are told none. A router needs no decoder of the operator's format.

Test: routers_are_told_a_document_without_its_models_and_voters_none.

--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -6,7 +6,7 @@
 
 use super::client::Client;
 use super::loads;
-use super::message::{News, Reply, Request, Watch};
+use super::message::{self, News, Reply, Request, Watch};
 use crate::clock::BootClock;
 use crate::ids::{DaemonId, Term};
 use crate::membership::feed;
@@ -28,7 +28,7 @@
     fn usage(&self) -> demand::Usage;
 
     /// Takes a document that is higher than all before.
-    fn take_document(&self, version: routes::Version, text: &[u8]);
+    fn take_document(&self, document: routes::Document);
 
     /// The route table has changed.
     fn table_changed(&self, feed: &feed::Feed);
@@ -112,11 +112,15 @@
     }
     state.heard_ms.replace(Some(state.clock.now_ms()));
     client.learn(&news.voters);
-    if let Some((version, text)) = news.document
+    if let Some((version, bytes)) = news.document
         && Some(version) > *state.version.borrow()
     {
+        // One that cannot be read is not asked for again and again.
         state.version.replace(Some(version));
-        follower.take_document(version, &text);
+        match message::decode(&bytes) {
+            Ok(document) => follower.take_document(document),
+            Err(error) => log::error!("document {version} cannot be read: {error}"),
+        }
     }
     state.loads.replace(news.loads.cursor);
     follower.take_load(news.routers, &news.loads);
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -9,7 +9,7 @@
 
 use super::Engines;
 use super::loads::Loads;
-use super::message::{News, Watch};
+use super::message::{self, News, Watch};
 use crate::clock::BootClock;
 use crate::ids::{DaemonId, Incarnation, ServiceName, TargetId, Term};
 use crate::membership::directory::{Directory, Effect};
@@ -60,6 +60,7 @@
     loads: RefCell<Loads>,
     /// Routers and when they last asked for news, sorted.
     routers: RefCell<Vec<(DaemonId, u64)>>,
+    /// The document in force as routers are told it.
     document: RefCell<Option<(routes::Version, bytes::Bytes)>>,
     news: watch::Sender<u64>,
     /// When followers were last woken, and whether they are about to be.
@@ -138,12 +139,19 @@
         if text.is_empty() || Some(version) <= self.version() {
             return;
         }
-        match decode(&text) {
-            Ok(document) => self.take_services(&document),
-            Err(report) => log::error!("the document of version {version} is kept: {report}"),
-        }
-        log::info!("document {version} is in force, {} bytes", text.len());
-        self.document.replace(Some((version, text)));
+        let document = match decode(&text) {
+            Ok(document) => document,
+            Err(report) => {
+                return log::error!(
+                    "document {version} stays as it was: it cannot be read: {report}"
+                );
+            }
+        };
+        self.take_services(&document);
+        let told = message::encode(&document.without_models());
+        let (bytes, told_bytes) = (text.len(), told.len());
+        log::info!("document {version} is in force: {bytes} bytes, {told_bytes} for routers");
+        self.document.replace(Some((version, told.into())));
         self.tell();
     }
 
@@ -363,11 +371,16 @@
     }
 
     fn has_news(&self, watch: &Watch) -> bool {
-        self.feed.borrow().cursor() != watch.cursor || self.version() > watch.routes
+        self.feed.borrow().cursor() != watch.cursor || self.has_document_for(watch)
+    }
+
+    /// Whether there is a document that a router lacks. Voters have it in their log.
+    fn has_document_for(&self, watch: &Watch) -> bool {
+        watch.is_router && self.version() > watch.routes
     }
 
     fn news_for(&self, watch: &Watch, voters: Vec<DaemonId>) -> News {
-        let is_newer = self.version() > watch.routes;
+        let is_newer = self.has_document_for(watch);
         News {
             term: self.term,
             batch: self.feed.borrow().since(watch.cursor),
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -57,7 +57,8 @@
     pub term: Term,
     /// Changes of the route table.
     pub batch: feed::Batch,
-    /// The document in force, if the follower has an older one.
+    /// The document in force without the models of engines, encoded, if the follower is a router and
+    /// has an older one.
     pub document: Option<(routes::Version, Bytes)>,
     /// Routers that asked for news lately, the asking one included.
     pub routers: u32,
--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -44,7 +44,7 @@
         demand::Usage::default()
     }
 
-    fn take_document(&self, _version: routes::Version, _text: &[u8]) {}
+    fn take_document(&self, _document: routes::Document) {}
 
     fn table_changed(&self, _feed: &feed::Feed) {}
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,6 @@
 use crate::coordinator::message::Request;
 use crate::coordinator::{daemon_at, follow};
 use crate::peer;
-use crate::routes;
 use crate::settings::vm;
 use crate::stop;
 use crate::web;
@@ -39,8 +38,6 @@
 pub struct Parts {
     /// How requests are read and passed on.
     pub protocol: &'static dyn Protocol,
-    /// How documents are read.
-    pub decode: routes::Decode,
 }
 
 /// Runs a router on the current `LocalSet` until `stop` says so.
@@ -58,7 +55,7 @@
     let ready = settings.vm.readiness.ok_or_else(missing("read the address for readiness"))?;
     let clock = BootClock::system();
     let zone = settings.vm.availability_zone.clone();
-    let shared = Shared::builder(settings.vm.ip, zone, parts.protocol, parts.decode)
+    let shared = Shared::builder(settings.vm.ip, zone, parts.protocol)
         .clock(clock)
         .budget(budget::Settings {
             ratio: settings.retries.ratio,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -26,7 +26,6 @@
     pub(super) own_ip: IpAddr,
     pub(super) clock: BootClock,
     pub(super) protocol: &'static dyn Protocol,
-    decode: routes::Decode,
     index: watch::Sender<Option<Rc<index::Index>>>,
     pub(super) fleet: RefCell<Fleet>,
     pub(super) budget: RefCell<Budget>,
@@ -49,21 +48,15 @@
     own_ip: IpAddr,
     zone: Zone,
     protocol: &'static dyn Protocol,
-    decode: routes::Decode,
     clock: BootClock,
     budget: budget::Settings,
 }
 
 impl Shared {
     /// A builder of the state of a router in `zone`, which connects from `own_ip`.
-    pub fn builder(
-        own_ip: IpAddr,
-        zone: Zone,
-        protocol: &'static dyn Protocol,
-        decode: routes::Decode,
-    ) -> Builder {
+    pub fn builder(own_ip: IpAddr, zone: Zone, protocol: &'static dyn Protocol) -> Builder {
         let budget = budget::Settings { ratio: 0.1, slack: 10.0, window_ms: 10_000 };
-        Builder { own_ip, zone, protocol, decode, clock: BootClock::system(), budget }
+        Builder { own_ip, zone, protocol, clock: BootClock::system(), budget }
     }
 
     pub(super) fn now_ms(&self) -> u64 {
@@ -279,14 +272,9 @@
         self.take_usage()
     }
 
-    fn take_document(&self, version: routes::Version, text: &[u8]) {
-        match (self.decode)(text) {
-            Ok(document) => {
-                log::info!("document {version} is in force");
-                self.index.send_replace(Some(Rc::new(index::Index::new(document))));
-            }
-            Err(report) => log::error!("document {version} cannot be read: {report}"),
-        }
+    fn take_document(&self, document: routes::Document) {
+        log::info!("document {} is in force", document.version);
+        self.index.send_replace(Some(Rc::new(index::Index::new(document))));
     }
 
     fn table_changed(&self, feed: &feed::Feed) {
@@ -327,7 +315,6 @@
             own_ip: self.own_ip,
             clock: self.clock,
             protocol: self.protocol,
-            decode: self.decode,
             index: watch::Sender::new(None),
             fleet: RefCell::new(Fleet::new(self.zone)),
             budget: RefCell::new(Budget::new(self.budget)),
--- a/src/routes/mod.rs
+++ b/src/routes/mod.rs
@@ -57,6 +57,7 @@
 
 /// All routes and services.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Document {
     /// Its number.
     pub version: Version,
@@ -73,10 +74,19 @@
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
     }
+
+    /// The same without the models of engines, which are most of a document: whoever routes requests
+    /// learns from the route table what may be asked for.
+    pub fn without_models(mut self) -> Self {
+        let engines = self.services.iter_mut().filter_map(|service| service.engine.as_mut());
+        engines.for_each(|engine| engine.models.clear());
+        self
+    }
 }
 
 /// What may be repeated of the requests of a route, and how they are answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Kind {
     /// May run more than once.
     Idempotent,
@@ -107,6 +117,7 @@
 
 /// One of the services of a route, with its share of the requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Destination {
     /// The service.
     pub service: ServiceName,
@@ -116,6 +127,7 @@
 
 /// Where requests of one host and path go, and what is promised for them.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Route {
     /// Its name, for logs and metrics.
     pub name: String,
@@ -139,6 +151,7 @@
 
 /// A service that targets offer.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
@@ -150,6 +163,7 @@
 
 /// The model engines of a service.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Engine {
     /// Requests that one target runs at once.
     pub slots: u32,
@@ -167,6 +181,7 @@
 
 /// A model that targets may load.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Model {
     /// Its name.
     pub name: ModelName,
@@ -184,6 +199,7 @@
 
 /// What callers may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Limits {
     /// Largest head of a request, in bytes.
     pub max_head_bytes: usize,
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -6,7 +6,7 @@
 
 use fescuebay::clock::BootClock;
 use fescuebay::coordinator::leader::{Leader, Parts};
-use fescuebay::coordinator::message::Watch;
+use fescuebay::coordinator::message::{self, Watch};
 use fescuebay::coordinator::{Engines, daemon_at};
 use fescuebay::ids::{DaemonId, Incarnation, ModelRef, TargetId, Term};
 use fescuebay::membership::feed::{Cursor, Feed};
@@ -14,7 +14,7 @@
 use fescuebay::placement::swap::demand::{Usage, Waiting};
 use fescuebay::placement::swap::{Order, Reading, Reply, Settings};
 use fescuebay::platform;
-use fescuebay::routes::Version;
+use fescuebay::routes::{Document, Version};
 use fescuebay::target::order::{Cached, Held, Kind, Load, Phase, State, Tier};
 use fescuebay::units::Bytes;
 use futures::future::LocalBoxFuture;
@@ -166,6 +166,35 @@
         .await;
 }
 
+/// The load: hundreds of routers, a thousand models, and documents in quick succession.
+#[tokio::test(start_paused = true)]
+async fn routers_are_told_a_document_without_its_models_and_voters_none() {
+    LocalSet::new()
+        .run_until(async {
+            let told_bytes = |models: usize| async move {
+                let leader = Leader::start(Term(1), parts(), &[]);
+                let model = |at| format!(r#"{{"name":"m{at}","weightsMb":50,"loadS":6}}"#);
+                let models: Vec<String> = (0..models).map(model).collect();
+                let (first, rest) = DOCUMENT.split_once(r#""models":["#).unwrap();
+                let (_, last) = rest.split_once(']').unwrap();
+                let text = format!(r#"{first}"models":[{}]{last}"#, models.join(","));
+                leader.take_document(Version(3), text.into(), platform::document::decode);
+                let asked = Watch { routes: None, ..question(Cursor::default()) };
+                let voter = Watch { is_router: false, ..asked.clone() };
+                let news = leader.watch(&router(), voter, Vec::new()).await.unwrap();
+                assert_eq!(news.document, None, "a voter has it in its log");
+                let news = leader.watch(&router(), asked, Vec::new()).await.unwrap();
+                let (_, bytes) = news.document.unwrap();
+                let document: Document = message::decode(&bytes).unwrap();
+                assert_eq!(document.version, Version(3));
+                assert!(document.services.iter().any(|service| service.engine.is_some()));
+                bytes.len()
+            };
+            assert_eq!(told_bytes(1).await, told_bytes(1_000).await);
+        })
+        .await;
+}
+
 /// The load: an announcement that a cut held up, of a life that is over, at the address of another.
 #[tokio::test(start_paused = true)]
 async fn a_late_announcement_of_an_earlier_life_changes_nothing() {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -14,7 +14,7 @@
 use fescuebay::membership::feed::Feed;
 use fescuebay::membership::table::{Entry, Replica, Standing};
 use fescuebay::platform;
-use fescuebay::routes::Version;
+use fescuebay::routes::Document;
 use fescuebay::target::order::Kind;
 use fescuebay::web::server::{self, Phase};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -218,6 +218,11 @@
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,
   "idleTimeoutMs":15000}}"#;
 
+/// The document, read.
+pub fn document() -> Document {
+    platform::document::decode(DOCUMENT.as_bytes()).unwrap()
+}
+
 /// A router.
 pub struct Router {
     pub shared: Rc<Shared>,
@@ -231,8 +236,7 @@
     pub async fn bare() -> Self {
         let own_ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let zone = "z".parse().unwrap();
-        let decode = platform::document::decode;
-        let shared = Shared::builder(own_ip, zone, &platform::REQUESTS, decode)
+        let shared = Shared::builder(own_ip, zone, &platform::REQUESTS)
             .budget(budget::Settings { ratio: 0.2, slack: 50.0, window_ms: 10_000 })
             .build();
         let listener = server::listen(SocketAddr::new(own_ip, 0)).unwrap();
@@ -248,7 +252,7 @@
     /// A router that knows the document and these targets.
     pub async fn start(entries: Vec<Entry>) -> Self {
         let router = Self::bare().await;
-        router.shared.take_document(Version(5), DOCUMENT.as_bytes());
+        router.shared.take_document(document());
         router.set(entries);
         router
     }
