News: many routers are told the totals of requests less often, voters never

Cause: with hundreds of routers and targets, the changed totals of requests at targets are most of each answer to a router, ten times a second for each.

Change: a router is told totals at most once in a time that grows with the routers (1 ms for each, 400 ms at most); changes of the route table still go at once. Voters, which route nothing, are told none.

Tests: many_routers_are_told_totals_less_often_and_miss_none, a_router_that_followed_another_leader_is_told_all_at_once.

--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinHandle;
 
 use super::Engines;
-use super::loads::Loads;
+use super::loads::{self, Loads};
 use super::message::{self, News, Watch};
 use crate::clock::BootClock;
 use crate::ids::{DaemonId, Incarnation, ServiceName, TargetId, Term};
@@ -365,7 +365,7 @@
                 _ = news.changed() => {}
             }
         }
-        let news = self.news_for(&watch, voters);
+        let news = self.news_for(from, &watch, voters);
         let is_sure = !self.is_stopped.get() && (self.parts.is_leased)();
         is_sure.then_some(news)
     }
@@ -379,14 +379,23 @@
         watch.is_router && self.version() > watch.routes
     }
 
-    fn news_for(&self, watch: &Watch, voters: Vec<DaemonId>) -> News {
+    /// What a router is told of requests at targets; voters need none of it.
+    fn loads_for(&self, from: &DaemonId, watch: &Watch) -> loads::Changes {
+        if !watch.is_router {
+            return loads::Changes::none(watch.loads);
+        }
+        let (now_ms, routers) = (self.parts.clock.now_ms(), self.routers.borrow().len());
+        self.loads.borrow_mut().tell(now_ms, from, watch.loads, routers)
+    }
+
+    fn news_for(&self, from: &DaemonId, watch: &Watch, voters: Vec<DaemonId>) -> News {
         let is_newer = self.has_document_for(watch);
         News {
             term: self.term,
             batch: self.feed.borrow().since(watch.cursor),
             document: self.document.borrow().clone().filter(|_| is_newer),
             routers: self.routers.borrow().len().max(1) as u32,
-            loads: self.loads.borrow().since(watch.loads),
+            loads: self.loads_for(from, watch),
             voters,
         }
     }
--- a/src/coordinator/loads.rs
+++ b/src/coordinator/loads.rs
@@ -7,6 +7,10 @@
 use crate::membership::feed::Cursor;
 use crate::placement::swap::demand::{Running, SILENT_MS};
 
+/// A router is told the totals at most once in a time that grows with the routers: so long for each.
+const PAUSE_MS_PER_ROUTER: u64 = 1;
+/// The longest such time.
+const MAX_PAUSE_MS: u64 = 400;
 /// Targets that are kept; those without requests go when there are more.
 const MAX_TARGETS: usize = 4_096;
 
@@ -22,6 +26,13 @@
     pub totals: Vec<(TargetId, u32)>,
 }
 
+impl Changes {
+    /// Nothing new for a follower at `cursor`.
+    pub fn none(cursor: Cursor) -> Self {
+        Self { cursor, ..Self::default() }
+    }
+}
+
 #[derive(Debug)]
 struct Told {
     daemon: DaemonId,
@@ -47,13 +58,15 @@
     totals: Vec<Total>,
     /// Followers that are no further than this get all totals.
     forgotten: u64,
+    /// Routers and when they were last told the totals, sorted.
+    pauses: Vec<(DaemonId, u64)>,
 }
 
 impl Loads {
     /// The totals of the leader of `term`.
     pub fn new(term: Term) -> Self {
         let cursor = Cursor { term, ..Cursor::default() };
-        Self { cursor, told: Vec::new(), totals: Vec::new(), forgotten: 0 }
+        Self { cursor, told: Vec::new(), totals: Vec::new(), forgotten: 0, pauses: Vec::new() }
     }
 
     /// Takes what a router has running now.
@@ -80,6 +93,7 @@
             self.cursor.sequence.0 += 1;
             self.replace(&told.running, &[]);
         }
+        self.pauses.retain(|(_, told_ms)| now_ms.saturating_sub(*told_ms) < SILENT_MS);
         if self.totals.len() > MAX_TARGETS {
             self.totals.retain(|total| total.count > 0);
             self.forgotten = self.cursor.sequence.0;
@@ -122,6 +136,27 @@
         self.totals.binary_search_by(|total| total.target.cmp(target))
     }
 
+    /// What one of `routers` routers is told: what changed, or nothing if it was told a moment ago.
+    pub fn tell(
+        &mut self,
+        now_ms: u64,
+        router: &DaemonId,
+        cursor: Cursor,
+        routers: usize,
+    ) -> Changes {
+        let pause_ms = (routers as u64 * PAUSE_MS_PER_ROUTER).min(MAX_PAUSE_MS);
+        let place = self.pauses.binary_search_by(|(known, _)| known.cmp(router));
+        let is_early = place.is_ok_and(|at| now_ms < self.pauses[at].1 + pause_ms);
+        if is_early && cursor.term == self.cursor.term {
+            return Changes::none(cursor);
+        }
+        match place {
+            Ok(at) => self.pauses[at].1 = now_ms,
+            Err(at) => self.pauses.insert(at, (router.clone(), now_ms)),
+        }
+        self.since(cursor)
+    }
+
     /// What changed since a follower was told.
     pub fn since(&self, cursor: Cursor) -> Changes {
         let is_known = cursor.term == self.cursor.term && cursor <= self.cursor;
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -1,5 +1,6 @@
 //! The leader's work on targets, with engines in memory and paused time.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,10 +22,14 @@
 use tokio::task::LocalSet;
 
 /// Engines that take every order and tell that they have taken none.
-struct Obedient;
+#[derive(Default)]
+struct Obedient {
+    orders: Rc<Cell<u32>>,
+}
 
 impl Engines for Obedient {
     fn order(&self, _holder: DaemonId, _order: Order) -> LocalBoxFuture<'static, Reply> {
+        self.orders.set(self.orders.get() + 1);
         Box::pin(std::future::ready(Reply::Accepted))
     }
 
@@ -85,7 +90,7 @@
     Parts {
         own: daemon_at([10, 0, 0, 1].into()),
         clock: BootClock::with(|| 0),
-        engines: Rc::new(Obedient),
+        engines: Rc::new(Obedient::default()),
         silence: targets::Settings { suspect_ms: 3_600, dead_ms: 6_000 },
         placement: Settings::default(),
         is_leased: Rc::new(|| true),
@@ -166,6 +171,31 @@
         .await;
 }
 
+/// The load: leadership is lost while it is being recorded who gives orders.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_has_stopped_gives_no_orders_when_it_is_allowed_to() {
+    LocalSet::new()
+        .run_until(async {
+            for is_stopped in [false, true] {
+                let orders = Rc::new(Cell::new(0));
+                let engines = Rc::new(Obedient { orders: Rc::clone(&orders) });
+                let leader = Leader::start(Term(1), Parts { engines, ..parts() }, &[]);
+                leader.take_document(Version(3), DOCUMENT.into(), platform::document::decode);
+                leader.announced(state("a", 1));
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let waiting = vec![Waiting { model: model("m1"), count: 1, slack_ms: 500 }];
+                leader.usage(&router(), Usage { waiting, ..Usage::default() });
+                if is_stopped {
+                    leader.stop();
+                }
+                leader.allow_orders();
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                assert_eq!(orders.get() == 0, is_stopped, "{} orders", orders.get());
+            }
+        })
+        .await;
+}
+
 /// The load: hundreds of routers, a thousand models, and documents in quick succession.
 #[tokio::test(start_paused = true)]
 async fn routers_are_told_a_document_without_its_models_and_voters_none() {
--- a/tests/coordinator_loads.rs
+++ b/tests/coordinator_loads.rs
@@ -127,3 +127,40 @@
     totals.take(&loads.since(first.cursor));
     assert_eq!(totals.all().iter().map(|(_, count)| count).sum::<u32>(), 281);
 }
+
+/// The load: hundreds of routers that ask ten times a second, before hundreds of targets.
+#[test]
+fn many_routers_are_told_totals_less_often_and_miss_none() {
+    const ASKS: u64 = 100;
+    const GAP_MS: u64 = 10;
+    let tells = |routers: usize| {
+        let mut loads = Loads::new(Term(1));
+        let (mut cursor, mut totals, mut told) = (Cursor::default(), Totals::default(), 0);
+        for ask in 0..ASKS {
+            let now_ms = ask * GAP_MS;
+            loads.take(now_ms, &router(1), &running(&[(1, 1 + ask as u32 % 2)]));
+            let changes = loads.tell(now_ms, &router(2), cursor, routers);
+            told += u64::from(!changes.totals.is_empty());
+            totals.take(&changes);
+            cursor = changes.cursor;
+        }
+        // Once the pause is over, it has what there is now.
+        let changes = loads.tell(ASKS * GAP_MS + 1_000, &router(2), cursor, routers);
+        totals.take(&changes);
+        assert_eq!(totals.all(), [(target(1), 2)]);
+        told
+    };
+    assert_eq!(tells(6), ASKS, "few routers are told all at once");
+    assert!(tells(300) * 20 <= ASKS, "{} times a second", tells(300));
+}
+
+/// A leader of another term does not count from where a router is.
+#[test]
+fn a_router_that_followed_another_leader_is_told_all_at_once() {
+    let mut loads = Loads::new(Term(2));
+    loads.take(0, &router(1), &running(&[(1, 3)]));
+    let first = loads.tell(0, &router(2), Cursor::default(), 300);
+    assert!(first.is_whole);
+    let again = loads.tell(1, &router(2), Cursor::default(), 300);
+    assert!(again.is_whole, "its first answer was lost");
+}
