A leader that has stopped gives no orders when it is allowed to

Cause: who gives orders is recorded in the log; if leadership ends between the record and its answer, a stopped leader was still allowed to order, and sent a load that was due at once, under its old term.

Change: Leader::allow_orders does nothing once the leader has stopped.

--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -114,6 +114,9 @@
 
     /// Lets it give orders to engines: no other daemon does any more.
     pub fn allow_orders(&self) {
+        if self.is_stopped.get() {
+            return;
+        }
         log::info!("term {} gives orders from now on", self.term);
         self.is_order_allowed.set(true);
         self.take_event(&swap::Event::OrdersAllowed);
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -21,6 +21,11 @@
 use futures::future::LocalBoxFuture;
 use tokio::task::LocalSet;
 
+thread_local! {
+    /// The time of the leader's clock.
+    static NOW_MS: Cell<u64> = const { Cell::new(0) };
+}
+
 /// Engines that take every order and tell that they have taken none.
 #[derive(Default)]
 struct Obedient {
@@ -89,7 +94,7 @@
 fn parts() -> Parts {
     Parts {
         own: daemon_at([10, 0, 0, 1].into()),
-        clock: BootClock::with(|| 0),
+        clock: BootClock::with(|| NOW_MS.get()),
         engines: Rc::new(Obedient::default()),
         silence: targets::Settings { suspect_ms: 3_600, dead_ms: 6_000 },
         placement: Settings::default(),
@@ -181,13 +186,15 @@
                 let engines = Rc::new(Obedient { orders: Rc::clone(&orders) });
                 let leader = Leader::start(Term(1), Parts { engines, ..parts() }, &[]);
                 leader.take_document(Version(3), DOCUMENT.into(), platform::document::decode);
-                leader.announced(state("a", 1));
+                // It is empty, so the first order is a load, at once.
+                leader.announced(State { holds: Vec::new(), ..state("a", 1) });
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 let waiting = vec![Waiting { model: model("m1"), count: 1, slack_ms: 500 }];
                 leader.usage(&router(), Usage { waiting, ..Usage::default() });
                 if is_stopped {
                     leader.stop();
                 }
+                NOW_MS.set(NOW_MS.get() + 100);
                 leader.allow_orders();
                 tokio::time::sleep(Duration::from_millis(200)).await;
                 assert_eq!(orders.get() == 0, is_stopped, "{} orders", orders.get());
