Lines tell which announcement changed a target, what a leader inherits, and which table was used

The incident's lines could not tell a late announcement from a word that one process alone knew, or either from a router with an old table. No decision changes.

--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
+use self::targets::Cause;
 use super::Engines;
 use super::loads::Loads;
 use super::message;
@@ -18,7 +19,7 @@
 use crate::ids::{DaemonId, ServiceName, Term};
 use crate::membership::directory::Directory;
 use crate::membership::feed::Feed;
-use crate::membership::table::Entry;
+use crate::membership::table::{Entry, Standing};
 use crate::membership::targets::{Event, Registry, Report, Settings};
 use crate::placement::swap;
 use crate::routes;
@@ -97,6 +98,10 @@
         let planning = tokio::task::spawn_local(plan(Rc::clone(&leader)));
         leader.tasks.borrow_mut().extend([looking, planning]);
         log::info!("leading in term {term}, from {} known targets", entries.len());
+        for entry in entries.iter().filter(|entry| entry.standing != Standing::Up) {
+            let Entry { target, incarnation, standing, .. } = entry;
+            log::info!("target {target} of life {incarnation} is inherited as {standing:?}");
+        }
         leader
     }
 
@@ -196,10 +201,10 @@
 async fn look(leader: Rc<Leader>) {
     loop {
         tokio::time::sleep(LOOK_PAUSE).await;
-        leader.watched(Event::Tick);
+        leader.watched(Event::Tick, Cause::Silence);
         let now_ms = leader.parts.clock.now_ms();
         let effects = leader.directory.borrow_mut().tick(now_ms);
-        leader.apply(effects);
+        leader.apply(effects, Cause::Silence);
         leader.loads.borrow_mut().forget_silent(now_ms);
         let is_there = |heard_ms: u64| now_ms.saturating_sub(heard_ms) < ROUTER_GONE_MS;
         leader.routers.borrow_mut().retain(|(_, heard_ms)| is_there(*heard_ms));
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -40,6 +40,8 @@
         attempt: u32,
         /// Requests in flight there, as far as known.
         in_flight: u32,
+        /// The route table that it was chosen from, as term and number.
+        table: String,
         /// How long ago a leader last told of the targets.
         table_age_ms: Option<u64>,
         /// How long it has been here.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -324,6 +324,7 @@
             life: seat.life.0,
             attempt: job.attempts.get(),
             in_flight: seat.in_flight,
+            table: seat.table.to_string(),
             table_age_ms: shared.table_age_ms(),
             after_ms: job.after_ms(shared),
         },
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -34,6 +34,8 @@
     waiting: RefCell<Vec<(Ticket, oneshot::Sender<Seat>)>>,
     arrivals: RefCell<Vec<(ModelRef, u32)>>,
     heard_ms: Cell<Option<u64>>,
+    /// The route table that targets are chosen from.
+    table: Cell<feed::Cursor>,
     /// When this router began to learn of the targets from the leader that it follows.
     learning_since_ms: Cell<Option<u64>>,
     /// Told when something waits that placement should know of at once.
@@ -139,6 +141,7 @@
             life: target.entry.incarnation,
             address: target.entry.address,
             in_flight: target.in_flight(),
+            table: self.table.get(),
             model: model.cloned(),
             unread_tokens: tokens,
         }
@@ -244,6 +247,8 @@
     pub address: std::net::SocketAddr,
     /// Requests in flight there, this one included.
     pub in_flight: u32,
+    /// The route table that it was chosen from.
+    pub table: feed::Cursor,
     model: Option<ModelRef>,
     unread_tokens: u64,
 }
@@ -280,6 +285,7 @@
     fn table_changed(&self, feed: &feed::Feed) {
         let entries: &[table::Entry] = feed.table().entries();
         self.fleet.borrow_mut().set_entries(entries);
+        self.table.set(feed.cursor());
         self.pump();
     }
 
@@ -323,6 +329,7 @@
             waiting: RefCell::default(),
             arrivals: RefCell::default(),
             heard_ms: Cell::new(None),
+            table: Cell::default(),
             learning_since_ms: Cell::new(None),
             demand_wake: Notify::new(),
             stops_ms: watch::Sender::new(None),
--- a/src/membership/feed.rs
+++ b/src/membership/feed.rs
@@ -1,6 +1,7 @@
 //! The numbered changes of the route table, and the daemons that follow them.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use crate::ids::{Sequence, Term};
 use crate::membership::table::{Change, Entry, Table};
@@ -18,6 +19,12 @@
     pub sequence: Sequence,
 }
 
+impl fmt::Display for Cursor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.term, self.sequence)
+    }
+}
+
 /// What a follower gets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
