--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -11,6 +11,7 @@
 use fescuebay::coordinator::{Engines, daemon_at};
 use fescuebay::ids::{DaemonId, Incarnation, ModelRef, TargetId, Term};
 use fescuebay::membership::feed::{Cursor, Feed};
+use fescuebay::membership::table::{Entry, Standing};
 use fescuebay::membership::targets;
 use fescuebay::placement::swap::demand::{Usage, Waiting};
 use fescuebay::placement::swap::{Order, Reading, Reply, Settings};
@@ -305,3 +306,65 @@
         })
         .await;
 }
+
+/// What a follower of `leader` has, from which another daemon starts to lead.
+async fn inherited(leader: &Leader) -> Vec<Entry> {
+    let mut feed = Feed::default();
+    follow(leader, &mut feed).await;
+    feed.table().entries().to_vec()
+}
+
+/// The standing of each target that routers are shown.
+async fn standings(leader: &Leader) -> Vec<Standing> {
+    inherited(leader).await.iter().map(|entry| entry.standing).collect()
+}
+
+/// The load: the leader changes between a target's word that it leaves and an older announcement,
+/// which a partition held up.
+#[tokio::test(start_paused = true)]
+#[ignore = "known red: issue 23"]
+async fn a_late_announcement_does_not_bring_back_a_target_that_told_another_leader_that_it_leaves()
+{
+    LocalSet::new()
+        .run_until(async {
+            let first = Leader::start(Term(1), parts(), &[]);
+            first.announced(state("a", 4));
+            first.announced(State { leaving: true, ..state("a", 9) });
+            let entries = inherited(&first).await;
+            let second = Leader::start(Term(2), parts(), &entries);
+            second.announced(state("a", 5));
+            assert_eq!(standings(&second).await, [Standing::Leaving]);
+        })
+        .await;
+}
+
+/// The load: the same, for a target that says at once that it is gone.
+#[tokio::test(start_paused = true)]
+#[ignore = "known red: issue 23"]
+async fn a_late_announcement_does_not_bring_back_a_target_that_left_under_a_new_leader() {
+    LocalSet::new()
+        .run_until(async {
+            let first = Leader::start(Term(1), parts(), &[]);
+            first.announced(state("a", 4));
+            let entries = inherited(&first).await;
+            let second = Leader::start(Term(2), parts(), &entries);
+            second.left(&"a".parse().unwrap(), Some(Incarnation(7)));
+            second.announced(state("a", 5));
+            assert_eq!(standings(&second).await, []);
+        })
+        .await;
+}
+
+/// The load: all voters have started again, and the first word of a target is that it is gone.
+#[tokio::test(start_paused = true)]
+#[ignore = "known red: issue 23"]
+async fn a_late_announcement_does_not_bring_in_a_target_that_left_unheard_of() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = Leader::start(Term(1), parts(), &[]);
+            leader.left(&"a".parse().unwrap(), Some(Incarnation(7)));
+            leader.announced(state("a", 5));
+            assert_eq!(standings(&leader).await, []);
+        })
+        .await;
+}
