A target's word that it leaves is on record at a majority before it is acknowledged

Cause: what orders announcements and what ends a life of a target was in the memory of one process. Whoever led next started with empty numbers, so an announcement that the target had sent before its word, and that came late, undid it; a target that had left had no trace at all; and a leader acknowledged what it alone had heard. The class: an acknowledged fact that is not fenced across a takeover.

A leader shows the word at once, has it recorded, and then acknowledges; what is on record goes before any announcement of that life and before the table that a new leader inherits. A target that left unheard of is recorded too, so that nothing late brings it in. Weighed: telling a majority of voters without the log, which a loss of all processes undoes; numbers of announcements in the table, which a target that left is not in.

The six tests failed before and pass now; three more show older inherited tables, lives that are not told, and that repeats wait for nothing.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -1,7 +1,7 @@
 //! Commands: all that changes the control state.
 
 use crate::config;
-use crate::control::{jobs, orders, outcomes, owner, poison, records};
+use crate::control::{departures, jobs, orders, outcomes, owner, poison, records};
 use crate::routes;
 
 /// An entry of the log. New variants of its enums go at the end: entries outlive a release.
@@ -48,6 +48,8 @@
     Routes(routes::state::Command),
     /// Who gives orders to engines.
     Orders(orders::Command),
+    /// A target that leaves.
+    Departures(departures::Command),
 }
 
 /// What a command led to.
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -5,18 +5,20 @@
 use crate::config;
 use crate::consensus;
 use crate::control::commands::{Command, Entry, Limits, Outcome};
-use crate::control::{jobs, orders, outcomes, owner, poison, queries, records};
+use crate::control::{departures, jobs, orders, outcomes, owner, poison, queries, records};
 use crate::ids::LogIndex;
 use crate::routes;
 
 /// The format of snapshots; raised when an older release could not read them.
-const FORMAT: u32 = 4;
+const FORMAT: u32 = 5;
 /// The oldest format that is read. It ends before the document of routes.
 const OLDEST_FORMAT: u32 = 1;
 /// The format that ends after the document of routes, before doubts about poison requests.
 const FORMAT_WITHOUT_DOUBTS: u32 = 2;
 /// The format that ends after doubts about poison requests, before who gives orders.
 const FORMAT_WITHOUT_ORDERS: u32 = 3;
+/// The format that ends after who gives orders, before targets that leave.
+const FORMAT_WITHOUT_DEPARTURES: u32 = 4;
 
 /// What every command is applied with.
 #[derive(Clone, Copy, Debug)]
@@ -46,9 +48,12 @@
     /// The document of routes. It follows the other parts in a snapshot, where older ones end.
     #[serde(skip)]
     pub routes: routes::state::State,
-    /// Who gives orders to engines; the last part of a snapshot.
+    /// Who gives orders to engines; it follows doubts about poison requests in a snapshot.
     #[serde(skip)]
     pub orders: orders::State,
+    /// Targets that leave; the last part of a snapshot.
+    #[serde(skip)]
+    pub departures: departures::State,
 }
 
 impl State {
@@ -74,6 +79,7 @@
             config: Arc::clone(&self.config),
             routes: self.routes.clone(),
             orders: self.orders.clone(),
+            departures: self.departures.clone(),
         }
     }
 
@@ -104,6 +110,10 @@
                 self.orders.apply(command);
                 Outcome::Done
             }
+            Command::Departures(command) => {
+                self.departures.apply(command);
+                Outcome::Done
+            }
         };
         self.count();
         outcome
@@ -157,7 +167,8 @@
         let bytes = bytes.expect("text and a number can be encoded");
         let bytes = postcard::to_extend(&self.0.poison.doubts, bytes);
         let bytes = bytes.expect("a list of names can be encoded");
-        postcard::to_extend(&self.0.orders, bytes).expect("a name can be encoded")
+        let bytes = postcard::to_extend(&self.0.orders, bytes).expect("a name can be encoded");
+        postcard::to_extend(&self.0.departures, bytes).expect("names and numbers can be encoded")
     }
 }
 
@@ -205,26 +216,23 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> std::result::Result<(), String> {
-        let (format, rest): (u32, &[u8]) =
-            postcard::take_from_bytes(snapshot).map_err(|error| error.to_string())?;
+        let (format, mut rest): (u32, &[u8]) = take(snapshot)?;
         if !(OLDEST_FORMAT..=FORMAT).contains(&format) {
             return Err(format!("the snapshot has format {format}, this release reads {FORMAT}"));
         }
-        let (mut state, rest): (State, &[u8]) =
-            postcard::take_from_bytes(rest).map_err(|error| error.to_string())?;
+        let mut state: State;
+        (state, rest) = take(rest)?;
         if format > OLDEST_FORMAT {
-            let (routes, rest): (_, &[u8]) =
-                postcard::take_from_bytes(rest).map_err(|error| error.to_string())?;
-            state.routes = routes;
-            if format > FORMAT_WITHOUT_DOUBTS {
-                let (doubts, rest): (_, &[u8]) =
-                    postcard::take_from_bytes(rest).map_err(|error| error.to_string())?;
-                state.poison.doubts = doubts;
-                if format > FORMAT_WITHOUT_ORDERS {
-                    let orders = postcard::from_bytes(rest).map_err(|error| error.to_string())?;
-                    state.orders = orders;
-                }
-            }
+            (state.routes, rest) = take(rest)?;
+        }
+        if format > FORMAT_WITHOUT_DOUBTS {
+            (state.poison.doubts, rest) = take(rest)?;
+        }
+        if format > FORMAT_WITHOUT_ORDERS {
+            (state.orders, rest) = take(rest)?;
+        }
+        if format > FORMAT_WITHOUT_DEPARTURES {
+            (state.departures, _) = take(rest)?;
         }
         state.records.index();
         state.jobs.index();
@@ -232,3 +240,8 @@
         Ok(())
     }
 }
+
+/// Reads the next part of a snapshot, and returns what follows it.
+fn take<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> std::result::Result<(T, &[u8]), String> {
+    postcard::take_from_bytes(bytes).map_err(|error| error.to_string())
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod commands;
+pub mod departures;
 pub mod jobs;
 pub mod machine;
 pub mod once;
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -11,18 +11,21 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
+pub use self::targets::Acknowledge;
 use self::targets::Cause;
 use super::Engines;
 use super::loads::Loads;
 use super::message;
 use crate::clock::BootClock;
-use crate::ids::{DaemonId, ServiceName, Term};
+use crate::control::departures::Departure;
+use crate::ids::{DaemonId, Incarnation, ServiceName, TargetId, Term};
 use crate::membership::directory::Directory;
 use crate::membership::feed::Feed;
-use crate::membership::table::{Entry, Standing};
+use crate::membership::table::Entry;
 use crate::membership::targets::{Event, Registry, Report, Settings};
 use crate::placement::swap;
 use crate::routes;
+use crate::traffic::clock::Clock as WallClock;
 
 /// Time between two looks at silent targets and routers.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
@@ -35,6 +38,8 @@
     pub own: DaemonId,
     /// Its clock.
     pub clock: BootClock,
+    /// Unix time, by which lives of targets are numbered.
+    pub wall_clock: WallClock,
     /// The port to model engines.
     pub engines: Rc<dyn Engines>,
     /// When a silent target is doubted and given up.
@@ -43,6 +48,8 @@
     pub placement: swap::Settings,
     /// Whether the lease is valid now.
     pub is_leased: Rc<dyn Fn() -> bool>,
+    /// Reads what is on record of a life of a target.
+    pub departure: Rc<dyn Fn(&TargetId, Incarnation) -> Option<Departure>>,
 }
 
 /// The leader of one term.
@@ -72,15 +79,17 @@
 }
 
 impl Leader {
-    /// Begins to lead in `term`, from the route table that this daemon has.
+    /// Begins to lead in `term`, from the route table that this daemon has, which may be older than
+    /// what is on record of the targets.
     pub fn start(term: Term, parts: Parts, entries: &[Entry]) -> Rc<Self> {
         let now_ms = parts.clock.now_ms();
+        let entries = targets::inherit(&parts, entries);
         let leader = Rc::new_cyclic(|own| Self {
             term,
             own: Weak::clone(own),
             registry: RefCell::new(Registry::new(parts.silence)),
-            directory: RefCell::new(Directory::adopt(now_ms, entries)),
-            feed: RefCell::new(Feed::new(term, entries.to_vec())),
+            directory: RefCell::new(Directory::adopt(now_ms, &entries)),
+            feed: RefCell::new(Feed::new(term, entries)),
             planners: RefCell::default(),
             loads: RefCell::new(Loads::new(term)),
             routers: RefCell::default(),
@@ -97,11 +106,8 @@
         let looking = tokio::task::spawn_local(look(Rc::clone(&leader)));
         let planning = tokio::task::spawn_local(plan(Rc::clone(&leader)));
         leader.tasks.borrow_mut().extend([looking, planning]);
-        log::info!("leading in term {term}, from {} known targets", entries.len());
-        for entry in entries.iter().filter(|entry| entry.standing != Standing::Up) {
-            let Entry { target, incarnation, standing, .. } = entry;
-            log::info!("target {target} of life {incarnation} is inherited as {standing:?}");
-        }
+        let targets = leader.feed.borrow().table().entries().len();
+        log::info!("leading in term {term}, from {targets} known targets");
         leader
     }
 
--- a/src/coordinator/leader/targets.rs
+++ b/src/coordinator/leader/targets.rs
@@ -3,10 +3,11 @@
 use std::fmt;
 use std::rc::Rc;
 
-use super::Leader;
+use super::{Leader, Parts};
+use crate::control::departures::{Command, Departure};
 use crate::ids::{Incarnation, ServiceName, TargetId};
 use crate::membership::directory::Effect;
-use crate::membership::table::{Change, Entry, Replica};
+use crate::membership::table::{Change, Entry, Replica, Standing};
 use crate::membership::targets::{self, Taken};
 use crate::placement::swap;
 use crate::target::order;
@@ -14,6 +15,20 @@
 /// The version of weights, where engines keep but the newest.
 const ONLY_VERSION: &str = "newest";
 
+/// A target that left and of which neither its life nor anything else is known: lives that began so
+/// long ago are over. Clocks of targets may differ by a part of it.
+const UNHEARD_LIFE_MS: u64 = 10_000;
+
+/// When the word of a target may be acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[must_use]
+pub enum Acknowledge {
+    /// At once: it is repeated anyway, or known.
+    Now,
+    /// Once this is on record: the target relies on getting no new work.
+    OnceRecorded(Command),
+}
+
 /// What changes the leader's belief of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Cause {
@@ -36,27 +51,57 @@
 }
 
 impl Leader {
-    /// Takes an announcement of a target.
-    pub fn announced(self: &Rc<Self>, state: order::State) {
+    /// Takes an announcement of a target. One that leaves is shown so before it is on record.
+    pub fn announced(self: &Rc<Self>, mut state: order::State) -> Acknowledge {
         let (target, life, sequence) = (state.target.clone(), state.incarnation, state.sequence);
-        let cause = Cause::Announcement(sequence);
-        if self.watched(targets::Event::Announced(state), cause) == Taken::Stale {
-            log::info!("announcement {sequence} of target {target}, life {life}, changes nothing");
+        let known = (self.parts.departure)(&target, life);
+        let taken = match known {
+            Some(Departure::Gone) => Taken::Stale,
+            Some(Departure::Leaving) | None => {
+                let says_more = state.leaving && known.is_none();
+                state.leaving |= known.is_some();
+                let event = targets::Event::Announced(state);
+                let taken = self.watched(event, Cause::Announcement(sequence));
+                if says_more {
+                    let departure = Departure::Leaving;
+                    return Acknowledge::OnceRecorded(Command { target, life, departure });
+                }
+                taken
+            }
+        };
+        if taken == Taken::Stale {
+            log::info!(
+                "announcement {sequence} of target {target}, life {life}, changes nothing; on \
+                 record: {known:?}"
+            );
         }
+        Acknowledge::Now
     }
 
     /// Takes the word of a target that it is gone.
-    pub fn left(self: &Rc<Self>, target: &TargetId, incarnation: Option<Incarnation>) {
+    pub fn left(
+        self: &Rc<Self>,
+        target: &TargetId,
+        incarnation: Option<Incarnation>,
+    ) -> Acknowledge {
         let known = self.feed.borrow().table().find(target).map(|entry| entry.incarnation);
-        let Some(incarnation) = incarnation.or(known) else {
-            return log::info!("target {target} left, which is not known");
-        };
-        log::info!("target {target} of life {incarnation} left");
+        let incarnation = incarnation.or(known).unwrap_or_else(|| {
+            Incarnation(self.parts.wall_clock.now_ms().saturating_sub(UNHEARD_LIFE_MS))
+        });
+        log::info!("target {target} of life {incarnation} left; shown until now: {known:?}");
         self.watched(targets::Event::Left(target.clone(), incarnation), Cause::Left);
         // A target that only an earlier leader has heard of is in the table alone.
         let report = targets::Report::Gone(target.clone(), incarnation);
         let effects = self.directory.borrow_mut().report(&self.parts.own, report);
         self.apply(effects, Cause::Left);
+        match (self.parts.departure)(target, incarnation) {
+            Some(Departure::Gone) => Acknowledge::Now,
+            Some(Departure::Leaving) | None => Acknowledge::OnceRecorded(Command {
+                target: target.clone(),
+                life: incarnation,
+                departure: Departure::Gone,
+            }),
+        }
     }
 
     pub(super) fn watched(self: &Rc<Self>, event: targets::Event, cause: Cause) -> Taken {
@@ -142,3 +187,26 @@
         self.tell();
     }
 }
+
+/// The entries that a new leader starts from: those of a follower, which may not have heard of all
+/// that is on record.
+pub(super) fn inherit(parts: &Parts, entries: &[Entry]) -> Vec<Entry> {
+    let mut inherited = Vec::with_capacity(entries.len());
+    for entry in entries {
+        let known = (parts.departure)(&entry.target, entry.incarnation);
+        let standing = match known {
+            Some(Departure::Gone) => None,
+            Some(Departure::Leaving) => Some(Standing::Leaving),
+            None => Some(entry.standing),
+        };
+        if standing != Some(Standing::Up) {
+            let Entry { target, incarnation, standing: told, .. } = entry;
+            log::info!(
+                "target {target} of life {incarnation}, told as {told:?}, is inherited as \
+                 {standing:?}; on record: {known:?}"
+            );
+        }
+        inherited.extend(standing.map(|standing| Entry { standing, ..entry.clone() }));
+    }
+    inherited
+}
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -25,6 +25,7 @@
 use crate::peer;
 use crate::placement::swap;
 use crate::routes;
+use crate::traffic::clock::Clock as WallClock;
 
 /// Pause between two rounds of asking the first voters for a group.
 const FORM_PAUSE: Duration = Duration::from_millis(100);
@@ -132,7 +133,7 @@
             self.parts.own.clone(),
             self.parts.folder.clone(),
         );
-        let born_ms = crate::traffic::clock::Clock::system().now_ms();
+        let born_ms = WallClock::system().now_ms();
         let settings =
             settings.new_incarnation(Incarnation(born_ms)).snapshot_every(SNAPSHOT_EVERY);
         let settings = settings.timing(TIMING);
@@ -206,15 +207,20 @@
     fn start_leading(self: &Rc<Self>, now: &node::Leadership) {
         let entries = self.following.feed.borrow().table().entries().to_vec();
         let voter = Rc::downgrade(self);
+        let machine = Rc::clone(&self.machine.borrow());
         let parts = leader::Parts {
             own: self.parts.own.clone(),
             clock: self.parts.clock,
+            wall_clock: WallClock::system(),
             engines: Rc::clone(&self.parts.engines),
             silence: self.parts.silence,
             placement: self.parts.placement,
             is_leased: Rc::new(move || {
                 voter.upgrade().and_then(|voter| voter.lease_left_ms()).is_some_and(|ms| ms > 0)
             }),
+            departure: Rc::new(move |target, life| {
+                machine.borrow().state().departures.find(target, life)
+            }),
         };
         let leader = Leader::start(now.term, parts, &entries);
         self.led_since_ms.set(self.parts.clock.now_ms());
@@ -234,27 +240,38 @@
             }
         }
         while !leader.is_stopped() {
-            if self.record_giver().await {
+            let giver = orders::Command { giver: self.parts.own.clone() };
+            if self.record(commands::Command::Orders(giver)).await {
                 return leader.allow_orders();
             }
             tokio::time::sleep(RECORD_PAUSE).await;
         }
     }
 
-    /// Has it recorded that this daemon gives orders. Returns whether that is certain.
-    async fn record_giver(&self) -> bool {
+    /// Has a command recorded that has no outcome. Returns whether that is certain.
+    async fn record(&self, command: commands::Command) -> bool {
         let Some(node) = self.node.borrow().clone() else { return false };
-        let command = commands::Command::Orders(orders::Command { giver: self.parts.own.clone() });
         let entry = commands::Entry { now_ms: self.parts.clock.now_ms(), command };
         match node.propose(entry.encode()).await {
             Ok(_) => true,
             Err(report) => {
-                log::warn!("it is not recorded that this daemon gives orders: {report}");
+                log::warn!("not recorded: {:?}: {report}", entry.command);
                 false
             }
         }
     }
 
+    /// Acknowledges the word of a target, if need be once it is on record.
+    async fn acknowledge(&self, when: leader::Acknowledge) -> Reply {
+        let is_recorded = match when {
+            leader::Acknowledge::Now => true,
+            leader::Acknowledge::OnceRecorded(command) => {
+                self.record(commands::Command::Departures(command)).await
+            }
+        };
+        if is_recorded { Reply::Done } else { Reply::NotLeader(None) }
+    }
+
     fn stop_leading(&self) {
         if let Some(leader) = self.leader.take() {
             leader.stop();
@@ -319,13 +336,9 @@
             Request::Announced(_) | Request::Left(..) if self.lease_left_ms() == Some(0) => {
                 Reply::NotLeader(None)
             }
-            Request::Announced(state) => {
-                leader.announced(*state);
-                Reply::Done
-            }
+            Request::Announced(state) => self.acknowledge(leader.announced(*state)).await,
             Request::Left(target, incarnation) => {
-                leader.left(&target, incarnation);
-                Reply::Done
+                self.acknowledge(leader.left(&target, incarnation)).await
             }
             Request::PutRoutes(command) => self.put_routes(command).await,
             Request::GetRoutes => self.get_routes().await,
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -1,12 +1,13 @@
 //! The leader's work on targets, with engines in memory and paused time.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use fescuebay::clock::BootClock;
-use fescuebay::coordinator::leader::{Leader, Parts};
+use fescuebay::control::departures;
+use fescuebay::coordinator::leader::{Acknowledge, Leader, Parts};
 use fescuebay::coordinator::message::{self, Watch};
 use fescuebay::coordinator::{Engines, daemon_at};
 use fescuebay::ids::{DaemonId, Incarnation, ModelRef, TargetId, Term};
@@ -18,6 +19,7 @@
 use fescuebay::platform;
 use fescuebay::routes::{Document, Version};
 use fescuebay::target::order::{Cached, Held, Kind, Load, Phase, State, Tier};
+use fescuebay::traffic::clock::Clock;
 use fescuebay::units::Bytes;
 use futures::future::LocalBoxFuture;
 use tokio::task::LocalSet;
@@ -25,6 +27,8 @@
 thread_local! {
     /// The time of the leader's clock.
     static NOW_MS: Cell<u64> = const { Cell::new(0) };
+    /// What the voters have on record, whichever of them leads.
+    static RECORD: RefCell<departures::State> = RefCell::default();
 }
 
 /// Engines that take every order and tell that they have taken none.
@@ -55,6 +59,9 @@
   {"name":"m0","weightsMb":200,"loadS":6,"warmS":0.6,"diskS":0.8},
   {"name":"m1","weightsMb":200,"loadS":6,"warmS":0.6,"diskS":0.8}]}}]}"#;
 
+/// Unix time at the start of a test.
+const UNIX_MS: u64 = 1_000_000;
+
 fn router() -> DaemonId {
     daemon_at([10, 0, 0, 9].into())
 }
@@ -100,9 +107,27 @@
         silence: targets::Settings { suspect_ms: 3_600, dead_ms: 6_000 },
         placement: Settings::default(),
         is_leased: Rc::new(|| true),
+        wall_clock: Clock::starting_at(UNIX_MS),
+        departure: Rc::new(|target, life| RECORD.with_borrow(|known| known.find(target, life))),
     }
 }
 
+/// What a voter does before it acknowledges the word of a target.
+fn acknowledge(when: Acknowledge) {
+    if let Acknowledge::OnceRecorded(command) = when {
+        RECORD.with_borrow_mut(|record| record.apply(command));
+    }
+}
+
+fn announce(leader: &Rc<Leader>, state: State) {
+    acknowledge(leader.announced(state));
+}
+
+/// The target "a" says that it is gone.
+fn leave(leader: &Rc<Leader>, life: Option<Incarnation>) {
+    acknowledge(leader.left(&"a".parse().unwrap(), life));
+}
+
 /// A leader that may not give orders yet.
 fn leader() -> Rc<Leader> {
     let leader = Leader::start(Term(1), parts(), &[]);
@@ -126,8 +151,8 @@
     LocalSet::new()
         .run_until(async {
             let leader = leader();
-            leader.announced(state("a", 1));
-            leader.announced(state("b", 1));
+            announce(&leader, state("a", 1));
+            announce(&leader, state("b", 1));
             let mut feed = Feed::default();
             follow(&leader, &mut feed).await;
             assert_eq!(feed.table().entries().len(), 2);
@@ -136,7 +161,7 @@
             let waiting = vec![Waiting { model: model("m1"), count: 1, slack_ms: 500 }];
             leader.usage(&router(), Usage { waiting, ..Usage::default() });
             tokio::time::sleep(Duration::from_millis(90)).await;
-            leader.left(&"a".parse().unwrap(), Some(Incarnation(7)));
+            leave(&leader, Some(Incarnation(7)));
             follow(&leader, &mut feed).await;
             let left: Vec<String> =
                 feed.table().entries().iter().map(|entry| entry.target.to_string()).collect();
@@ -151,10 +176,10 @@
         .run_until(async {
             let leader = leader();
             leader.allow_orders();
-            leader.announced(state("a", 5));
-            leader.left(&"a".parse().unwrap(), None);
-            leader.announced(state("a", 4));
-            leader.announced(state("a", 6));
+            announce(&leader, state("a", 5));
+            leave(&leader, None);
+            announce(&leader, state("a", 4));
+            announce(&leader, state("a", 6));
             let mut feed = Feed::default();
             follow(&leader, &mut feed).await;
             assert!(feed.table().entries().is_empty());
@@ -188,7 +213,7 @@
                 let leader = Leader::start(Term(1), Parts { engines, ..parts() }, &[]);
                 leader.take_document(Version(3), DOCUMENT.into(), platform::document::decode);
                 // It is empty, so the first order is a load, at once.
-                leader.announced(State { holds: Vec::new(), ..state("a", 1) });
+                announce(&leader, State { holds: Vec::new(), ..state("a", 1) });
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 let waiting = vec![Waiting { model: model("m1"), count: 1, slack_ms: 500 }];
                 leader.usage(&router(), Usage { waiting, ..Usage::default() });
@@ -245,9 +270,9 @@
                 address: SocketAddr::from(([127, 0, 0, 1], port)),
                 ..state("a", sequence)
             };
-            leader.announced(born(7, 40, 1));
-            leader.announced(born(9, 1, 2));
-            leader.announced(born(7, 41, 1));
+            announce(&leader, born(7, 40, 1));
+            announce(&leader, born(9, 1, 2));
+            announce(&leader, born(7, 41, 1));
             let mut feed = Feed::default();
             follow(&leader, &mut feed).await;
             let shown = |feed: &Feed| -> Vec<(u64, u16)> {
@@ -256,7 +281,7 @@
             };
             assert_eq!(shown(&feed), [(9, 2)]);
             // Its word that it is gone comes later still.
-            leader.left(&"a".parse().unwrap(), Some(Incarnation(7)));
+            leave(&leader, Some(Incarnation(7)));
             tokio::time::sleep(Duration::from_millis(300)).await;
             let mut feed = Feed::default();
             follow(&leader, &mut feed).await;
@@ -272,11 +297,11 @@
         .run_until(async {
             let leader = leader();
             leader.allow_orders();
-            leader.announced(state("old", 3));
+            announce(&leader, state("old", 3));
             let services = vec!["desk".parse().unwrap()];
             let kind = Kind::Application;
             let holds = Vec::new();
-            leader.announced(State { services, kind, holds, ..state("new", 1) });
+            announce(&leader, State { services, kind, holds, ..state("new", 1) });
             let mut feed = Feed::default();
             follow(&leader, &mut feed).await;
             let shown: Vec<(String, String)> = feed
@@ -299,7 +324,7 @@
         .run_until(async {
             let leader = leader();
             leader.allow_orders();
-            leader.announced(state("a", 1));
+            announce(&leader, state("a", 1));
             leader.stop();
             let asked = question(Cursor::default());
             assert!(leader.watch(&router(), asked, Vec::new()).await.is_none());
@@ -322,17 +347,16 @@
 /// The load: the leader changes between a target's word that it leaves and an older announcement,
 /// which a partition held up.
 #[tokio::test(start_paused = true)]
-#[ignore = "known red: issue 23"]
 async fn a_late_announcement_does_not_bring_back_a_target_that_told_another_leader_that_it_leaves()
 {
     LocalSet::new()
         .run_until(async {
             let first = Leader::start(Term(1), parts(), &[]);
-            first.announced(state("a", 4));
-            first.announced(State { leaving: true, ..state("a", 9) });
+            announce(&first, state("a", 4));
+            announce(&first, State { leaving: true, ..state("a", 9) });
             let entries = inherited(&first).await;
             let second = Leader::start(Term(2), parts(), &entries);
-            second.announced(state("a", 5));
+            announce(&second, state("a", 5));
             assert_eq!(standings(&second).await, [Standing::Leaving]);
         })
         .await;
@@ -340,16 +364,15 @@
 
 /// The load: the same, for a target that says at once that it is gone.
 #[tokio::test(start_paused = true)]
-#[ignore = "known red: issue 23"]
 async fn a_late_announcement_does_not_bring_back_a_target_that_left_under_a_new_leader() {
     LocalSet::new()
         .run_until(async {
             let first = Leader::start(Term(1), parts(), &[]);
-            first.announced(state("a", 4));
+            announce(&first, state("a", 4));
             let entries = inherited(&first).await;
             let second = Leader::start(Term(2), parts(), &entries);
-            second.left(&"a".parse().unwrap(), Some(Incarnation(7)));
-            second.announced(state("a", 5));
+            leave(&second, Some(Incarnation(7)));
+            announce(&second, state("a", 5));
             assert_eq!(standings(&second).await, []);
         })
         .await;
@@ -357,14 +380,68 @@
 
 /// The load: all voters have started again, and the first word of a target is that it is gone.
 #[tokio::test(start_paused = true)]
-#[ignore = "known red: issue 23"]
 async fn a_late_announcement_does_not_bring_in_a_target_that_left_unheard_of() {
     LocalSet::new()
         .run_until(async {
             let leader = Leader::start(Term(1), parts(), &[]);
-            leader.left(&"a".parse().unwrap(), Some(Incarnation(7)));
-            leader.announced(state("a", 5));
+            leave(&leader, Some(Incarnation(7)));
+            announce(&leader, state("a", 5));
+            assert_eq!(standings(&leader).await, []);
+        })
+        .await;
+}
+
+/// The load: the leader has recorded a word and is lost before its followers hear of the change.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_inherits_an_older_table_shows_who_has_left_since() {
+    LocalSet::new()
+        .run_until(async {
+            let first = Leader::start(Term(1), parts(), &[]);
+            announce(&first, state("a", 4));
+            announce(&first, state("b", 4));
+            let entries = inherited(&first).await;
+            announce(&first, State { leaving: true, ..state("b", 9) });
+            leave(&first, Some(Incarnation(7)));
+            let second = Leader::start(Term(2), parts(), &entries);
+            assert_eq!(standings(&second).await, [Standing::Leaving]);
+        })
+        .await;
+}
+
+/// The load: all voters have lost power, and a target that nobody has heard of leaves without saying
+/// which life of it does.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_left_without_naming_its_life_comes_back_in_a_later_one_alone() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = Leader::start(Term(1), parts(), &[]);
+            leave(&leader, None);
+            let born = |life| State { incarnation: Incarnation(life), ..state("a", 5) };
+            announce(&leader, born(UNIX_MS / 2));
             assert_eq!(standings(&leader).await, []);
+            announce(&leader, born(UNIX_MS + 1));
+            assert_eq!(standings(&leader).await, [Standing::Up]);
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_a_word_that_is_not_on_record_yet_has_to_wait_for_it() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader();
+            let leaving = |sequence| State { leaving: true, ..state("a", sequence) };
+            assert_eq!(leader.announced(state("a", 1)), Acknowledge::Now);
+            let first = leader.announced(leaving(2));
+            assert!(matches!(first, Acknowledge::OnceRecorded(_)), "it relies on it");
+            let again = leader.announced(leaving(2));
+            assert_eq!(again, first, "nothing is on record yet, whatever this leader shows");
+            acknowledge(first);
+            assert_eq!(leader.announced(leaving(3)), Acknowledge::Now);
+            let gone = leader.left(&"a".parse().unwrap(), None);
+            assert!(matches!(gone, Acknowledge::OnceRecorded(_)));
+            acknowledge(gone);
+            assert_eq!(leader.left(&"a".parse().unwrap(), Some(Incarnation(7))), Acknowledge::Now);
         })
         .await;
 }
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -99,7 +99,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 23"]
 fn a_target_that_left_gets_no_request_after_its_leader_was_killed() {
     on_one_thread(async {
         let mut fleet = Fleet::start("departures-leader").await;
@@ -116,7 +115,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 23"]
 fn a_target_that_left_gets_no_request_after_all_voters_were_killed() {
     on_one_thread(async {
         let mut fleet = Fleet::start("departures-all").await;
@@ -136,7 +134,6 @@
 
 /// The leader still holds its lease, and nobody else hears it.
 #[test]
-#[ignore = "known red: issue 23"]
 fn a_word_that_one_voter_alone_has_heard_is_not_acknowledged() {
     on_one_thread(async {
         let fleet = Fleet::start("departures-alone").await;
