--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -32,6 +32,9 @@
 /// A router that did not ask for news for this long does not count.
 const ROUTER_GONE_MS: u64 = 4_000;
 
+/// Reads what is on record of a life of a target.
+pub type ReadDeparture = Rc<dyn Fn(&TargetId, Incarnation) -> Option<Departure>>;
+
 /// What a leader works with.
 pub struct Parts {
     /// The daemon that leads.
@@ -48,8 +51,8 @@
     pub placement: swap::Settings,
     /// Whether the lease is valid now.
     pub is_leased: Rc<dyn Fn() -> bool>,
-    /// Reads what is on record of a life of a target.
-    pub departure: Rc<dyn Fn(&TargetId, Incarnation) -> Option<Departure>>,
+    /// What is on record of targets that leave.
+    pub departure: ReadDeparture,
 }
 
 /// The leader of one term.
