Own interface: a target's word that it leaves is on record before its home answers

A process test (home, its zone and the leader killed after the answer, an older announcement at another daemon) failed: the target served again. The home now has the word recorded through the leader before it answers; reports and the table that a new leader takes over are amended by the record, by one function for both leaders (membership::directory).

--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -86,12 +86,13 @@
     /// what is on record of the targets.
     pub fn start(term: Term, parts: Parts, entries: &[Entry]) -> Rc<Self> {
         let now_ms = parts.clock.now_ms();
-        let entries = targets::inherit(&parts, entries);
+        let directory = Directory::adopt(now_ms, entries, &*parts.departure);
+        let entries = directory.entries();
         let leader = Rc::new_cyclic(|own| Self {
             term,
             own: Weak::clone(own),
             registry: RefCell::new(Registry::new(parts.silence)),
-            directory: RefCell::new(Directory::adopt(now_ms, &entries)),
+            directory: RefCell::new(directory),
             feed: RefCell::new(Feed::new(term, entries)),
             planners: RefCell::default(),
             loads: RefCell::new(Loads::new(term)),
--- a/src/coordinator/leader/targets.rs
+++ b/src/coordinator/leader/targets.rs
@@ -3,11 +3,11 @@
 use std::fmt;
 use std::rc::Rc;
 
-use super::{Leader, Parts};
+use super::Leader;
 use crate::control::departures::{Command, Departure};
 use crate::ids::{Incarnation, ServiceName, TargetId};
 use crate::membership::directory::Effect;
-use crate::membership::table::{Change, Entry, Replica, Standing};
+use crate::membership::table::{Change, Entry, Replica};
 use crate::membership::targets::{self, Taken};
 use crate::placement::swap;
 use crate::target::order;
@@ -187,26 +187,3 @@
         self.tell();
     }
 }
-
-/// The entries that a new leader starts from: those of a follower, which may not have heard of all
-/// that is on record.
-pub(super) fn inherit(parts: &Parts, entries: &[Entry]) -> Vec<Entry> {
-    let mut inherited = Vec::with_capacity(entries.len());
-    for entry in entries {
-        let known = (parts.departure)(&entry.target, entry.incarnation);
-        let standing = match known {
-            Some(Departure::Gone) => None,
-            Some(Departure::Leaving) => Some(Standing::Leaving),
-            None => Some(entry.standing),
-        };
-        if standing != Some(Standing::Up) {
-            let Entry { target, incarnation, standing: told, .. } = entry;
-            log::info!(
-                "target {target} of life {incarnation}, told as {told:?}, is inherited as \
-                 {standing:?}; on record: {known:?}"
-            );
-        }
-        inherited.extend(standing.map(|standing| Entry { standing, ..entry.clone() }));
-    }
-    inherited
-}
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -15,13 +15,14 @@
 use crate::config;
 use crate::consensus::node;
 use crate::control;
-use crate::control::{commands, machine, owner, port, queries};
+use crate::control::departures::Departure;
+use crate::control::{commands, departures, machine, owner, port, queries};
 use crate::daemon::homes;
 use crate::daemon::leader;
 use crate::daemon::message::{self, Reply, Request};
 use crate::daemon::peers::{Failure, Peers};
 use crate::daemon::published::Published;
-use crate::ids::{DaemonId, TenantId, Term, Zone};
+use crate::ids::{DaemonId, Incarnation, TargetId, TenantId, Term, Zone};
 use crate::membership::targets::{Registry, Report, Taken};
 use crate::membership::{feed, targets};
 use crate::placement::demand;
@@ -89,6 +90,8 @@
     pub(super) demand: RefCell<Vec<demand::Entry>>,
     pub(super) demand_wake: Notify,
     pub(super) relayed: RefCell<Vec<homes::Relayed>>,
+    /// What this daemon has had recorded of the targets that it watches.
+    pub(super) recorded: RefCell<departures::State>,
 }
 
 impl Core {
@@ -110,6 +113,7 @@
             demand: RefCell::default(),
             demand_wake: Notify::new(),
             relayed: RefCell::default(),
+            recorded: RefCell::default(),
         })
     }
 
@@ -132,15 +136,11 @@
     /// Answers a request of `from`, which may be this daemon itself.
     pub async fn serve(self: &Rc<Self>, from: &DaemonId, request: Request) -> Reply {
         match request {
-            Request::Announced(state) => {
-                Reply::Taken(self.watched(targets::Event::Announced(*state)))
-            }
+            Request::Announced(state) => self.take_word(targets::Event::Announced(*state)).await,
             Request::Alive(target, life, sequence) => {
                 Reply::Taken(self.watched(targets::Event::Alive(target, life, sequence)))
             }
-            Request::Left(target, life) => {
-                Reply::Taken(self.watched(targets::Event::Left(target, life)))
-            }
+            Request::Left(target, life) => self.take_word(targets::Event::Left(target, life)).await,
             Request::Propose(command) => self.propose_here(*command).await,
             Request::Query(query) => self.query_here(query).await,
             Request::Status => self.status(),
@@ -149,7 +149,7 @@
                 None => self.not_leader(),
             },
             Request::Reports(reports) => match self.leading() {
-                Some(leader) => leader.reports(from, reports),
+                Some(leader) => leader.reports(self, from, reports),
                 None => self.not_leader(),
             },
             Request::Demand(entries) => match self.leading() {
@@ -188,6 +188,18 @@
         Some(read(machine.state()))
     }
 
+    /// What is on record of a life of a target, as far as this voter has applied the log.
+    pub(super) fn departure(&self, target: &TargetId, life: Incarnation) -> Option<Departure> {
+        self.with_state(|state| state.departures.find(target, life)).flatten()
+    }
+
+    async fn take_word(self: &Rc<Self>, event: targets::Event) -> Reply {
+        match self.heard(event).await {
+            Some(taken) => Reply::Taken(taken),
+            None => Reply::Failed(port::Fate::Unknown, "record that a target leaves".to_owned()),
+        }
+    }
+
     async fn propose_here(&self, command: commands::Command) -> Reply {
         let Some(node) = self.node() else { return self.not_leader() };
         if let Some(outcome) = self.known_outcome(&command) {
--- a/src/daemon/homes.rs
+++ b/src/daemon/homes.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::control::commands;
+use crate::control::departures::{self, Departure};
 use crate::daemon::core::{ASK_LIMIT, Core};
 use crate::daemon::message::{Reply, Request};
 use crate::ids::{DaemonId, Incarnation, TargetId, Zone};
@@ -22,7 +24,7 @@
     pub async fn announced(self: Rc<Self>, state: order::State) -> Option<Taken> {
         let home = self.home_of(&state);
         if home == *self.id() {
-            return Some(self.watched(targets::Event::Announced(state)));
+            return self.heard(targets::Event::Announced(state)).await;
         }
         if let Some(request) = self.short_announcement(&home, &state) {
             match self.ask(&home, request, ASK_LIMIT).await {
@@ -39,7 +41,7 @@
             }
             Ok(_) => None,
             // Its home does not answer: until the list of daemons changes, this one watches it.
-            Err(_) => Some(self.watched(targets::Event::Announced(state))),
+            Err(_) => self.heard(targets::Event::Announced(state)).await,
         }
     }
 
@@ -55,10 +57,28 @@
                     _ => None,
                 }
             }
-            _ => Some(self.watched(event)),
+            _ => self.heard(event).await,
         }
     }
 
+    /// Takes the word of a target that this daemon watches. That it leaves is taken once it is on
+    /// record: the target relies on getting no new work, also if this daemon is lost. `None`: it could
+    /// not be recorded.
+    pub(super) async fn heard(self: &Rc<Self>, event: targets::Event) -> Option<Taken> {
+        let command = departure(&event);
+        let taken = self.watched(event);
+        let Some(command) = command else { return Some(taken) };
+        if self.recorded.borrow().has(&command) {
+            return Some(taken);
+        }
+        if let Err(fate) = self.propose(commands::Command::Departures(command.clone())).await {
+            log::warn!("not recorded: {command:?}: {fate:?}");
+            return None;
+        }
+        self.recorded.borrow_mut().apply(command);
+        Some(taken)
+    }
+
     fn home_of(&self, state: &order::State) -> DaemonId {
         let home = self.home_in(&state.availability_zone, &state.target);
         home.unwrap_or_else(|| self.id().clone())
@@ -98,3 +118,17 @@
         }
     }
 }
+
+/// What an event says of a target that leaves, for the record.
+fn departure(event: &targets::Event) -> Option<departures::Command> {
+    let (target, life, departure) = match event {
+        targets::Event::Announced(state) if state.leaving => {
+            (state.target.clone(), state.incarnation, Departure::Leaving)
+        }
+        targets::Event::Left(target, life) => (target.clone(), *life, Departure::Gone),
+        targets::Event::Announced(_) | targets::Event::Alive(..) | targets::Event::Tick => {
+            return None;
+        }
+    };
+    Some(departures::Command { target, life, departure })
+}
--- a/src/daemon/leader/mod.rs
+++ b/src/daemon/leader/mod.rs
@@ -25,7 +25,7 @@
 use crate::ids::{DaemonId, ModelRef, Revision, TargetId, Term};
 use crate::membership::daemons;
 use crate::membership::daemons::Daemons;
-use crate::membership::directory::{Directory, Effect};
+use crate::membership::directory::{self, Directory, Effect};
 use crate::membership::feed::{Batch, Feed};
 use crate::membership::targets::Report;
 use crate::placement::planner::{Action, Event, Planner};
@@ -78,8 +78,13 @@
     /// Begins to lead in `term`, from the route table that this daemon has.
     pub fn start(core: &Rc<Core>, term: Term) -> Rc<Self> {
         let now_ms = core.now_ms();
-        let entries = core.feed.borrow().table().entries().to_vec();
-        let directory = Directory::adopt(now_ms, &entries);
+        let directory = {
+            let feed = core.feed.borrow();
+            Directory::adopt(now_ms, feed.table().entries(), &|target, life| {
+                core.departure(target, life)
+            })
+        };
+        let entries = directory.entries();
         let planner = Rc::new(RefCell::new(Planner::new(term, placement_settings(core, term))));
         let ports = Rc::new(Ports::new(
             core.parts.placement.own_ip,
@@ -192,9 +197,10 @@
     }
 
     /// Takes the reports of a home daemon.
-    pub fn reports(&self, from: &DaemonId, reports: Vec<Report>) -> Reply {
+    pub fn reports(&self, core: &Core, from: &DaemonId, reports: Vec<Report>) -> Reply {
+        let recorded = |target: &TargetId, life| core.departure(target, life);
         let mut effects = Vec::new();
-        for report in reports {
+        for report in reports.into_iter().filter_map(|report| directory::amend(report, &recorded)) {
             effects.extend(self.directory.borrow_mut().report(from, report));
         }
         self.apply(effects);
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -1,5 +1,6 @@
 //! The leader's directory of targets: it joins the reports of all home daemons.
 
+use crate::control::departures::Departure;
 use crate::ids::{DaemonId, Incarnation, TargetId};
 use crate::membership::table::{Change, Entry, Replica, Standing};
 use crate::membership::targets::Report;
@@ -9,6 +10,9 @@
 /// new leader gives to the targets which it knows from its own route table.
 pub const ADOPTION_MS: u64 = 4_000;
 
+/// Reads what is on record of a life of a target.
+pub type Recorded<'a> = &'a dyn Fn(&TargetId, Incarnation) -> Option<Departure>;
+
 /// What a report changes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -45,16 +49,18 @@
 
 impl Directory {
     /// The directory of a new leader: it starts from the route table that it has, so that no
-    /// router loses its targets, and drops what nobody confirms.
-    pub fn adopt(now_ms: u64, entries: &[Entry]) -> Self {
-        let known = entries.iter().map(|entry| Known {
-            entry: entry.clone(),
-            sequence: 0,
-            home: None,
-            adopt_by_ms: Some(now_ms + ADOPTION_MS),
-            is_drained: false,
-            standing: entry.standing,
-        });
+    /// router loses its targets, and drops what nobody confirms. The table may be older than what is
+    /// on record of targets that leave.
+    pub fn adopt(now_ms: u64, entries: &[Entry], recorded: Recorded<'_>) -> Self {
+        let known =
+            entries.iter().filter_map(|entry| inherit(entry, recorded)).map(|entry| Known {
+                sequence: 0,
+                home: None,
+                adopt_by_ms: Some(now_ms + ADOPTION_MS),
+                is_drained: false,
+                standing: entry.standing,
+                entry,
+            });
         Self { known: known.collect() }
     }
 
@@ -151,6 +157,44 @@
     }
 }
 
+/// An entry as a new leader takes it over. `None`: that life of the target is over.
+fn inherit(entry: &Entry, recorded: Recorded<'_>) -> Option<Entry> {
+    let known = recorded(&entry.target, entry.incarnation);
+    let standing = match known {
+        Some(Departure::Gone) => None,
+        Some(Departure::Leaving) => Some(Standing::Leaving),
+        None => Some(entry.standing),
+    };
+    if standing != Some(Standing::Up) {
+        let Entry { target, incarnation, standing: told, .. } = entry;
+        log::info!(
+            "target {target} of life {incarnation}, told as {told:?}, is inherited as \
+             {standing:?}; on record: {known:?}"
+        );
+    }
+    standing.map(|standing| Entry { standing, ..entry.clone() })
+}
+
+/// A report as it stands beside what is on record. `None`: that life of the target is over.
+pub fn amend(report: Report, recorded: Recorded<'_>) -> Option<Report> {
+    let Report::State(mut state, standing) = report else { return Some(report) };
+    match recorded(&state.target, state.incarnation) {
+        None => Some(Report::State(state, standing)),
+        Some(Departure::Leaving) => {
+            state.leaving = true;
+            Some(Report::State(state, Standing::Leaving))
+        }
+        Some(Departure::Gone) => {
+            let order::State { target, incarnation, sequence, .. } = &*state;
+            log::info!(
+                "announcement {sequence} of target {target}, life {incarnation}, changes nothing; \
+                 on record: it is gone"
+            );
+            None
+        }
+    }
+}
+
 fn removed(entry: Entry) -> Vec<Effect> {
     let gone = Effect::Gone(entry.target.clone(), entry.incarnation);
     vec![Effect::Table(Change::Remove(entry.target)), gone]
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -145,7 +145,7 @@
 fn a_new_leader_keeps_the_targets_that_it_knows_until_they_are_confirmed_or_late() {
     let mut old = Directory::default();
     old.report(&daemon("a"), report(1, 7));
-    let mut directory = Directory::adopt(1_000, &old.entries());
+    let mut directory = Directory::adopt(1_000, &old.entries(), &|_, _| None);
     assert_eq!(directory.entries().len(), 1);
     assert_eq!(directory.tick(1_000 + directory::ADOPTION_MS - 1), []);
     let lost = directory.clone().tick(1_000 + directory::ADOPTION_MS);
--- a/tests/nine/cluster.rs
+++ b/tests/nine/cluster.rs
@@ -154,6 +154,22 @@
         stand_in::start(adjust(settings)).await.unwrap()
     }
 
+    /// Starts a stand-in target of a plain service in the first zone that never announces itself.
+    pub async fn silent_target(&self, service: &str) -> stand_in::Handle {
+        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], 254);
+        let (name, zone) = ("silent".parse().unwrap(), ZONES[0].parse().unwrap());
+        let settings = stand_in::Settings::new(name, zone, SocketAddr::from((ip, 0)));
+        stand_in::start(settings.services(vec![service.parse().unwrap()])).await.unwrap()
+    }
+
+    /// Sends the word of a target to a daemon and returns the status of its answer, 0 for none.
+    pub async fn word_of_target(&self, daemon: usize, method: &str, path: &str, body: &str) -> u16 {
+        let url = format!("http://{}{path}", self.daemons[daemon].targets());
+        let token = format!("Bearer {}", self.target_token);
+        let headers = [("authorization", token.as_str()), ("content-type", "application/json")];
+        web::call(method, &url, &headers, body).await.map_or(0, |answer| answer.status)
+    }
+
     pub fn running(&self) -> impl Iterator<Item = &Daemon> {
         self.daemons.iter().filter(|daemon| daemon.is_running())
     }
--- a/tests/nine_daemons.rs
+++ b/tests/nine_daemons.rs
@@ -381,3 +381,55 @@
     }
     assert_eq!(target.state().holds.len(), 1, "one replica was decided, and none twice");
 }
+
+/// The load: the daemon that took a target's word that it is gone dies right after, and an older
+/// announcement, which a partition held up, reaches another one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_target_that_left_gets_no_request_after_the_daemon_that_heard_it_was_killed() {
+    let _turn = TURN.lock().await;
+    let mut cluster = Cluster::start("departure").await;
+    let target = cluster.silent_target("desk").await;
+    let revision = cluster.change(&cluster.daemons[0], "service", cluster::service("desk")).await;
+    cluster.in_force(revision).await;
+    let path = format!("/targets/v1/{}", target.state().target);
+    let announce = async |cluster: &Cluster, daemon: usize, sequence: u64| {
+        let state = fescuebay::target::order::State { sequence, ..target.state() };
+        let body = serde_json::to_string(&state).unwrap();
+        cluster.word_of_target(daemon, "PUT", &path, &body).await
+    };
+    let url = format!("http://{}/services/desk/ready", cluster.daemons[7].traffic());
+    // A request that no target can take waits for one.
+    let serves = async || {
+        let asked =
+            tokio::time::timeout(Duration::from_millis(400), web::call("GET", &url, &[], ""));
+        asked.await.is_ok_and(|answer| answer.is_some_and(|answer| answer.status == 200))
+    };
+    let mut sequence = 100;
+    cluster
+        .until("the target serves", async || {
+            sequence += 1;
+            announce(&cluster, 3, sequence).await;
+            serves().await
+        })
+        .await;
+    let gone = format!("{path}?incarnation={}", target.state().incarnation);
+    assert_eq!(cluster.word_of_target(3, "DELETE", &gone, "").await, 204);
+    // Whichever of the three of its zone is its home, two of them cannot tell of it any more, and the
+    // leader is another one.
+    let leader = cluster.leader().await;
+    for zone_mate in [0, 3, 6] {
+        cluster.daemons[zone_mate].kill();
+    }
+    cluster.daemons[leader].kill();
+    cluster.daemons[0].start();
+    let leaders = async || cluster.voters().await.iter().any(|v| v["role"] == "leader");
+    cluster.until("another daemon leads", leaders).await;
+    cluster
+        .until("a late announcement is answered", async || {
+            [204, 409].contains(&announce(&cluster, 4, 50).await)
+        })
+        .await;
+    for _ in 0..10 {
+        assert!(!serves().await, "a target that left serves again");
+    }
+}
