A target that starts in a drained zone is drained, and a drain that ends by itself ends

Found by looking for the incident's class: what did the leader acknowledge that others do not act on? Operators' drains were looked at when the configuration changed and at the start of a leader alone. A target that was new or had been dropped in between was shown up in a drained zone, and a drain with an end went on until the next change. A process test failed ('up' for 'leaving'). Now each report of a target is held against the drains, and all are looked at once a second.

--- a/src/daemon/leader/mod.rs
+++ b/src/daemon/leader/mod.rs
@@ -18,11 +18,12 @@
 use crate::config;
 use crate::consensus;
 use crate::control::commands;
+use crate::control::machine::State;
 use crate::daemon::core::Core;
 use crate::daemon::follow;
 use crate::daemon::message::{Expected, FleetNews, News, Places, Reply, Version, Watch};
 use crate::daemon::ports::Ports;
-use crate::ids::{DaemonId, ModelRef, Revision, TargetId, Term};
+use crate::ids::{DaemonId, ModelRef, Revision, TargetId, Term, Zone};
 use crate::membership::daemons;
 use crate::membership::daemons::Daemons;
 use crate::membership::directory::{self, Directory, Effect};
@@ -201,7 +202,18 @@
         let recorded = |target: &TargetId, life| core.departure(target, life);
         let mut effects = Vec::new();
         for report in reports.into_iter().filter_map(|report| directory::amend(report, &recorded)) {
+            let place = match &report {
+                Report::State(state, _) => {
+                    Some((state.target.clone(), state.availability_zone.clone()))
+                }
+                Report::Gone(..) => None,
+            };
             effects.extend(self.directory.borrow_mut().report(from, report));
+            // One that is new was not there when the operators' drains were looked at.
+            if let Some((target, zone)) = place {
+                let is_drained = self.is_drained(core, &target, &zone);
+                effects.extend(self.directory.borrow_mut().drain_target(&target, is_drained));
+            }
         }
         self.apply(effects);
         Reply::Done
@@ -255,13 +267,26 @@
         self.revision.set(fleet.revision());
         let events = self.catalogue.borrow_mut().update(&fleet, core.now_ms());
         events.into_iter().for_each(|event| drop(self.events.send(event)));
-        let effects = self.directory.borrow_mut().drain(|entry| {
-            catalogue::is_drained(&fleet, &entry.target, &entry.availability_zone, core.now_ms())
-        });
-        self.apply(effects);
+        self.look_at_drains(core);
         self.tell();
     }
 
+    /// Shows which targets operators have taken out by now: a drain may have ended by itself.
+    fn look_at_drains(&self, core: &Core) {
+        let effects = self
+            .directory
+            .borrow_mut()
+            .drain(|entry| self.is_drained(core, &entry.target, &entry.availability_zone));
+        self.apply(effects);
+    }
+
+    fn is_drained(&self, core: &Core, target: &TargetId, zone: &Zone) -> bool {
+        let now_ms = core.now_ms();
+        let is_drained =
+            |state: &State| catalogue::is_drained(state.config.fleet(), target, zone, now_ms);
+        core.with_state(is_drained).unwrap_or_default()
+    }
+
     fn apply(&self, effects: Vec<Effect>) {
         let mut changes = Vec::new();
         for effect in effects {
@@ -345,6 +370,7 @@
             leader.end_unknown_lives(&core);
         }
         if looks.is_multiple_of(LOOKS_PER_TICK) {
+            leader.look_at_drains(&core);
             let core = Rc::clone(&core);
             tokio::task::spawn_local(async move {
                 let _ = core.propose(commands::Command::Tick).await;
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -82,16 +82,17 @@
 
     /// Sets which targets an operator has taken out.
     pub fn drain(&mut self, is_drained: impl Fn(&Entry) -> bool) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        for known in &mut self.known {
-            known.is_drained = is_drained(&known.entry);
-            let standing = shown(known.standing, known.is_drained);
-            if known.entry.standing != standing {
-                known.entry.standing = standing;
-                effects.push(Effect::Table(Change::Put(known.entry.clone())));
-            }
-        }
-        effects
+        let changed = self.known.iter_mut().filter_map(|known| {
+            let is_drained = is_drained(&known.entry);
+            drain(known, is_drained)
+        });
+        changed.collect()
+    }
+
+    /// Sets whether an operator has taken out one target.
+    pub fn drain_target(&mut self, target: &TargetId, is_drained: bool) -> Option<Effect> {
+        let at = self.place(target).ok()?;
+        drain(&mut self.known[at], is_drained)
     }
 
     /// Drops targets that nobody adopted in time.
@@ -200,6 +201,16 @@
     vec![Effect::Table(Change::Remove(entry.target)), gone]
 }
 
+fn drain(known: &mut Known, is_drained: bool) -> Option<Effect> {
+    known.is_drained = is_drained;
+    let standing = shown(known.standing, is_drained);
+    if known.entry.standing == standing {
+        return None;
+    }
+    known.entry.standing = standing;
+    Some(Effect::Table(Change::Put(known.entry.clone())))
+}
+
 fn shown(standing: Standing, is_drained: bool) -> Standing {
     if is_drained { Standing::Leaving } else { standing }
 }
--- a/tests/nine_daemons.rs
+++ b/tests/nine_daemons.rs
@@ -433,3 +433,36 @@
         assert!(!serves().await, "a target that left serves again");
     }
 }
+
+/// The load: an operator empties a zone, and a target of it starts again meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_target_that_starts_in_a_drained_zone_gets_no_work_until_the_drain_ends() {
+    let _turn = TURN.lock().await;
+    let cluster = Cluster::start("drained").await;
+    let unix_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
+    let end_ms = unix_ms + 6_000;
+    let edits = json!([{ "add_exception": {
+        "scope": "zone=andina-a", "settings": [{ "key": "drain", "value": "yes" }],
+        "reason": "switch replaced", "end_ms": end_ms,
+    } }]);
+    let revision = cluster.change(&cluster.daemons[0], "drain", edits).await;
+    cluster.in_force(revision).await;
+    let target = cluster.target(0, |settings| settings).await;
+    let standing = async || {
+        let (_, shown) = cluster.admin(&cluster.daemons[0], "GET", "/targets", Value::Null).await;
+        shown[0]["standing"].as_str().map(str::to_owned)
+    };
+    let mut first = None;
+    cluster
+        .until("the target is known", async || {
+            first = standing().await;
+            first.is_some()
+        })
+        .await;
+    assert_eq!(first.as_deref(), Some("leaving"));
+    let is_up = async || standing().await.as_deref() == Some("up");
+    cluster.until("the drain ends by itself", is_up).await;
+    let unix_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
+    assert!(unix_ms >= end_ms, "it ended early");
+    drop(target);
+}
