A target that says in its answers that it leaves gets nothing more from the router that read it

Nothing read the header: a router that heard no leader, or whose leader did not know, went on sending.

Streams under way go on. The leader is told with the router's next question, until the table shows it, and has it on record like the target's own word.

--- a/benches/swap.rs
+++ b/benches/swap.rs
@@ -50,7 +50,7 @@
             [rare, adapter].map(|model| Waiting { model, count: 1, slack_ms: 100 })
         });
         let waiting = waiting.collect();
-        Usage { arrivals: Vec::new(), waiting, running: running.collect() }
+        Usage { waiting, running: running.collect(), ..Usage::default() }
     }
 
     /// The mean and the longest time of a report.
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -17,7 +17,7 @@
 use super::loads::Loads;
 use super::message;
 use crate::clock::BootClock;
-use crate::control::departures::Departure;
+use crate::control::departures::{self, Departure};
 use crate::ids::{DaemonId, Incarnation, ServiceName, TargetId, Term};
 use crate::membership::directory::Directory;
 use crate::membership::feed::Feed;
@@ -53,6 +53,8 @@
     pub is_leased: Rc<dyn Fn() -> bool>,
     /// What is on record of targets that leave.
     pub departure: ReadDeparture,
+    /// Has it recorded that a target leaves, in the background.
+    pub record: Rc<dyn Fn(departures::Command)>,
 }
 
 /// The leader of one term.
--- a/src/coordinator/leader/news.rs
+++ b/src/coordinator/leader/news.rs
@@ -45,6 +45,7 @@
     pub fn usage(&self, from: &DaemonId, usage: demand::Usage) {
         let now_ms = self.parts.clock.now_ms();
         self.loads.borrow_mut().take(now_ms, from, &usage.running);
+        self.take_leaving(&usage.leaving);
         let mut actions = Vec::new();
         for (_, planner) in self.planners.borrow_mut().iter_mut() {
             actions.extend(planner.on(now_ms, swap::Event::Usage(from.clone(), usage.clone())));
--- a/src/coordinator/leader/targets.rs
+++ b/src/coordinator/leader/targets.rs
@@ -6,7 +6,7 @@
 use super::Leader;
 use crate::control::departures::{Command, Departure};
 use crate::ids::{Incarnation, ServiceName, TargetId};
-use crate::membership::directory::Effect;
+use crate::membership::directory::{self, Effect};
 use crate::membership::table::{Change, Entry, Replica};
 use crate::membership::targets::{self, Taken};
 use crate::placement::swap;
@@ -34,6 +34,8 @@
 pub(super) enum Cause {
     /// The target's announcement of this number.
     Announcement(u64),
+    /// What the target said in an answer to a router.
+    Answer,
     /// The target's word that it is gone.
     Left,
     /// Nothing was heard of the target for too long.
@@ -44,6 +46,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Cause::Announcement(sequence) => write!(f, "announcement {sequence}"),
+            Cause::Answer => write!(f, "its answer to a router"),
             Cause::Left => write!(f, "its word that it left"),
             Cause::Silence => write!(f, "silence"),
         }
@@ -106,13 +109,26 @@
 
     pub(super) fn watched(self: &Rc<Self>, event: targets::Event, cause: Cause) -> Taken {
         let (taken, reports) = self.registry.borrow_mut().on(self.parts.clock.now_ms(), event);
-        for report in reports {
+        let recorded = &*self.parts.departure;
+        for report in reports.into_iter().filter_map(|report| directory::amend(report, recorded)) {
             let effects = self.directory.borrow_mut().report(&self.parts.own, report);
             self.apply(effects, cause);
         }
         taken
     }
 
+    /// Takes what targets said to a router, and has it recorded.
+    pub(super) fn take_leaving(&self, leaving: &[(TargetId, Incarnation)]) {
+        for (target, life) in leaving {
+            if (self.parts.departure)(target, *life).is_none() {
+                let (target, life, departure) = (target.clone(), *life, Departure::Leaving);
+                (self.parts.record)(Command { target, life, departure });
+            }
+            let effect = self.directory.borrow_mut().leaves(target, *life);
+            self.apply(effect.into_iter().collect(), Cause::Answer);
+        }
+    }
+
     pub(super) fn apply(&self, effects: Vec<Effect>, cause: Cause) {
         let mut changes = Vec::new();
         for effect in effects {
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -218,6 +218,15 @@
             is_leased: Rc::new(move || {
                 voter.upgrade().and_then(|voter| voter.lease_left_ms()).is_some_and(|ms| ms > 0)
             }),
+            record: {
+                let voter = Rc::downgrade(self);
+                Rc::new(move |command| {
+                    let Some(voter) = voter.upgrade() else { return };
+                    tokio::task::spawn_local(async move {
+                        voter.record(commands::Command::Departures(command)).await;
+                    });
+                })
+            },
             departure: Rc::new(move |target, life| {
                 machine.borrow().state().departures.find(target, life)
             }),
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -114,6 +114,7 @@
 pub fn failure(failure: Failure) -> &'static str {
     match failure {
         Failure::NotSent => "not sent",
+        Failure::Withdrawn => "withdrawn",
         Failure::NotRun => "not run",
         Failure::Lacking => "lacking",
         Failure::Broken => "broken",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -219,7 +219,7 @@
     match next::next(&case) {
         Next::End(end) => Err(end),
         // What was not sent has not arrived anywhere, and takes nothing from the budget.
-        Next::Again if failure == Failure::NotSent => Ok(()),
+        Next::Again if matches!(failure, Failure::NotSent | Failure::Withdrawn) => Ok(()),
         Next::Again if shared.budget.borrow_mut().take(now_ms, &job.service) => Ok(()),
         Next::Again => Err(next::give_up(case.runs, case.is_over)),
     }
@@ -252,7 +252,7 @@
     let mut fleet = shared.fleet.borrow_mut();
     match (failure, &job.facts.model) {
         (Failure::Lacking, Some(model)) => fleet.lacks(shared.now_ms(), target, model),
-        (Failure::NotRun | Failure::Lacking, _) => {}
+        (Failure::NotRun | Failure::Lacking | Failure::Withdrawn, _) => {}
         _ => fleet.failed(shared.now_ms(), target),
     }
 }
@@ -310,6 +310,9 @@
     last_event: Option<&str>,
 ) -> Result<Attempt, Failure> {
     let mut connection = connect(shared, job, &seat).await?;
+    if !shared.fleet.borrow().may_send(&seat.target, seat.life) {
+        return Err(Failure::Withdrawn);
+    }
     let sent_ms = shared.now_ms();
     let left_ms = job.end_ms.saturating_sub(sent_ms);
     if left_ms == 0 {
@@ -337,6 +340,8 @@
         Ok(Err(_)) => return Err(Failure::Broken),
         Err(_) => return Err(Failure::Silent),
     };
+    let notice = shared.protocol.notice(head.status, &head.headers, &job.facts.id);
+    shared.take_notice(&seat.target, seat.life, notice);
     match shared.protocol.judge(head.status, &head.headers, &job.facts.id) {
         Verdict::Answer => Ok(Attempt { seat, connection, head, body, sent_ms }),
         Verdict::NotRun => Err(Failure::NotRun),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -4,6 +4,7 @@
 //! have just died, hang, or answer with errors.
 
 use crate::coordinator::loads;
+use crate::gateway::gates::{Gate, Gates};
 use crate::ids::{Incarnation, ModelRef, ServiceName, TargetId, Zone};
 use crate::membership::table::{Entry, Standing};
 use crate::placement::swap::demand::Running;
@@ -130,13 +131,15 @@
     /// Which target last read a prompt that begins so, oldest first.
     prompts: std::collections::VecDeque<(u64, TargetId)>,
     totals: loads::Totals,
+    gates: Gates,
 }
 
 impl Fleet {
     /// No targets, seen from `zone`.
     pub fn new(zone: Zone) -> Self {
         let prompts = std::collections::VecDeque::new();
-        Self { zone, targets: Vec::new(), prompts, totals: loads::Totals::default() }
+        let (totals, gates) = (loads::Totals::default(), Gates::default());
+        Self { zone, targets: Vec::new(), prompts, totals, gates }
     }
 
     /// The targets, sorted by id.
@@ -186,7 +189,7 @@
         let mut best: Option<(f64, usize)> = None;
         let (mut has_target, mut has_replica) = (false, false);
         for (at, target) in self.targets.iter().enumerate() {
-            if !target.serves(wish.service) || target.entry.standing == Standing::Leaving {
+            if !target.serves(wish.service) || self.is_leaving(&target.entry) {
                 continue;
             }
             has_target = true;
@@ -210,6 +213,39 @@
         }
     }
 
+    /// Whether a target leaves, by the table or by its own word.
+    fn is_leaving(&self, entry: &Entry) -> bool {
+        let own_word = || self.gates.of(&entry.target, entry.incarnation);
+        entry.standing == Standing::Leaving || own_word() == Gate::Leaving
+    }
+
+    /// Whether a target that was chosen may still be sent something: it may have said meanwhile that
+    /// it leaves.
+    pub fn may_send(&self, target: &TargetId, life: Incarnation) -> bool {
+        let is_shown_leaving = self.place(target).is_some_and(|at| {
+            let entry = &self.targets[at].entry;
+            entry.incarnation == life && entry.standing == Standing::Leaving
+        });
+        !is_shown_leaving && self.gates.of(target, life) == Gate::Open
+    }
+
+    /// A target said in an answer that it leaves. Returns whether that is new.
+    pub fn leaves(&mut self, target: &TargetId, life: Incarnation) -> bool {
+        self.gates.leaves(target, life)
+    }
+
+    /// Targets that said themselves that they leave and that the table does not show so.
+    pub fn unshown_leaving(&self) -> Vec<(TargetId, Incarnation)> {
+        let is_unshown = |target: &TargetId, life| {
+            self.place(target).is_some_and(|at| {
+                let entry = &self.targets[at].entry;
+                entry.incarnation == life && entry.standing != Standing::Leaving
+            })
+        };
+        let leaving = self.gates.leaving().filter(|(target, life)| is_unshown(target, *life));
+        leaving.map(|(target, life)| (target.clone(), life)).collect()
+    }
+
     /// Whether another target than `target` could take the request.
     pub fn has_other(&self, now_ms: u64, wish: &Wish<'_>, target: &TargetId) -> bool {
         match self.choose(now_ms, wish) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! The role of a router: it takes requests of callers, chooses a target for each, and relays the
 //! answer.
 //!
-//! What is decided stands apart from what is sent: [`fleet`] chooses targets, [`queue`] orders what
+//! What is decided stands apart from what is sent: [`fleet`] chooses targets, [`gates`] keeps what they
+//! said themselves, [`queue`] orders what
 //! waits and [`wait`] for how long, [`budget`] and [`next`] decide about repeats, [`refusal`] tells
 //! callers. The rest carries bytes.
 
@@ -9,6 +10,7 @@
 pub mod events;
 pub mod exchange;
 pub mod fleet;
+pub mod gates;
 pub mod next;
 mod pool;
 pub mod queue;
@@ -90,6 +92,13 @@
     Foreign,
 }
 
+/// What a target says of itself in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// It leaves: it finishes what it has and wants nothing new.
+    pub is_leaving: bool,
+}
+
 /// How requests are read and passed on.
 pub trait Protocol {
     /// Reads the headers of a request.
@@ -101,4 +110,7 @@
 
     /// Reads the head of an answer to the request `id`.
     fn judge(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> Verdict;
+
+    /// What the target of the request `id` says of itself, if this head is an answer to it.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> Notice;
 }
--- a/src/gateway/next.rs
+++ b/src/gateway/next.rs
@@ -7,6 +7,8 @@
 pub enum Failure {
     /// No byte of it was sent.
     NotSent,
+    /// No byte of it was sent: after it was chosen, its target said that it wants nothing new.
+    Withdrawn,
     /// The target says that it did not run the request.
     NotRun,
     /// The target did not run the request, since it lacks the model or is another target.
@@ -24,7 +26,7 @@
 impl Failure {
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Failure::NotSent | Failure::NotRun | Failure::Lacking)
+        !matches!(self, Failure::NotSent | Failure::Withdrawn | Failure::NotRun | Failure::Lacking)
     }
 }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -76,6 +76,11 @@
         });
     }
 
+    /// Closes the connections to a target that wants no more requests.
+    pub(super) fn forget(&mut self, target: &TargetId, life: Incarnation) {
+        self.idle.retain(|idle| idle.target != *target || idle.life != life);
+    }
+
     /// Closes what has waited too long.
     pub(super) fn sweep(&mut self, now_ms: u64) {
         self.idle.retain(|idle| now_ms < idle.keep_until_ms && !idle.connection.is_closed());
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,7 +11,7 @@
 use super::fleet::{Choice, Fleet, Wish};
 use super::pool::Pool;
 use super::queue::{Queue, Ticket, Waiter};
-use super::{Protocol, events};
+use super::{Notice, Protocol, events};
 use crate::clock::BootClock;
 use crate::coordinator::{follow, loads};
 use crate::ids::{Incarnation, ModelRef, TargetId, Zone};
@@ -200,6 +200,19 @@
         }
     }
 
+    /// Takes what a target says of itself in an answer.
+    pub(super) fn take_notice(&self, target: &TargetId, life: Incarnation, notice: Notice) {
+        if notice.is_leaving && self.fleet.borrow_mut().leaves(target, life) {
+            log::info!("target {target} of life {life} says in an answer that it leaves");
+            metrics::counter!("fescuebay_targets_leaving_total").increment(1);
+            // The leader may not know it.
+            self.demand_wake.notify_one();
+        }
+        if notice.is_leaving {
+            self.pool.borrow_mut().forget(target, life);
+        }
+    }
+
     /// A new number for the next choice among targets.
     pub(super) fn next_salt(&self) -> u64 {
         self.salt.set(self.salt.get().wrapping_add(1));
@@ -212,6 +225,7 @@
             arrivals: self.arrivals.take(),
             waiting: self.queue.borrow().waiting(self.now_ms()),
             running: self.fleet.borrow().running(),
+            leaving: self.fleet.borrow().unshown_leaving(),
         }
     }
 }
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -95,6 +95,18 @@
         drain(&mut self.known[at], is_drained)
     }
 
+    /// A life of a target said to a router that it leaves.
+    pub fn leaves(&mut self, target: &TargetId, life: Incarnation) -> Option<Effect> {
+        let at = self.place(target).ok()?;
+        let known = &mut self.known[at];
+        if known.entry.incarnation != life {
+            return None;
+        }
+        known.standing = Standing::Leaving;
+        let is_drained = known.is_drained;
+        drain(known, is_drained)
+    }
+
     /// Drops targets that nobody adopted in time.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Effect> {
         let is_lost = |known: &Known| known.adopt_by_ms.is_some_and(|by_ms| by_ms <= now_ms);
--- a/src/placement/swap/demand.rs
+++ b/src/placement/swap/demand.rs
@@ -1,6 +1,6 @@
 //! What routers ask for: arrivals, what waits and what runs.
 
-use crate::ids::{DaemonId, ModelName, ModelRef, TargetId};
+use crate::ids::{DaemonId, Incarnation, ModelName, ModelRef, TargetId};
 
 /// Time between two looks at demand that fades.
 pub const PERIOD_MS: u64 = 250;
@@ -19,6 +19,8 @@
     pub waiting: Vec<Waiting>,
     /// Requests at targets.
     pub running: Vec<Running>,
+    /// Targets that said in their answers that they leave, and that the route table does not show so.
+    pub leaving: Vec<(TargetId, Incarnation)>,
 }
 
 /// Requests that wait for one model or adapter.
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -108,6 +108,7 @@
         placement: Settings::default(),
         is_leased: Rc::new(|| true),
         wall_clock: Clock::starting_at(UNIX_MS),
+        record: Rc::new(|command| RECORD.with_borrow_mut(|record| record.apply(command))),
         departure: Rc::new(|target, life| RECORD.with_borrow(|known| known.find(target, life))),
     }
 }
@@ -445,3 +446,26 @@
         })
         .await;
 }
+
+/// The load: a target said to a router alone that it leaves, and goes on to announce itself as before.
+#[tokio::test(start_paused = true)]
+async fn what_a_target_said_to_one_router_reaches_the_others_and_stays() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader();
+            announce(&leader, state("a", 4));
+            announce(&leader, state("b", 4));
+            let leaving = |life| vec![("a".parse().unwrap(), Incarnation(life))];
+            leader.usage(&router(), Usage { leaving: leaving(6), ..Usage::default() });
+            assert_eq!(standings(&leader).await, [Standing::Up, Standing::Up], "an earlier life");
+            leader.usage(&router(), Usage { leaving: leaving(7), ..Usage::default() });
+            assert_eq!(standings(&leader).await, [Standing::Leaving, Standing::Up]);
+            announce(&leader, state("a", 5));
+            assert_eq!(standings(&leader).await, [Standing::Leaving, Standing::Up]);
+            let entries = inherited(&leader).await;
+            let next = Leader::start(Term(2), parts(), &entries);
+            announce(&next, state("a", 6));
+            assert_eq!(standings(&next).await, [Standing::Leaving, Standing::Up]);
+        })
+        .await;
+}
--- a/tests/swap_fake/mod.rs
+++ b/tests/swap_fake/mod.rs
@@ -315,7 +315,7 @@
             .map(|model| Waiting { model: model.clone(), count: 1, slack_ms: 1_000 })
             .collect::<Vec<_>>();
         let arrivals = arrived.iter().map(|model| (model.clone(), 1)).collect();
-        let usage = Usage { arrivals, waiting, running };
+        let usage = Usage { arrivals, waiting, running, leaving: Vec::new() };
         let router: DaemonId = "r".parse().unwrap();
         let actions = self.planner.on(self.now_ms, Event::Usage(router, usage));
         self.carry_out(actions);
