A target that asks to be left alone gets nothing from the router until the time has passed

Tests failed: a hundred callers and a resumed stream went on to the target, and callers were held and asked back after 0.25 to 0.9 s instead of when it opens.

The router keeps the latest end by target and life, whatever the table shows; it chooses no such target and chooses anew what it had not yet sent. If all that could serve a request ask so, it is refused at once, also from the queue, with the time at which the first opens. Then requests come back one at first and two for each answer; routers spread their first over a tenth of the time. It counts neither as a failure nor against the target.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -269,6 +269,7 @@
     };
     let why = match shared.try_seat(&wish, job.tokens()) {
         Ok(seat) => return Ok(seat),
+        Err(Choice::Paused { opens_ms }) => return Err(paused(shared, opens_ms)),
         Err(why) => why,
     };
     let limit_ms = wait::limit_ms(&wait::Case {
@@ -292,16 +293,21 @@
     let waited = shared.wait(&job.facts.id, waiter, why);
     let seat = tokio::select! {
         seat = waited => seat,
-        () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
+        () = tokio::time::sleep(Duration::from_millis(wait_ms)) => Err(why),
         () = shared.before_end(LAST_SEND_MS) => return Err(Why::Stops),
     };
     match seat {
-        Some(seat) => Ok(seat),
-        None if why == Choice::NoTarget => Err(Why::NoTargets),
-        None => Err(Why::NoneFree),
+        Ok(seat) => Ok(seat),
+        Err(Choice::NoTarget) => Err(Why::NoTargets),
+        Err(Choice::Paused { opens_ms }) => Err(paused(shared, opens_ms)),
+        Err(Choice::Target(_) | Choice::Full | Choice::NoReplica) => Err(Why::NoneFree),
     }
 }
 
+fn paused(shared: &Shared, opens_ms: u64) -> Why {
+    Why::Paused { opens_in_ms: opens_ms.saturating_sub(shared.now_ms()) }
+}
+
 /// Sends one attempt and waits for the head of its answer.
 pub(super) async fn attempt(
     shared: &Rc<Shared>,
@@ -310,7 +316,7 @@
     last_event: Option<&str>,
 ) -> Result<Attempt, Failure> {
     let mut connection = connect(shared, job, &seat).await?;
-    if !shared.fleet.borrow().may_send(&seat.target, seat.life) {
+    if !shared.fleet.borrow().may_send(shared.now_ms(), &seat.target, seat.life) {
         return Err(Failure::Withdrawn);
     }
     let sent_ms = shared.now_ms();
@@ -343,13 +349,23 @@
     let notice = shared.protocol.notice(head.status, &head.headers, &job.facts.id);
     shared.take_notice(&seat.target, seat.life, notice);
     match shared.protocol.judge(head.status, &head.headers, &job.facts.id) {
-        Verdict::Answer => Ok(Attempt { seat, connection, head, body, sent_ms }),
+        Verdict::Answer => {
+            Ok(Attempt { seat: answered(seat, head.status), connection, head, body, sent_ms })
+        }
         Verdict::NotRun => Err(Failure::NotRun),
         Verdict::Lacking => Err(Failure::Lacking),
         Verdict::Foreign => Err(Failure::Foreign),
     }
 }
 
+/// Notes that a target answers again, unless it refuses.
+fn answered(mut seat: Seat, status: http::StatusCode) -> Seat {
+    if status != http::StatusCode::SERVICE_UNAVAILABLE {
+        seat.note_answered();
+    }
+    seat
+}
+
 /// A connection that waits, or a new one.
 async fn connect(shared: &Shared, job: &Job, seat: &Seat) -> Result<Connection, Failure> {
     let max_idle_ms = if job.route.kind.is_repeatable() { u64::MAX / 2 } else { YOUNG_MS };
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -28,6 +28,10 @@
 /// Loads that differ by less than this are taken for equal: what other routers sent lately is not
 /// known yet.
 const SPREAD: f64 = 1.2;
+/// Routers come back to a target spread over this part of the time that it asked to be left alone.
+const REOPEN_SPREAD: f64 = 0.1;
+/// The longest such spread.
+const MAX_REOPEN_SPREAD_MS: f64 = 500.0;
 /// What a cached beginning of the prompt is worth, on the same scale.
 const CACHED_GAIN: f64 = 1.5;
 
@@ -53,6 +57,11 @@
     Target(usize),
     /// All targets that could serve it are full.
     Full,
+    /// All targets that could serve it asked to be left alone.
+    Paused {
+        /// When the first of them opens.
+        opens_ms: u64,
+    },
     /// No target holds the model.
     NoReplica,
     /// The service has no targets.
@@ -188,6 +197,7 @@
     pub fn choose(&self, now_ms: u64, wish: &Wish<'_>) -> Choice {
         let mut best: Option<(f64, usize)> = None;
         let (mut has_target, mut has_replica) = (false, false);
+        let mut opens_ms: Option<u64> = None;
         for (at, target) in self.targets.iter().enumerate() {
             if !target.serves(wish.service) || self.is_leaving(&target.entry) {
                 continue;
@@ -196,8 +206,13 @@
             if wish.model.is_some_and(|model| !target.holds(now_ms, model)) {
                 continue;
             }
+            let gate = self.gates.of(now_ms, &target.entry.target, target.entry.incarnation);
+            if let Gate::Paused { until_ms } = gate {
+                opens_ms = Some(opens_ms.map_or(until_ms, |first_ms| first_ms.min(until_ms)));
+                continue;
+            }
             has_replica = true;
-            if !target.has_room() {
+            if !target.has_room() || gate == (Gate::Reopening { credits: 0 }) {
                 continue;
             }
             let cost = self.cost(now_ms, target, wish);
@@ -205,28 +220,51 @@
                 best = Some((cost, at));
             }
         }
-        match best {
-            Some((_, at)) => Choice::Target(at),
-            None if has_replica => Choice::Full,
-            None if has_target => Choice::NoReplica,
-            None => Choice::NoTarget,
+        match (best, opens_ms) {
+            (Some((_, at)), _) => Choice::Target(at),
+            (None, _) if has_replica => Choice::Full,
+            (None, Some(opens_ms)) => Choice::Paused { opens_ms },
+            (None, None) if has_target => Choice::NoReplica,
+            (None, None) => Choice::NoTarget,
         }
     }
 
     /// Whether a target leaves, by the table or by its own word.
     fn is_leaving(&self, entry: &Entry) -> bool {
-        let own_word = || self.gates.of(&entry.target, entry.incarnation);
-        entry.standing == Standing::Leaving || own_word() == Gate::Leaving
+        entry.standing == Standing::Leaving
+            || self.gates.is_leaving(&entry.target, entry.incarnation)
     }
 
     /// Whether a target that was chosen may still be sent something: it may have said meanwhile that
-    /// it leaves.
-    pub fn may_send(&self, target: &TargetId, life: Incarnation) -> bool {
+    /// it wants nothing more.
+    pub fn may_send(&self, now_ms: u64, target: &TargetId, life: Incarnation) -> bool {
         let is_shown_leaving = self.place(target).is_some_and(|at| {
             let entry = &self.targets[at].entry;
             entry.incarnation == life && entry.standing == Standing::Leaving
         });
-        !is_shown_leaving && self.gates.of(target, life) == Gate::Open
+        match self.gates.of(now_ms, target, life) {
+            Gate::Open | Gate::Reopening { .. } => !is_shown_leaving,
+            Gate::Leaving | Gate::Paused { .. } => false,
+        }
+    }
+
+    /// A target asked to be left alone. Returns whether that is new.
+    pub fn pauses(
+        &mut self,
+        now_ms: u64,
+        target: &TargetId,
+        life: Incarnation,
+        pause_ms: u64,
+        salt: u64,
+    ) -> bool {
+        let spread_ms = (pause_ms as f64 * REOPEN_SPREAD).min(MAX_REOPEN_SPREAD_MS);
+        let later_ms = spread_ms * share(target.as_str(), salt);
+        self.gates.pauses(target, life, now_ms + pause_ms + later_ms as u64)
+    }
+
+    /// A target answered a request that was given to it at `begun_ms`.
+    pub fn answered(&mut self, begun_ms: u64, target: &TargetId, life: Incarnation) {
+        self.gates.answered(begun_ms, target, life);
     }
 
     /// A target said in an answer that it leaves. Returns whether that is new.
@@ -250,7 +288,7 @@
     pub fn has_other(&self, now_ms: u64, wish: &Wish<'_>, target: &TargetId) -> bool {
         match self.choose(now_ms, wish) {
             Choice::Target(at) => self.targets[at].entry.target != *target,
-            Choice::Full | Choice::NoReplica | Choice::NoTarget => false,
+            Choice::Full | Choice::Paused { .. } | Choice::NoReplica | Choice::NoTarget => false,
         }
     }
 
@@ -276,8 +314,9 @@
     }
 
     /// A request with a prompt of this many tokens was sent to a target.
-    pub fn begin(&mut self, place: usize, model: Option<&ModelRef>, tokens: u64) {
+    pub fn begin(&mut self, now_ms: u64, place: usize, model: Option<&ModelRef>, tokens: u64) {
         let target = &mut self.targets[place];
+        self.gates.begin(now_ms, &target.entry.target, target.entry.incarnation);
         target.own += 1;
         target.unread_tokens += tokens;
         match target.running.iter_mut().find(|(known, _)| known.as_ref() == model) {
@@ -309,6 +348,11 @@
         target.running.retain(|(_, count)| *count > 0);
     }
 
+    /// A request that was given to a target at `begun_ms` had no answer.
+    pub fn unanswered(&mut self, begun_ms: u64, target: &TargetId, life: Incarnation) {
+        self.gates.failed(begun_ms, target, life);
+    }
+
     /// A target answered.
     pub fn succeeded(&mut self, target: &TargetId) {
         if let Some(at) = self.place(target) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -97,6 +97,8 @@
 pub struct Notice {
     /// It leaves: it finishes what it has and wants nothing new.
     pub is_leaving: bool,
+    /// It wants nothing more for so long.
+    pub pause_ms: Option<u64>,
 }
 
 /// How requests are read and passed on.
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -14,6 +14,9 @@
 /// to choose a leader and to hear of the targets.
 const UNKNOWN_RETRY_MS: std::ops::Range<u64> = 1_100..2_500;
 
+/// Callers are asked back over so long after the first target opens, in milliseconds.
+const REOPEN_RETRY_MS: u64 = 800;
+
 /// Why a request is not answered by a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
@@ -29,6 +32,11 @@
     NoTargets,
     /// No target was free for it in time.
     NoneFree,
+    /// All targets that could serve it asked to be left alone.
+    Paused {
+        /// Time until the first of them opens.
+        opens_in_ms: u64,
+    },
     /// The router stops.
     Stops,
     /// The last attempt failed, and none follows.
@@ -45,6 +53,7 @@
             Why::NoService => "the route has no service",
             Why::NoTargets => "the service has no targets",
             Why::NoneFree => "no target was free in time",
+            Why::Paused { .. } => "all targets ask to be left alone",
             Why::Stops => "the router stops",
             Why::Failed(failure) => events::failure(failure),
         }
@@ -54,6 +63,8 @@
     fn retry_ms(self) -> std::ops::Range<u64> {
         match self {
             Why::NoDocument | Why::NoTargets => UNKNOWN_RETRY_MS,
+            // Targets take one request at first, and more as they answer.
+            Why::Paused { opens_in_ms } => opens_in_ms..opens_in_ms + REOPEN_RETRY_MS,
             _ => BUSY_RETRY_MS,
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,6 +19,9 @@
 use crate::placement::swap::demand;
 use crate::routes::{self, index};
 
+/// Tells a request that waits of its seat, or why none can come.
+type Offer = oneshot::Sender<Result<Seat, Choice>>;
+
 /// The state of a router.
 pub struct Shared {
     own: Weak<Shared>,
@@ -31,7 +34,7 @@
     pub(super) budget: RefCell<Budget>,
     pub(super) pool: RefCell<Pool>,
     queue: RefCell<Queue>,
-    waiting: RefCell<Vec<(Ticket, oneshot::Sender<Seat>)>>,
+    waiting: RefCell<Vec<(Ticket, Offer)>>,
     arrivals: RefCell<Vec<(ModelRef, u32)>>,
     heard_ms: Cell<Option<u64>>,
     /// The route table that targets are chosen from.
@@ -132,8 +135,9 @@
     }
 
     fn seat(&self, place: usize, model: Option<&ModelRef>, tokens: u64) -> Seat {
+        let begun_ms = self.now_ms();
         let mut fleet = self.fleet.borrow_mut();
-        fleet.begin(place, model, tokens);
+        fleet.begin(begun_ms, place, model, tokens);
         let target = fleet.target(place);
         Seat {
             shared: Weak::clone(&self.own),
@@ -144,11 +148,21 @@
             table: self.table.get(),
             model: model.cloned(),
             unread_tokens: tokens,
+            begun_ms,
+            is_answered: false,
         }
     }
 
     /// Waits for a seat. Dropping the future leaves the queue.
-    pub(super) async fn wait(&self, id: &str, mut waiter: Waiter, why: Choice) -> Option<Seat> {
+    ///
+    /// # Errors
+    /// Why none can come while the request may wait.
+    pub(super) async fn wait(
+        &self,
+        id: &str,
+        mut waiter: Waiter,
+        why: Choice,
+    ) -> Result<Seat, Choice> {
         let ticket = self.queue.borrow_mut().next_ticket();
         waiter.ticket = ticket;
         let is_new_demand = matches!(why, Choice::NoReplica);
@@ -161,9 +175,10 @@
         if is_new_demand {
             self.demand_wake.notify_one();
         }
-        let seat = seat.await.ok();
+        let seat = seat.await;
         drop(leave);
-        seat
+        // The sender is kept for as long as the request waits.
+        seat.unwrap_or(Err(why))
     }
 
     /// Gives free targets to those who wait.
@@ -183,8 +198,9 @@
             let choice = self.fleet.borrow().choose(now_ms, &wish);
             match choice {
                 Choice::Target(place) => {
-                    Some(self.seat(place, waiter.model.as_ref(), waiter.tokens))
+                    Some(Ok(self.seat(place, waiter.model.as_ref(), waiter.tokens)))
                 }
+                Choice::Paused { .. } => Some(Err(choice)),
                 Choice::Full | Choice::NoReplica | Choice::NoTarget => None,
             }
         });
@@ -211,6 +227,14 @@
         if notice.is_leaving {
             self.pool.borrow_mut().forget(target, life);
         }
+        let Some(pause_ms) = notice.pause_ms.filter(|pause_ms| *pause_ms > 0) else { return };
+        let (now_ms, salt) = (self.now_ms(), self.next_salt());
+        if self.fleet.borrow_mut().pauses(now_ms, target, life, pause_ms, salt) {
+            log::info!("target {target} of life {life} asks to be left alone for {pause_ms} ms");
+            metrics::counter!("fescuebay_target_pauses_total").increment(1);
+            // Those who wait for it are told at once.
+            self.pump();
+        }
     }
 
     /// A new number for the next choice among targets.
@@ -235,6 +259,7 @@
     match choice {
         Choice::Target(_) => "a target is free",
         Choice::Full => "all targets are full",
+        Choice::Paused { .. } => "all targets ask to be left alone",
         Choice::NoReplica => "no target holds the model",
         Choice::NoTarget => "the service has no targets",
     }
@@ -265,9 +290,19 @@
     pub table: feed::Cursor,
     model: Option<ModelRef>,
     unread_tokens: u64,
+    begun_ms: u64,
+    is_answered: bool,
 }
 
 impl Seat {
+    /// The target has begun to answer.
+    pub fn note_answered(&mut self) {
+        if let Some(shared) = self.shared.upgrade().filter(|_| !self.is_answered) {
+            shared.fleet.borrow_mut().answered(self.begun_ms, &self.target, self.life);
+        }
+        self.is_answered = true;
+    }
+
     /// The target has read the prompt: its first event came.
     pub(super) fn note_read(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
@@ -281,7 +316,12 @@
     fn drop(&mut self) {
         self.note_read();
         let Some(shared) = self.shared.upgrade() else { return };
-        shared.fleet.borrow_mut().end(&self.target, self.life, self.model.as_ref());
+        let mut fleet = shared.fleet.borrow_mut();
+        fleet.end(&self.target, self.life, self.model.as_ref());
+        if !self.is_answered {
+            fleet.unanswered(self.begun_ms, &self.target, self.life);
+        }
+        drop(fleet);
         shared.pump();
     }
 }
--- a/src/gateway/wait.rs
+++ b/src/gateway/wait.rs
@@ -39,6 +39,7 @@
             let learned_ms = LEARN_MS.saturating_sub(case.learning_ms.unwrap_or(0));
             limit_ms.min(learned_ms)
         }
+        Choice::Paused { .. } => 0,
         Choice::Target(_) | Choice::Full | Choice::NoReplica => limit_ms,
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -41,7 +41,7 @@
     let wish = Wish { service: &service, model: None, prompt: None, avoid, salt: 1 };
     match fleet.choose(now_ms, &wish) {
         Choice::Target(at) => Some(fleet.target(at).entry.target.to_string()),
-        Choice::Full | Choice::NoReplica | Choice::NoTarget => None,
+        Choice::Full | Choice::Paused { .. } | Choice::NoReplica | Choice::NoTarget => None,
     }
 }
 
@@ -52,7 +52,7 @@
     for _ in 0..12 {
         let Some(name) = chosen(&fleet, 0, &[]) else { break };
         let place = usize::from(name == "t2");
-        fleet.begin(place, None, 0);
+        fleet.begin(0, place, None, 0);
         counts[place] += 1;
     }
     assert_eq!(counts, [6, 6]);
@@ -79,8 +79,8 @@
 #[test]
 fn a_target_with_prompts_to_read_gets_the_next_request_last() {
     let mut fleet = fleet(&[entry("t1", "b", 64), entry("t2", "b", 64)]);
-    fleet.begin(0, None, 3_800);
-    (0..4).for_each(|_| fleet.begin(1, None, 0));
+    fleet.begin(0, 0, None, 3_800);
+    (0..4).for_each(|_| fleet.begin(0, 1, None, 0));
     assert_eq!(chosen(&fleet, 0, &[]).as_deref(), Some("t2"));
     fleet.read(&"t1".parse().unwrap(), Incarnation(1), 3_800);
     assert_eq!(chosen(&fleet, 0, &[]).as_deref(), Some("t1"));
@@ -112,14 +112,14 @@
 #[test]
 fn a_new_life_of_a_target_begins_without_the_requests_of_the_old_one() {
     let mut fleet = fleet(&[entry("t1", "a", 1)]);
-    fleet.begin(0, None, 0);
+    fleet.begin(0, 0, None, 0);
     assert_eq!(chosen(&fleet, 0, &[]), None);
     let mut reborn = entry("t1", "a", 1);
     reborn.incarnation = Incarnation(2);
     fleet.set_entries(&[reborn]);
     assert_eq!(chosen(&fleet, 0, &[]).as_deref(), Some("t1"));
     fleet.end(&"t1".parse().unwrap(), Incarnation(1), None);
-    fleet.begin(0, None, 0);
+    fleet.begin(0, 0, None, 0);
     assert_eq!(chosen(&fleet, 0, &[]), None, "the end of an old request frees nothing");
 }
 
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -134,13 +134,13 @@
         let mut fleet = Fleet::new("z".parse().unwrap());
         fleet.set_entries(&[a.entry("app", &[])]);
         assert_eq!(fleet.choose(0, &wish), Choice::Target(0));
-        assert!(fleet.may_send(&target, life));
+        assert!(fleet.may_send(0, &target, life));
         assert!(fleet.leaves(&target, life), "it is new");
-        assert!(!fleet.may_send(&target, life));
+        assert!(!fleet.may_send(0, &target, life));
         assert!(!fleet.leaves(&target, life), "it is known");
         let left = fescuebay::membership::table::Standing::Leaving;
         let mut fleet = Fleet::new("z".parse().unwrap());
         fleet.set_entries(&[Entry { standing: left, ..a.entry("app", &[]) }]);
-        assert!(!fleet.may_send(&target, life), "the table says so");
+        assert!(!fleet.may_send(0, &target, life), "the table says so");
     });
 }
