Answers without end cost their connection, and no memory of the router

A head was read up to 400 KB, interim answers until the request's time was over, a body up to 16 MB into memory, an event up to 1 MB and searched anew with each byte.

A connection to a target now yields 64 KiB until an answer has begun and 16 MiB with it (web::bounded); then it is closed, and the attempt counts as broken: it may have run. A head has 32 KiB. An answer of more than 64 KiB is passed on as it comes, and is cut without looking whole where it does not end; an event may have 64 KiB.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,15 +15,18 @@
 use super::fleet::Wish;
 use super::next::Failure;
 use super::shared::Shared;
+use crate::ids::TargetId;
 use crate::routes::Kind;
 use crate::web::{self, Body};
 
 /// Silence in a resumable stream after which another target goes on with it.
 const STALL_MS: u64 = 1_500;
 /// Largest part of an event that is kept until the rest comes, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-/// Largest answer that is read whole before it is passed on, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+const MAX_EVENT_BYTES: usize = 64 << 10;
+/// Length of the longest end of an event, in bytes.
+const EVENT_END_BYTES: usize = 4;
+/// Bytes of an answer that are held until it is whole. A larger one is passed on as it comes.
+const HELD_BYTES: usize = 64 << 10;
 
 /// Makes the caller's answer of a target's. A stream is answered once its first event has come.
 pub(super) async fn answer(
@@ -45,9 +48,12 @@
 ) -> Result<http::Response<Body>, Failure> {
     let Attempt { seat, connection, head, body, sent_ms } = attempt;
     let limit = Duration::from_millis(job.left_ms(shared));
-    let read = tokio::time::timeout(limit, web::collect(body, MAX_ANSWER_BYTES)).await;
-    let bytes = match read {
-        Ok(Ok(bytes)) => bytes,
+    let bytes = match tokio::time::timeout(limit, web::begin(body, HELD_BYTES)).await {
+        Ok(Ok(web::Begun::Whole(bytes))) => bytes,
+        Ok(Ok(web::Begun::More(first, body))) => {
+            let attempt = Attempt { seat, connection, head, body, sent_ms };
+            return Ok(pass_on(Stream::new(shared, job, attempt), first));
+        }
         Ok(Err(_)) => return Err(Failure::Broken),
         Err(_) => return Err(Failure::Silent),
     };
@@ -133,6 +139,10 @@
 struct Stream {
     shared: Rc<Shared>,
     job: Rc<Job>,
+    /// The first target that answered, and the head of its answer.
+    target: TargetId,
+    head: http::response::Parts,
+    sent_ms: u64,
     attempt: Option<Attempt>,
     /// Bytes of an event that is not whole yet.
     partial: BytesMut,
@@ -156,32 +166,31 @@
     job: &Rc<Job>,
     attempt: Attempt,
 ) -> Result<http::Response<Body>, Failure> {
-    let mut headers = attempt.head.headers.clone();
-    headers.remove(header::CONTENT_LENGTH);
-    let (status, sent_ms) = (attempt.head.status, attempt.sent_ms);
-    let target = attempt.seat.target.clone();
-    let mut stream = Stream {
-        shared: Rc::clone(shared),
-        job: Rc::clone(job),
-        attempt: Some(attempt),
-        partial: BytesMut::new(),
-        last_event: job.facts.last_event.clone(),
-        has_delivered: false,
-    };
+    let mut stream = Stream::new(shared, job, attempt);
     let first = match stream.part().await {
         Part::Bytes(bytes) => bytes,
         Part::End => Bytes::new(),
         Part::Failed(failure) => return Err(failure),
     };
+    if let Some(prompt) = job.facts.prompt.iter().rev().nth(1) {
+        shared.fleet.borrow_mut().remember(prompt.0, &stream.target);
+    }
+    Ok(pass_on(stream, first))
+}
+
+/// The caller's answer: what came first, and the rest as it comes.
+fn pass_on(mut stream: Stream, first: Bytes) -> http::Response<Body> {
     stream.has_delivered = true;
     if let Some(attempt) = &mut stream.attempt {
         attempt.seat.note_read();
     }
-    let now_ms = shared.now_ms();
-    if let Some(prompt) = job.facts.prompt.iter().rev().nth(1) {
-        shared.fleet.borrow_mut().remember(prompt.0, &target);
-    }
-    answered(job, target.as_str(), status, now_ms.saturating_sub(sent_ms));
+    let first_ms = stream.shared.now_ms().saturating_sub(stream.sent_ms);
+    answered(&stream.job, stream.target.as_str(), stream.head.status, first_ms);
+    let mut response = http::Response::new(());
+    *response.status_mut() = stream.head.status;
+    *response.headers_mut() = end_to_end(stream.head.headers.clone());
+    // It may be broken off, so its length is not promised.
+    response.headers_mut().remove(header::CONTENT_LENGTH);
     let rest = stream::unfold(Some(stream), |stream| async move {
         let mut stream = stream?;
         match stream.next().await {
@@ -193,13 +202,24 @@
     let first = stream::once(std::future::ready(Ok(Frame::data(first))));
     let body: Pin<Box<dyn http_body::Body<Data = Bytes, Error = web::Error>>> =
         Box::pin(StreamBody::new(futures::StreamExt::chain(first, rest)));
-    let mut response = http::Response::new(body);
-    *response.status_mut() = status;
-    *response.headers_mut() = end_to_end(headers);
-    Ok(response)
+    response.map(|()| body)
 }
 
 impl Stream {
+    fn new(shared: &Rc<Shared>, job: &Rc<Job>, attempt: Attempt) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            job: Rc::clone(job),
+            target: attempt.seat.target.clone(),
+            head: attempt.head.clone(),
+            sent_ms: attempt.sent_ms,
+            attempt: Some(attempt),
+            partial: BytesMut::new(),
+            last_event: job.facts.last_event.clone(),
+            has_delivered: false,
+        }
+    }
+
     fn is_resumable(&self) -> bool {
         matches!(self.job.route.kind, Kind::Stream { is_resumable: true, .. })
     }
@@ -286,8 +306,10 @@
 
     /// Takes the events that are whole now, and remembers the last of them.
     fn whole_events(&mut self, data: &[u8]) -> Option<Bytes> {
+        // An end may begin in what came before, which has none of its own.
+        let searched = self.partial.len().saturating_sub(EVENT_END_BYTES - 1);
         self.partial.extend_from_slice(data);
-        let end = last_event_end(&self.partial)?;
+        let end = searched + last_event_end(&self.partial[searched..])?;
         let events = self.partial.split_to(end).freeze();
         if let Some(id) = last_id(&events) {
             self.last_event = Some(id);
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -10,12 +10,22 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::JoinHandle;
 
+use super::bounded::{Allowance, Bounded};
 use super::{Error, socket};
 
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Bytes that may come before an answer begins: interim answers, its head, and what is read of its
+/// body with it.
+const MAX_BEFORE_ANSWER_BYTES: usize = 2 * MAX_HEAD_BYTES;
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
 /// A connection. Dropping it closes the socket, also in the middle of an answer.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     task: JoinHandle<()>,
 }
 
@@ -36,13 +46,17 @@
         let Ok(Ok(stream)) = tokio::time::timeout(limit, connecting).await else {
             return Err(Error::Connect);
         };
-        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let allowance = Allowance::default();
+        let stream = TokioIo::new(Bounded::new(stream, allowance.clone()));
+        let mut builder = hyper::client::conn::http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let shaken = builder.handshake(stream).await;
         let (sender, connection) = shaken.map_err(|_| Error::Connect)?;
         let task = tokio::task::spawn_local(async move {
             // An error ends the request that waits, where it is seen.
             let _ = connection.await;
         });
-        Ok(Self { sender, task })
+        Ok(Self { sender, allowance, task })
     }
 
     /// Whether a request can be sent now.
@@ -65,11 +79,14 @@
         request: http::Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, Error> {
         self.sender.ready().await.map_err(|_| Error::Connect)?;
-        self.sender.send_request(request).await.map_err(|error| match error {
+        self.allowance.set(MAX_BEFORE_ANSWER_BYTES);
+        let answer = self.sender.send_request(request).await.map_err(|error| match error {
             _ if error.is_canceled() => Error::Connect,
             _ if error.is_parse() => Error::Malformed,
             _ => Error::Broken,
-        })
+        })?;
+        self.allowance.set(MAX_ANSWER_BYTES);
+        Ok(answer)
     }
 }
 
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 on one thread: a server, connections to peers, and the options of their sockets.
 
+mod bounded;
 pub mod client;
 pub mod server;
 pub mod socket;
@@ -7,7 +8,7 @@
 use std::fmt;
 use std::pin::Pin;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
 
 /// The body of an answer. It stays on the thread that made it.
@@ -60,6 +61,35 @@
     response
 }
 
+/// A body of which a first part was read.
+pub enum Begun {
+    /// It is whole.
+    Whole(Bytes),
+    /// It goes on after these bytes.
+    More(Bytes, hyper::body::Incoming),
+}
+
+/// Reads a body until it is whole or more than `held_bytes` of it have come.
+///
+/// # Errors
+/// [`Error::Broken`] when the connection ends before the body does.
+pub async fn begin(
+    mut body: hyper::body::Incoming,
+    held_bytes: usize,
+) -> std::result::Result<Begun, Error> {
+    let mut first = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Error::Broken)?;
+        if let Ok(data) = frame.into_data() {
+            first.extend_from_slice(&data);
+        }
+        if first.len() > held_bytes {
+            return Ok(Begun::More(first.freeze(), body));
+        }
+    }
+    Ok(Begun::Whole(first.freeze()))
+}
+
 /// Reads a whole body of at most `limit_bytes`.
 ///
 /// # Errors
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -32,10 +32,15 @@
     WriteAndClose(String),
     /// Writes a signed stream of so many events, one after each gap.
     Stream { events: usize, gap_ms: u64 },
+    /// Writes bytes and then others again and again, until the caller closes the connection.
+    Flood(String, &'static str),
     /// Writes bytes and then nothing more, for as long as the caller stays.
     WriteAndHang(String),
 }
 
+/// Bytes that a flood writes at once.
+const FLOOD_CHUNK_BYTES: usize = 4 << 10;
+
 /// What a target has seen.
 #[derive(Default)]
 pub struct Seen {
@@ -141,6 +146,15 @@
                     return;
                 }
             }
+            Act::Flood(text, more) => {
+                let _ = stream.write_all(fill(&text).as_bytes()).await;
+                let chunk = more.repeat(FLOOD_CHUNK_BYTES / more.len() + 1);
+                while stream.write_all(chunk.as_bytes()).await.is_ok() {
+                    tokio::task::yield_now().await;
+                }
+                seen.borrow_mut().left += 1;
+                return;
+            }
             Act::WriteAndHang(text) => {
                 let _ = stream.write_all(fill(&text).as_bytes()).await;
                 let mut byte = [0; 1];
