--- a/src/coordinator/api.rs
+++ b/src/coordinator/api.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -15,6 +16,10 @@
 
 /// Largest body of a call, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Time for the body of a call.
+const BODY_LIMIT: Duration = Duration::from_millis(5_000);
+/// Bodies of calls that are in memory at once, in bytes.
+pub const MAX_BODIES_BYTES: usize = 32 << 20;
 /// Time for one try to reach the leader.
 const TRY_MS: u64 = 800;
 /// Time after which a call is answered that the leader is not there. Callers wait for a second.
@@ -76,6 +81,8 @@
     pub decode: routes::Decode,
     /// The port at which every voter takes calls.
     pub port: u16,
+    /// Reads the bodies of calls.
+    pub intake: web::intake::Intake,
 }
 
 impl Api {
@@ -85,12 +92,16 @@
         request: http::Request<Incoming>,
     ) -> http::Response<web::Body> {
         let (head, body) = request.into_parts();
-        let answer = match web::collect(body, MAX_BODY_BYTES).await {
-            Ok(body) => match self.protocol.read(&head, body) {
+        let answer = match self.intake.collect(body, MAX_BODY_BYTES, BODY_LIMIT).await {
+            Ok(body) => match self.protocol.read(&head, body.bytes().clone()) {
                 Ok(call) => self.answer(call).await,
                 Err(answer) => answer,
             },
             Err(web::Error::TooLarge) => Answer::Invalid("the body is too large".to_owned()),
+            Err(error @ (web::Error::Full | web::Error::Timeout)) => {
+                log::warn!("{} {} is not answered: {error}", head.method, head.uri.path());
+                Answer::Unavailable
+            }
             Err(error) => Answer::Invalid(format!("the body cannot be read: {error}")),
         };
         if let Answer::Invalid(reason) = &answer {
--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -16,6 +16,7 @@
 use crate::peer;
 use crate::placement::swap::{self, demand};
 use crate::settings::vm;
+use crate::web;
 use crate::web::server::{self, Phase};
 use crate::{routes, stop};
 
@@ -109,6 +110,7 @@
         protocol: parts.protocol,
         decode: parts.decode,
         port: control.port(),
+        intake: web::intake::Intake::new(api::MAX_BODIES_BYTES),
     });
     let handler = server::handler(move |request| {
         let api = Rc::clone(&api);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -46,7 +46,7 @@
     pub method: Method,
     pub uri: http::Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: web::intake::Held,
     pub arrived_ms: u64,
     pub end_ms: u64,
     /// Targets that failed it.
@@ -114,9 +114,14 @@
     let Some(route) = index.find(&host(&head), head.uri.path()) else {
         return refuse(Why::NoRoute);
     };
-    let body = match web::collect(body, index.document().limits.max_body_bytes).await {
+    let patience_ms = facts.patience_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let left = Duration::from_millis((arrived_ms + patience_ms).saturating_sub(shared.now_ms()));
+    let limit_bytes = index.document().limits.max_body_bytes;
+    let body = match shared.intake.collect(body, limit_bytes, left).await {
         Ok(body) => body,
         Err(web::Error::TooLarge) => return refuse(Why::BodyTooLarge),
+        Err(web::Error::Timeout) => return refuse(Why::BodyLate),
+        Err(web::Error::Full) => return refuse(Why::BodiesFull),
         // The caller left.
         Err(_) => return Answer::Close,
     };
@@ -124,7 +129,6 @@
     let Some(destination) = index::destination(route, draw) else {
         return refuse(Why::NoService);
     };
-    let patience_ms = facts.patience_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let job = Job {
         service: destination.service.clone(),
         route: Rc::new(route.clone()),
@@ -394,7 +398,7 @@
         rank: job.route.rank,
         last_event,
     };
-    let mut request = http::Request::new(Full::new(job.body.clone()));
+    let mut request = http::Request::new(Full::new(job.body.bytes().clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = shared.protocol.forward(&job.headers, &dispatch);
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -26,6 +26,10 @@
     NoRoute,
     /// The body is larger than the document allows.
     BodyTooLarge,
+    /// The body did not come in the time that the request has.
+    BodyLate,
+    /// The bodies of other requests leave no room for this one.
+    BodiesFull,
     /// The route leads to no service.
     NoService,
     /// The service has no targets.
@@ -50,6 +54,8 @@
             Why::NoDocument => "no document is known yet",
             Why::NoRoute => "no route matches",
             Why::BodyTooLarge => "the body is too large",
+            Why::BodyLate => "the body did not come in time",
+            Why::BodiesFull => "other bodies leave no room",
             Why::NoService => "the route has no service",
             Why::NoTargets => "the service has no targets",
             Why::NoneFree => "no target was free in time",
@@ -74,6 +80,7 @@
         match self {
             Why::NoRoute => StatusCode::NOT_FOUND,
             Why::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Why::BodyLate => StatusCode::REQUEST_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,6 +18,10 @@
 use crate::membership::{feed, table};
 use crate::placement::swap::demand;
 use crate::routes::{self, index};
+use crate::web;
+
+/// Bodies of callers that are in memory at once, in bytes: a VM of a router is small.
+const MAX_BODIES_BYTES: usize = 32 << 20;
 
 /// Tells a request that waits of its seat, or why none can come.
 type Offer = oneshot::Sender<Result<Seat, Choice>>;
@@ -33,6 +37,8 @@
     pub(super) fleet: RefCell<Fleet>,
     pub(super) budget: RefCell<Budget>,
     pub(super) pool: RefCell<Pool>,
+    /// Reads the bodies of callers.
+    pub(super) intake: web::intake::Intake,
     queue: RefCell<Queue>,
     waiting: RefCell<Vec<(Ticket, Offer)>>,
     arrivals: RefCell<Vec<(ModelRef, u32)>>,
@@ -379,6 +385,7 @@
             fleet: RefCell::new(Fleet::new(self.zone)),
             budget: RefCell::new(Budget::new(self.budget)),
             pool: RefCell::default(),
+            intake: web::intake::Intake::new(MAX_BODIES_BYTES),
             queue: RefCell::default(),
             waiting: RefCell::default(),
             arrivals: RefCell::default(),
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -2,6 +2,7 @@
 
 mod bounded;
 pub mod client;
+pub mod intake;
 pub mod server;
 pub mod socket;
 
@@ -27,8 +28,10 @@
     Malformed,
     /// The body is larger than allowed.
     TooLarge,
-    /// The answer took too long.
+    /// An answer or a body took too long.
     Timeout,
+    /// Other bodies leave no room for this one.
+    Full,
 }
 
 impl fmt::Display for Error {
@@ -39,7 +42,8 @@
             Error::Broken => "the connection broke",
             Error::Malformed => "what came is not HTTP",
             Error::TooLarge => "the body is larger than allowed",
-            Error::Timeout => "no answer came in time",
+            Error::Timeout => "it did not come in time",
+            Error::Full => "other bodies leave no room for it",
         })
     }
 }
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -4,10 +4,13 @@
 
 use std::rc::Rc;
 
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
 use gateway_support::{
     Act, END, Router, Target, answer, events, eventually, header, on_one_thread, status,
 };
 
+const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 const CHUNK: &str = "4\r\nxxxx\r\n";
 
 /// The head of a signed answer whose body ends with its connection.
@@ -152,3 +155,28 @@
         });
     }
 }
+
+/// The load: a caller who stops in the middle of a body, and one who never ends it.
+#[test]
+fn a_caller_whose_body_does_not_end_is_answered_within_its_time() {
+    on_one_thread(async {
+        let target = Target::start("a", vec![Act::Write(answer("200 OK", "x"))]).await;
+        let router = Router::start(vec![target.entry("app", &[])]).await;
+        let cases = [("Content-Length: 900\r\n", "half", 408), (CHUNKED, "bb8\r\n", 413)];
+        for (headers, begin, expected) in cases {
+            let mut stream = tokio::net::TcpStream::connect(router.address).await.unwrap();
+            let head = format!(
+                "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n\
+                 Deadline-Ms: 300\r\n{headers}\r\n{begin}"
+            );
+            stream.write_all(head.as_bytes()).await.unwrap();
+            if expected == 413 {
+                stream.write_all("x".repeat(3_000).as_bytes()).await.unwrap();
+            }
+            let mut answer = vec![0; 256];
+            let count = stream.read(&mut answer).await.unwrap();
+            assert_eq!(status(&String::from_utf8_lossy(&answer[..count])), expected);
+        }
+        assert_eq!(target.requests(), 0, "nothing was passed on");
+    });
+}
--- /dev/null
+++ b/tests/web_intake.rs
@@ -0,0 +1,88 @@
+//! Bodies of many senders at once, read within a common bound.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use fescuebay::web::intake::{Held, Intake};
+use fescuebay::web::server::{self, Answer, Phase};
+use fescuebay::web::{self, Error};
+use http::StatusCode;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// A server that keeps the bodies which it gets, and tells by a status why it took none.
+async fn keeper(limit: Duration) -> (SocketAddr, Rc<RefCell<Vec<Held>>>, watch::Sender<Phase>) {
+    let intake = Intake::new(1_000);
+    let kept = Rc::new(RefCell::new(Vec::new()));
+    let bodies = Rc::clone(&kept);
+    let handler: server::Handler = Rc::new(move |request| {
+        let (intake, bodies) = (intake.clone(), Rc::clone(&bodies));
+        Box::pin(async move {
+            let status = match intake.collect(request.into_body(), 600, limit).await {
+                Ok(held) => {
+                    bodies.borrow_mut().push(held);
+                    StatusCode::OK
+                }
+                Err(Error::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+                Err(Error::Full) => StatusCode::SERVICE_UNAVAILABLE,
+                Err(Error::Timeout) => StatusCode::REQUEST_TIMEOUT,
+                Err(_) => StatusCode::BAD_REQUEST,
+            };
+            Answer::Send(web::empty(status))
+        })
+    });
+    let listener = server::listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (phase, phases) = watch::channel(Phase::Open);
+    let settings = || server::Settings { head_timeout_ms: 60_000, max_head_bytes: 16 << 10 };
+    tokio::task::spawn_local(server::serve(listener, settings, handler, phases));
+    (address, kept, phase)
+}
+
+/// Sends so many bytes of a body of `length` and returns the status of the answer.
+async fn send(to: SocketAddr, length: usize, sent: usize) -> u16 {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let head = format!("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all("x".repeat(sent).as_bytes()).await.unwrap();
+    let mut answer = vec![0; 256];
+    let count = stream.read(&mut answer).await.unwrap();
+    let text = String::from_utf8_lossy(&answer[..count]).into_owned();
+    text.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0)
+}
+
+fn on_one_thread(case: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, case);
+}
+
+/// The load: more bodies at once than there is room for.
+#[test]
+fn bodies_that_leave_no_room_for_another_one_have_it_refused_until_they_are_gone() {
+    on_one_thread(async {
+        let (address, kept, _phase) = keeper(Duration::from_secs(60)).await;
+        assert_eq!(send(address, 600, 600).await, 200);
+        assert_eq!(send(address, 601, 601).await, 413, "larger than any may be");
+        assert_eq!(send(address, 600, 600).await, 503, "no room beside the first");
+        assert_eq!(send(address, 400, 400).await, 200, "what was refused left its room");
+        assert_eq!(kept.borrow()[0].bytes().len(), 600);
+        kept.borrow_mut().clear();
+        assert_eq!(send(address, 600, 600).await, 200);
+    });
+}
+
+/// The load: senders that stop in the middle of a body.
+#[test]
+fn a_body_that_does_not_come_ends_at_its_limit_and_leaves_its_room() {
+    on_one_thread(async {
+        let (address, kept, _phase) = keeper(Duration::from_millis(50)).await;
+        for _ in 0..20 {
+            assert_eq!(send(address, 600, 500).await, 408);
+        }
+        assert_eq!(send(address, 600, 600).await, 200);
+        assert_eq!(kept.borrow().len(), 1);
+    });
+}
