Own interface: heads and events without end are given up, and nothing is read after an end

A head has 32 KiB and an event 64 KiB now, and the parts of an answer end with the first end or error, in one place for streams and plain bodies. Interim answers are bounded by the time of the call alone: open.

--- a/src/target/http.rs
+++ b/src/target/http.rs
@@ -3,6 +3,7 @@
 //! Each target has a pool of connections. A pool whose connections may have gone silent is
 //! replaced as a whole: calls that run keep their connections, new calls get new ones.
 
+use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use error_stack::Report;
 use eventsource_stream::Eventsource;
 use futures::future::BoxFuture;
-use futures::stream::{self, BoxStream, StreamExt};
+use futures::stream::{self, BoxStream, Stream, StreamExt};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -34,6 +35,10 @@
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest answer to an order or a question about the state.
 const MAX_STATE_BYTES: usize = 8 << 20;
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Largest event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 type Client = legacy::Client<HttpConnector, Full<Bytes>>;
 
@@ -210,6 +215,7 @@
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .build(connector)
 }
 
@@ -251,32 +257,57 @@
     first_offset: u64,
 ) -> BoxStream<'static, call::Result<call::Part>> {
     let mut next_offset = first_offset;
-    let mut is_ended = false;
-    let source = body.into_data_stream().eventsource();
+    let source = within_event_limit(body).eventsource();
     let end = stream::once(async { None });
-    let parts = source.map(Some).chain(end).filter_map(move |event| {
-        let part = match event {
-            _ if is_ended => None,
-            Some(Ok(event)) if event.data == END_OF_STREAM => {
-                is_ended = true;
-                Some(Ok(call::Part::End))
-            }
-            Some(Ok(event)) => {
-                let offset = event.id.parse().unwrap_or(next_offset);
-                next_offset = offset + 1;
-                Some(Ok(call::Part::Event { offset, data: event.data.into() }))
-            }
-            Some(Err(_)) => {
-                is_ended = true;
-                Some(Err(failed(&target, call::Cause::Broken)))
-            }
-            None => Some(Err(failed(&target, call::Cause::Truncated))),
-        };
-        std::future::ready(part)
+    let parts = source.map(Some).chain(end).map(move |event| match event {
+        Some(Ok(event)) if event.data == END_OF_STREAM => Ok(call::Part::End),
+        Some(Ok(event)) => {
+            let offset = event.id.parse().unwrap_or(next_offset);
+            next_offset = offset + 1;
+            Ok(call::Part::Event { offset, data: event.data.into() })
+        }
+        Some(Err(_)) => Err(failed(&target, call::Cause::Broken)),
+        None => Err(failed(&target, call::Cause::Truncated)),
+    });
+    until_last(parts)
+}
+
+/// The parts up to an end or an error: what a target sends after it is not read.
+fn until_last(
+    parts: impl Stream<Item = call::Result<call::Part>> + Send + 'static,
+) -> BoxStream<'static, call::Result<call::Part>> {
+    let parts = stream::unfold(Some(parts.boxed()), |parts| async move {
+        let mut parts = parts?;
+        let part = parts.next().await?;
+        let goes_on = matches!(part, Ok(call::Part::Event { .. } | call::Part::Bytes(_)));
+        Some((part, goes_on.then_some(parts)))
     });
     parts.boxed()
 }
 
+/// The bytes of events, and an error where one of them is larger than it may be: its end is waited
+/// for in memory.
+fn within_event_limit(body: hyper::body::Incoming) -> impl Stream<Item = io::Result<Bytes>> {
+    let (mut event_bytes, mut line_bytes) = (0, 0);
+    body.into_data_stream().map(move |data| {
+        let data = data.map_err(io::Error::other)?;
+        for byte in &data {
+            event_bytes += 1;
+            match byte {
+                // An empty line ends an event.
+                b'\n' if line_bytes == 0 => event_bytes = 0,
+                b'\n' => line_bytes = 0,
+                b'\r' => {}
+                _ => line_bytes += 1,
+            }
+            if event_bytes > MAX_EVENT_BYTES {
+                return Err(io::Error::other("an event is larger than it may be"));
+            }
+        }
+        Ok(data)
+    })
+}
+
 /// The bytes of a plain body, and its end where the body tells it.
 fn plain(
     target: TargetId,
@@ -295,13 +326,7 @@
         Err(_) => Err(failed(&target, call::Cause::Broken)),
     });
     // Nothing follows an error, so that an end is only told after a whole body.
-    let mut has_failed = false;
-    let parts = bytes.chain(end).take_while(move |part| {
-        let is_wanted = !has_failed;
-        has_failed |= part.is_err();
-        std::future::ready(is_wanted)
-    });
-    parts.boxed()
+    until_last(bytes.chain(end))
 }
 
 fn failed(target: &TargetId, cause: call::Cause) -> Report<call::Error> {
--- a/tests/target_http.rs
+++ b/tests/target_http.rs
@@ -143,3 +143,53 @@
         assert_eq!(seen, expected, "{text:?}");
     }
 }
+
+/// Answers one connection with `text` and then with `more` until it is closed. Returns how many bytes
+/// it had written by then.
+async fn serve_without_end(
+    text: &'static str,
+    more: &'static str,
+) -> (SocketAddr, tokio::task::JoinHandle<usize>) {
+    let listener = tokio::net::TcpListener::bind((LOOPBACK, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4096];
+        let _ = socket.read(&mut buffer).await.unwrap();
+        socket.write_all(text.as_bytes()).await.unwrap();
+        let chunk = more.repeat(1_000);
+        let mut written = 0;
+        while socket.write_all(chunk.as_bytes()).await.is_ok() {
+            written += chunk.len();
+        }
+        written
+    });
+    (address, served)
+}
+
+/// Bytes that a connection may take beyond what is read of it: buffers of the system.
+const SYSTEM_BUFFERS_BYTES: usize = 16 << 20;
+
+#[tokio::test]
+async fn a_head_or_an_event_without_end_is_given_up_after_a_bounded_part_of_it() {
+    let stream_head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: x\n\ndata: ";
+    let whole_stream = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: x\n\n\
+                        data: [DONE]\n\n";
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nx-a: ", "a", "call: Broken"),
+        ("HTTP/1.1 200 OK\r\n", "x-a: b\r\n", "call: Broken"),
+        (stream_head, "y", "event 0, Broken"),
+        (whole_stream, "y", "event 0, end"),
+    ];
+    for (text, more, expected) in cases {
+        let (address, served) = serve_without_end(text, more).await;
+        let http = adapter(address);
+        let seen = match http.call(attempt("/x", "{}")).await {
+            Ok(answer) => parts(answer).await.join(", "),
+            Err(report) => format!("call: {:?}", report.current_context().cause),
+        };
+        assert_eq!(seen, expected, "{text:?}");
+        let written = served.await.unwrap();
+        assert!(written < SYSTEM_BUFFERS_BYTES, "{text:?}: {written} bytes");
+    }
+}
