--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -29,6 +29,8 @@
         why: &'a str,
         /// Requests that wait at this router.
         waiting: usize,
+        /// Targets of its service that take nothing now by their own word.
+        closed: usize,
     },
     /// It was sent to a target.
     Sent {
@@ -40,6 +42,8 @@
         attempt: u32,
         /// Requests in flight there, as far as known.
         in_flight: u32,
+        /// Targets of its service that take nothing now by their own word.
+        closed: usize,
         /// The route table that it was chosen from, as term and number.
         table: String,
         /// How long ago a leader last told of the targets.
@@ -118,6 +122,7 @@
         Failure::NotRun => "not run",
         Failure::Lacking => "lacking",
         Failure::Broken => "broken",
+        Failure::TooLarge => "too large",
         Failure::Foreign => "foreign",
         Failure::Silent => "silent",
         Failure::Failed => "failed",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -337,6 +337,7 @@
             life: seat.life.0,
             attempt: job.attempts.get(),
             in_flight: seat.in_flight,
+            closed: shared.fleet.borrow().closed(sent_ms, &job.service),
             table: seat.table.to_string(),
             table_age_ms: shared.table_age_ms(),
             after_ms: job.after_ms(shared),
@@ -347,6 +348,7 @@
         Ok(Ok(response)) => response.into_parts(),
         Ok(Err(web::Error::Connect)) => return Err(Failure::NotSent),
         Ok(Err(web::Error::Malformed)) => return Err(Failure::Foreign),
+        Ok(Err(web::Error::TooLarge)) => return Err(Failure::TooLarge),
         Ok(Err(_)) => return Err(Failure::Broken),
         Err(_) => return Err(Failure::Silent),
     };
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -262,6 +262,19 @@
         self.gates.pauses(target, life, now_ms + pause_ms + later_ms as u64)
     }
 
+    /// Targets of a service that take nothing now by their own word, whatever the table shows.
+    pub fn closed(&self, now_ms: u64, service: &ServiceName) -> usize {
+        if self.gates.is_empty() {
+            return 0;
+        }
+        let of_service = self.targets.iter().filter(|target| target.serves(service));
+        let is_closed = |target: &&Target| {
+            let gate = self.gates.of(now_ms, &target.entry.target, target.entry.incarnation);
+            matches!(gate, Gate::Leaving | Gate::Paused { .. })
+        };
+        of_service.filter(is_closed).count()
+    }
+
     /// A target answered a request that was given to it at `begun_ms`.
     pub fn answered(&mut self, begun_ms: u64, target: &TargetId, life: Incarnation) {
         self.gates.answered(begun_ms, target, life);
--- a/src/gateway/gates.rs
+++ b/src/gateway/gates.rs
@@ -58,6 +58,11 @@
 }
 
 impl Gates {
+    /// Whether no target has said anything.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Whether this life of a target takes requests.
     pub fn of(&self, now_ms: u64, target: &TargetId, life: Incarnation) -> Gate {
         let place = self.place(target);
--- a/src/gateway/next.rs
+++ b/src/gateway/next.rs
@@ -15,6 +15,8 @@
     Lacking,
     /// The connection ended before the whole answer came.
     Broken,
+    /// More bytes came than an answer may have.
+    TooLarge,
     /// What came is not the answer to this request.
     Foreign,
     /// No answer came in the time that it may take.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,7 @@
 use futures::stream;
 use http::{HeaderMap, header};
 use http_body::Frame;
-use http_body_util::{BodyExt as _, StreamBody};
+use http_body_util::StreamBody;
 
 use super::events::{self, Event};
 use super::exchange::{self, Attempt, Job};
@@ -54,6 +54,7 @@
             let attempt = Attempt { seat, connection, head, body, sent_ms };
             return Ok(pass_on(Stream::new(shared, job, attempt), first));
         }
+        Ok(Err(web::Error::TooLarge)) => return Err(Failure::TooLarge),
         Ok(Err(_)) => return Err(Failure::Broken),
         Err(_) => return Err(Failure::Silent),
     };
@@ -254,12 +255,12 @@
         loop {
             let wait = Duration::from_millis(self.wait_ms());
             let Some(attempt) = &mut self.attempt else { return Part::Failed(Failure::Broken) };
-            let Ok(frame) = tokio::time::timeout(wait, attempt.body.frame()).await else {
+            let Ok(data) = tokio::time::timeout(wait, web::next_data(&mut attempt.body)).await
+            else {
                 return Part::Failed(Failure::Silent);
             };
-            match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
+            match data {
+                Some(Ok(data)) => {
                     if !self.is_resumable() {
                         return Part::Bytes(data);
                     }
@@ -267,9 +268,10 @@
                         return Part::Bytes(events);
                     }
                     if self.partial.len() > MAX_EVENT_BYTES {
-                        return Part::Failed(Failure::Foreign);
+                        return Part::Failed(Failure::TooLarge);
                     }
                 }
+                Some(Err(web::Error::TooLarge)) => return Part::Failed(Failure::TooLarge),
                 Some(Err(_)) => return Part::Failed(Failure::Broken),
                 None if !self.partial.is_empty() => return Part::Failed(Failure::Broken),
                 None => {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -171,13 +171,14 @@
     ) -> Result<Seat, Choice> {
         let ticket = self.queue.borrow_mut().next_ticket();
         waiter.ticket = ticket;
+        let closed = self.fleet.borrow().closed(self.now_ms(), &waiter.service);
         let is_new_demand = matches!(why, Choice::NoReplica);
         self.queue.borrow_mut().insert(waiter);
         let (sender, seat) = oneshot::channel();
         self.waiting.borrow_mut().push((ticket, sender));
         let leave = Leave { shared: self, ticket };
         let waiting = self.queue.borrow().len();
-        events::emit(id, &events::Event::Queued { why: reason(why), waiting });
+        events::emit(id, &events::Event::Queued { why: reason(why), waiting, closed });
         if is_new_demand {
             self.demand_wake.notify_one();
         }
--- a/src/web/bounded.rs
+++ b/src/web/bounded.rs
@@ -22,6 +22,19 @@
     }
 }
 
+/// Whether an exchange failed since more bytes came than were allowed.
+pub(super) fn is_exceeded(error: &hyper::Error) -> bool {
+    let mut cause = std::error::Error::source(error);
+    while let Some(inner) = cause {
+        let io = inner.downcast_ref::<io::Error>();
+        if io.is_some_and(|io| io.kind() == io::ErrorKind::FileTooLarge) {
+            return true;
+        }
+        cause = inner.source();
+    }
+    error.is_parse_too_large()
+}
+
 /// A connection under an allowance.
 #[derive(Debug)]
 pub(super) struct Bounded<S> {
@@ -46,7 +59,8 @@
         let read = buffer.filled().len() - before;
         let left = self.allowance.0.get();
         if read > left {
-            return Poll::Ready(Err(io::Error::other("more bytes came than are allowed")));
+            let what = "more bytes came than are allowed";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::FileTooLarge, what)));
         }
         self.allowance.set(left - read);
         polled
--- a/src/web/client.rs
+++ b/src/web/client.rs
@@ -10,7 +10,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::JoinHandle;
 
-use super::bounded::{Allowance, Bounded};
+use super::bounded::{self, Allowance, Bounded};
 use super::{Error, socket};
 
 /// Largest head of an answer, in bytes.
@@ -72,8 +72,8 @@
     /// Sends a request and returns the head of its answer.
     ///
     /// # Errors
-    /// [`Error::Connect`] if the connection had ended before anything was sent, [`Error::Malformed`]
-    /// or [`Error::Broken`] otherwise.
+    /// [`Error::Connect`] if the connection had ended before anything was sent, [`Error::TooLarge`],
+    /// [`Error::Malformed`] or [`Error::Broken`] otherwise.
     pub async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
@@ -82,6 +82,7 @@
         self.allowance.set(MAX_BEFORE_ANSWER_BYTES);
         let answer = self.sender.send_request(request).await.map_err(|error| match error {
             _ if error.is_canceled() => Error::Connect,
+            _ if bounded::is_exceeded(&error) => Error::TooLarge,
             _ if error.is_parse() => Error::Malformed,
             _ => Error::Broken,
         })?;
--- a/src/web/intake.rs
+++ b/src/web/intake.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 
 use super::Error;
@@ -68,9 +67,8 @@
     async fn read(&self, mut body: Incoming, limit_bytes: usize) -> Result<Held, Error> {
         let mut share = Share { held_bytes: Rc::clone(&self.held_bytes), bytes: 0 };
         let mut whole = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| Error::Broken)?;
-            let Ok(data) = frame.into_data() else { continue };
+        while let Some(data) = super::next_data(&mut body).await {
+            let data = data?;
             if whole.len() + data.len() > limit_bytes {
                 return Err(Error::TooLarge);
             }
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -65,6 +65,27 @@
     response
 }
 
+/// The next bytes of a body. `None`: it is whole.
+///
+/// # Errors
+/// [`Error::TooLarge`] when more came than its connection may yield, [`Error::Broken`] when that ends
+/// before the body does.
+pub async fn next_data(
+    body: &mut hyper::body::Incoming,
+) -> Option<std::result::Result<Bytes, Error>> {
+    loop {
+        match body.frame().await? {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    return Some(Ok(data));
+                }
+            }
+            Err(error) if bounded::is_exceeded(&error) => return Some(Err(Error::TooLarge)),
+            Err(_) => return Some(Err(Error::Broken)),
+        }
+    }
+}
+
 /// A body of which a first part was read.
 pub enum Begun {
     /// It is whole.
@@ -76,17 +97,14 @@
 /// Reads a body until it is whole or more than `held_bytes` of it have come.
 ///
 /// # Errors
-/// [`Error::Broken`] when the connection ends before the body does.
+/// As [`next_data`].
 pub async fn begin(
     mut body: hyper::body::Incoming,
     held_bytes: usize,
 ) -> std::result::Result<Begun, Error> {
     let mut first = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Error::Broken)?;
-        if let Ok(data) = frame.into_data() {
-            first.extend_from_slice(&data);
-        }
+    while let Some(data) = next_data(&mut body).await {
+        first.extend_from_slice(&data?);
         if first.len() > held_bytes {
             return Ok(Begun::More(first.freeze(), body));
         }
--- a/tests/gateway_explain.rs
+++ b/tests/gateway_explain.rs
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn three_kinds_of_failed_requests_are_explained_by_their_lines() {
+fn failed_requests_are_explained_by_their_lines() {
     log::set_logger(&CAPTURE).unwrap();
     log::set_max_level(log::LevelFilter::Info);
     on_one_thread(async {
@@ -48,6 +48,8 @@
         cut_in_the_middle_of_a_stream().await;
         sent_once_and_answered_502().await;
         failed_twice_and_answered_500().await;
+        refused_since_the_targets_ask_to_be_left_alone().await;
+        cut_for_too_many_bytes().await;
     });
 }
 
@@ -72,6 +74,7 @@
     assert_eq!(names(&story), expected);
     assert_eq!((&story[1]["target"], &story[1]["life"]), (&"a".into(), &1.into()));
     assert!(story[1]["table_age_ms"].is_u64());
+    assert_eq!((&story[1]["table"], &story[1]["closed"]), (&"1.1".into(), &0.into()));
     assert_eq!(story[3]["failure"], "broken");
     assert_eq!(story[4]["how"], "broken");
 }
@@ -102,3 +105,28 @@
     assert_eq!(story[2]["failure"], "foreign");
     assert_eq!((&story[3]["status"], &story[3]["may_have_run"]), (&502.into(), &true.into()));
 }
+
+async fn refused_since_the_targets_ask_to_be_left_alone() {
+    let pause =
+        answer("503 Full", "").replace("Server-Stamp: s1", "Not-Executed: 1\r\nRetry-After: 600");
+    let first = Target::start("a", vec![Act::Write(pause.clone())]).await;
+    let second = Target::start("b", vec![Act::Write(pause)]).await;
+    let router = Router::start(vec![first.entry("app", &[]), second.last("app", &[])]).await;
+    let answer = router.ask("POST", "/unsafe/x", "Deadline-Ms: 1000\r\n", "").await;
+    assert_eq!(status(&answer), 503);
+    let story = story();
+    let expected = ["admitted", "sent", "attempt_failed", "sent", "attempt_failed", "refused"];
+    assert_eq!(names(&story), expected);
+    assert_eq!((&story[1]["closed"], &story[3]["closed"]), (&0.into(), &1.into()));
+    assert_eq!(story[5]["why"], "all targets ask to be left alone");
+}
+
+async fn cut_for_too_many_bytes() {
+    let target = Target::start("a", vec![Act::Flood("HTTP/1.1 200 OK\r\nX-A: ".into(), "a")]).await;
+    let router = Router::start(vec![target.entry("app", &[])]).await;
+    let answer = router.ask("POST", "/unsafe/x", "", "b").await;
+    assert_eq!(status(&answer), 502);
+    let story = story();
+    assert_eq!(names(&story), ["admitted", "sent", "attempt_failed", "refused"]);
+    assert_eq!(story[2]["failure"], "too large");
+}
