Takeover: the daemon that gave the last orders is asked for them, and a lost one is not waited for where engines check fencing numbers

Load: one leader after another is cut off, frozen or killed while requests wait for models. Cause: a new leader waited 3 s whoever led before; nothing else was allowed to shorten it.

Change: the leader of a new term asks the daemon on record, twice for 300 ms. It answers how long ago it gave its last order, ends an earlier leader of its own, and only the rest of the 3 s is waited. If it does not answer, or gave none since its start, nothing is waited where engines check fencing numbers (checks_fencing, from the platform's settings), else all of it.

--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -80,6 +80,8 @@
     is_stopped: Cell<bool>,
     /// Whether no other daemon gives orders any more.
     is_order_allowed: Cell<bool>,
+    /// When it gave its last order.
+    ordered_ms: Cell<Option<u64>>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
@@ -106,6 +108,7 @@
             wake: Notify::new(),
             is_stopped: Cell::new(false),
             is_order_allowed: Cell::new(false),
+            ordered_ms: Cell::new(None),
             tasks: RefCell::default(),
             parts,
         });
@@ -140,6 +143,11 @@
         self.term
     }
 
+    /// When it gave its last order, by its clock.
+    pub fn ordered_ms(&self) -> Option<u64> {
+        self.ordered_ms.get()
+    }
+
     /// Whether it has stopped.
     pub fn is_stopped(&self) -> bool {
         self.is_stopped.get()
--- a/src/coordinator/leader/orders.rs
+++ b/src/coordinator/leader/orders.rs
@@ -38,6 +38,7 @@
             self.later(swap::Event::Answered { target, ticket, reply: swap::Reply::Lost });
             return;
         }
+        self.ordered_ms.set(Some(self.parts.clock.now_ms()));
         let own = self.parts.own.clone();
         let (target, ticket) = (order.target.clone(), order.ticket);
         let line = format!("{:?} {} at {target}", order.operation, order.model);
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use super::loads;
+use super::takeover::LastOrder;
 use crate::consensus::entry::VoterId;
 use crate::consensus::formation;
 use crate::ids::{DaemonId, Incarnation, TargetId, Term};
@@ -31,6 +32,9 @@
     Watch(Box<Watch>),
     /// What a router has waiting and running now. The leader answers.
     Usage(Box<demand::Usage>),
+    /// When did the voter give its last order? The leader of this term asks, so that an earlier leader
+    /// gives none any more.
+    LastOrder(Term),
 }
 
 /// A follower's question for news. It is also its sign of life.
@@ -122,6 +126,8 @@
     Routes(Bytes),
     /// To [`Request::Watch`].
     News(Box<News>),
+    /// To [`Request::LastOrder`].
+    LastOrder(LastOrder),
 }
 
 /// Encodes a request or a reply.
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -13,14 +13,14 @@
 use super::leader::{self, Leader};
 use super::members;
 use super::message::{Joined, Put, Reply, Request, Status};
-use super::takeover::{self, Step};
+use super::takeover::{self, LastOrder, Step};
 use super::{Engines, Error, Result, follow};
 use crate::clock::BootClock;
 use crate::consensus::entry::VoterId;
 use crate::consensus::timing::Timing;
 use crate::consensus::{formation, node};
 use crate::control::{self, commands, orders};
-use crate::ids::{DaemonId, GroupId, Incarnation};
+use crate::ids::{DaemonId, GroupId, Incarnation, Term};
 use crate::membership::targets;
 use crate::peer;
 use crate::placement::swap;
@@ -46,6 +46,9 @@
 /// A reading that took longer than this may have been overtaken while the VM stood still.
 const READ_LIMIT_MS: u64 = 700;
 
+/// Time for the daemon that gave the last orders to tell of them, and how often it is asked.
+const LAST_ORDER_MS: u64 = 300;
+const LAST_ORDER_TRIES: u32 = 2;
 /// Pause before it is tried again to record who gives orders.
 const RECORD_PAUSE: Duration = Duration::from_millis(50);
 /// Time for a chosen voter to win its election.
@@ -70,6 +73,8 @@
     pub placement: swap::Settings,
     /// Time after another daemon's last order before this one may give any.
     pub takeover_ms: u64,
+    /// Whether engines check fencing numbers.
+    pub checks_fencing: bool,
 }
 
 /// A voter, while its log is open and while it is not.
@@ -81,6 +86,8 @@
     machine: RefCell<Rc<RefCell<control::Machine>>>,
     leader: RefCell<Option<Rc<Leader>>>,
     led_since_ms: Cell<u64>,
+    /// When this daemon gave its last order since its start.
+    ordered_ms: Cell<Option<u64>>,
     unformed: RefCell<Option<VoterId>>,
     is_changing: Cell<bool>,
 }
@@ -107,6 +114,7 @@
             machine: RefCell::default(),
             leader: RefCell::default(),
             led_since_ms: Cell::new(0),
+            ordered_ms: Cell::new(None),
             unformed: RefCell::default(),
             is_changing: Cell::new(false),
         })
@@ -244,8 +252,12 @@
         match takeover::decide(&self.parts.own, leader.term(), last.as_ref()) {
             Step::Order => return leader.allow_orders(),
             Step::Record => {}
-            Step::WaitAndRecord => {
-                tokio::time::sleep(Duration::from_millis(self.parts.takeover_ms)).await;
+            Step::WaitAndRecord(giver) => {
+                let last = self.last_order_of(giver.as_ref(), leader.term()).await;
+                let Parts { takeover_ms, checks_fencing, .. } = self.parts;
+                let wait_ms = takeover::wait_ms(takeover_ms, checks_fencing, last);
+                log::info!("orders in {wait_ms} ms: the last ones of {giver:?}: {last:?}");
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             }
         }
         while !leader.is_stopped() {
@@ -257,6 +269,28 @@
         }
     }
 
+    /// Asks the daemon that gave the last orders for them.
+    async fn last_order_of(&self, giver: Option<&DaemonId>, term: Term) -> LastOrder {
+        let Some(giver) = giver else { return LastOrder::Unknown };
+        for _ in 0..LAST_ORDER_TRIES {
+            let asked = self.client.ask(giver, Request::LastOrder(term), LAST_ORDER_MS).await;
+            if let Ok(Reply::LastOrder(last)) = asked {
+                return last;
+            }
+        }
+        LastOrder::Unknown
+    }
+
+    /// Tells a later leader of this daemon's last order. A leader of an earlier term ends here.
+    fn last_order(&self, term: Term) -> LastOrder {
+        let is_earlier = |leader: &Rc<Leader>| leader.term() < term;
+        if self.leader.borrow().as_ref().is_some_and(is_earlier) {
+            self.stop_leading();
+        }
+        let ago_ms = |at_ms| self.parts.clock.now_ms().saturating_sub(at_ms);
+        self.ordered_ms.get().map_or(LastOrder::Unknown, |at_ms| LastOrder::Ago(ago_ms(at_ms)))
+    }
+
     /// Has a command recorded that has no outcome. Returns whether that is certain.
     async fn record(&self, command: commands::Command) -> bool {
         let Some(node) = self.node.borrow().clone() else { return false };
@@ -284,6 +318,7 @@
     fn stop_leading(&self) {
         if let Some(leader) = self.leader.take() {
             leader.stop();
+            self.ordered_ms.set(leader.ordered_ms().or(self.ordered_ms.get()));
         }
     }
 
@@ -332,11 +367,13 @@
         let Some(leader) = leader else {
             return match request {
                 Request::Status => self.status(),
+                Request::LastOrder(term) => Reply::LastOrder(self.last_order(term)),
                 _ => self.not_leader(),
             };
         };
         match request {
             Request::Status => self.status(),
+            Request::LastOrder(term) => Reply::LastOrder(self.last_order(term)),
             Request::Join(voter) => {
                 self.client.add(&voter.daemon);
                 Reply::Joined(self.join(&voter))
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -104,8 +104,10 @@
     pub suspect_ms: Millis,
     /// Silence after which a target counts as gone.
     pub dead_ms: Millis,
-    /// Time before the first order of a new leader.
+    /// Time between the orders of two leaders.
     pub takeover_ms: Millis,
+    /// Whether engines check fencing numbers: an earlier leader's orders are refused then.
+    pub checks_fencing: bool,
 }
 
 /// The budget for sending a request again, shared by all routers.
@@ -226,6 +228,7 @@
         suspect_ms: Millis(heartbeat_ms * SUSPECT_INTERVALS),
         dead_ms: Millis(heartbeat_ms * DEAD_INTERVALS),
         takeover_ms: Millis(takeover_ms),
+        checks_fencing: reader.or(section, "checks_fencing", false, parsed),
     }
 }
 
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -225,6 +225,7 @@
                 leader.allow_orders();
                 tokio::time::sleep(Duration::from_millis(200)).await;
                 assert_eq!(orders.get() == 0, is_stopped, "{} orders", orders.get());
+                assert_eq!(leader.ordered_ms().is_none(), is_stopped, "a successor is told when");
             }
         })
         .await;
