Orders that are due when a document comes are sent

Its lines show 351 refusals since all targets of two busy models were full, and an engine with copies of one of them that got no order for 29 s.

Cause, from lines that now tell what keeps an engine from new work: the planner held an order for sent that had no answer and no line of its own. Planner::on was called with a new document's engines and what it returned was dropped; with documents in quick succession an order or a reading was often due just then. The engine was taken for at work until the next leader. Ruled out: lost answers, readings that fail, the leader's lease.

Change: what the planner returns for a document is carried out; Planner::on is must_use. The test failed: no order reached the engine. Also: 'stream_ended' tells the longest pause.

--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -29,6 +29,8 @@
 
 /// Time between two looks at silent targets and routers.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which it is logged that an engine takes no new work.
+const HELD_MS: u64 = 10_000;
 /// A router that did not ask for news for this long does not count.
 const ROUTER_GONE_MS: u64 = 4_000;
 
@@ -186,6 +188,7 @@
 
     fn take_services(&self, document: &routes::Document) {
         let now_ms = self.parts.clock.now_ms();
+        let mut actions = Vec::new();
         let mut planners = self.planners.borrow_mut();
         for service in &document.services {
             let Some(engine) = &service.engine else { continue };
@@ -198,9 +201,10 @@
             };
             // It acts on what follows: engines that announced themselves before the document came
             // are told when they announce themselves next.
-            planners[at].1.on(now_ms, swap::Event::Engine(engine.clone()));
+            actions.extend(planners[at].1.on(now_ms, swap::Event::Engine(engine.clone())));
         }
         drop(planners);
+        self.carry_out(actions);
         for report in self.registry.borrow().all() {
             if let Report::State(state, _) = report {
                 self.plan_on(&state.clone(), swap::Event::State(state));
@@ -211,7 +215,8 @@
     fn new_planner(&self, now_ms: u64) -> swap::Planner {
         let mut planner = swap::Planner::new(self.term, self.parts.placement, now_ms);
         if self.is_order_allowed.get() {
-            planner.on(now_ms, swap::Event::OrdersAllowed);
+            // It knows no engines yet, so there is nothing to do.
+            let _ = planner.on(now_ms, swap::Event::OrdersAllowed);
         }
         planner
     }
@@ -226,6 +231,11 @@
         let effects = leader.directory.borrow_mut().tick(now_ms);
         leader.apply(effects, Cause::Silence);
         leader.loads.borrow_mut().forget_silent(now_ms);
+        for (_, planner) in leader.planners.borrow_mut().iter_mut() {
+            for (target, what) in planner.take_held(HELD_MS) {
+                log::warn!("engine {target} takes no new work: {what}");
+            }
+        }
         let is_there = |heard_ms: u64| now_ms.saturating_sub(heard_ms) < ROUTER_GONE_MS;
         leader.routers.borrow_mut().retain(|(_, heard_ms)| is_there(*heard_ms));
     }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -80,6 +80,8 @@
     StreamEnded {
         /// How.
         how: &'a str,
+        /// The longest time between two parts of it, as they came here.
+        longest_gap_ms: u64,
         /// The time since the request came.
         after_ms: u64,
     },
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -150,6 +150,9 @@
     /// The last event that was passed on.
     last_event: Option<String>,
     has_delivered: bool,
+    /// When the last part came, and the longest time between two.
+    part_ms: u64,
+    longest_gap_ms: u64,
 }
 
 /// What a target sent next.
@@ -182,6 +185,7 @@
 /// The caller's answer: what came first, and the rest as it comes.
 fn pass_on(mut stream: Stream, first: Bytes) -> http::Response<Body> {
     stream.has_delivered = true;
+    stream.part_ms = stream.shared.now_ms();
     if let Some(attempt) = &mut stream.attempt {
         attempt.seat.note_read();
     }
@@ -218,6 +222,8 @@
             partial: BytesMut::new(),
             last_event: job.facts.last_event.clone(),
             has_delivered: false,
+            part_ms: 0,
+            longest_gap_ms: 0,
         }
     }
 
@@ -229,7 +235,10 @@
     async fn next(&mut self) -> Option<Result<Bytes, web::Error>> {
         loop {
             match self.part().await {
-                Part::Bytes(bytes) => return Some(Ok(bytes)),
+                Part::Bytes(bytes) => {
+                    self.note_gap();
+                    return Some(Ok(bytes));
+                }
                 Part::End => {
                     self.ended("whole");
                     return None;
@@ -244,9 +253,18 @@
         }
     }
 
+    fn note_gap(&mut self) {
+        let now_ms = self.shared.now_ms();
+        let gap_ms = now_ms.saturating_sub(self.part_ms);
+        self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+        self.part_ms = now_ms;
+    }
+
     fn ended(&self, how: &str) {
         let after_ms = self.job.after_ms(&self.shared);
-        events::emit(&self.job.facts.id, &Event::StreamEnded { how, after_ms });
+        let longest_gap_ms = self.longest_gap_ms;
+        let event = Event::StreamEnded { how, longest_gap_ms, after_ms };
+        events::emit(&self.job.facts.id, &event);
         metrics::counter!("fescuebay_streams_ended_total", "how" => how.to_owned()).increment(1);
     }
 
--- a/src/placement/swap/mod.rs
+++ b/src/placement/swap/mod.rs
@@ -209,7 +209,8 @@
         }
     }
 
-    /// Takes an event at `now_ms` and returns what to do, in order.
+    /// Takes an event at `now_ms` and returns what to do, in order. What is returned counts as done.
+    #[must_use]
     pub fn on(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
         self.now_ms = self.now_ms.max(now_ms);
         self.take(event);
@@ -262,6 +263,13 @@
         Some(site.replicas(self.now_ms))
     }
 
+    /// Engines that could be given no work for `limit_ms`, each with what keeps it.
+    pub fn take_held(&mut self, limit_ms: u64) -> Vec<(TargetId, String)> {
+        let now_ms = self.now_ms;
+        let held = |site: &mut Site| Some((site.target.clone(), site.take_held(now_ms, limit_ms)?));
+        self.sites.iter_mut().filter_map(held).collect()
+    }
+
     /// Whether a later leader's orders were met, so that this one gives no more.
     pub fn is_fenced(&self) -> bool {
         self.is_fenced
--- a/src/placement/swap/site/mod.rs
+++ b/src/placement/swap/site/mod.rs
@@ -108,6 +108,8 @@
     not_before_ms: u64,
     read_due_ms: Option<u64>,
     is_reading: bool,
+    /// Since when it cannot be given new work.
+    held_since_ms: Option<u64>,
 }
 
 impl Site {
@@ -130,6 +132,7 @@
             not_before_ms: 0,
             read_due_ms: Some(now_ms),
             is_reading: false,
+            held_since_ms: None,
         };
         site.announced(state, now_ms);
         site
@@ -276,6 +279,25 @@
         is_at_rest && self.is_usable()
     }
 
+    /// What has kept it from new work for `limit_ms` or longer, once for each such time.
+    pub(super) fn take_held(&mut self, now_ms: u64, limit_ms: u64) -> Option<String> {
+        if self.is_idle() || self.is_leaving {
+            self.held_since_ms = None;
+            return None;
+        }
+        let since_ms = *self.held_since_ms.get_or_insert(now_ms);
+        if now_ms < since_ms + limit_ms {
+            return None;
+        }
+        self.held_since_ms = Some(now_ms);
+        let Self { work, sent, orders, is_engine_busy, is_reading, read_due_ms, .. } = self;
+        let read_in_ms = read_due_ms.map(|due_ms| due_ms.saturating_sub(now_ms));
+        Some(format!(
+            "{work:?}, sent {sent:?}, orders {orders:?}, at work {is_engine_busy}, being read \
+             {is_reading}, read in {read_in_ms:?} ms"
+        ))
+    }
+
     /// Whether it takes orders for adapters: an engine that loads or unloads a model refuses them.
     pub(super) fn takes_adapters(&self) -> bool {
         let is_at_work = match &self.work {
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -470,3 +470,29 @@
         })
         .await;
 }
+
+/// The load: documents in quick succession while requests wait for models.
+#[tokio::test(start_paused = true)]
+async fn an_order_that_is_due_when_a_document_comes_is_sent() {
+    LocalSet::new()
+        .run_until(async {
+            let orders = Rc::new(Cell::new(0));
+            let engines = Rc::new(Obedient { orders: Rc::clone(&orders) });
+            let leader = Leader::start(Term(1), Parts { engines, ..parts() }, &[]);
+            leader.allow_orders();
+            leader.take_document(Version(3), DOCUMENT.into(), platform::document::decode);
+            announce(&leader, State { holds: Vec::new(), ..state("a", 1) });
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            // Two reports at one moment: the round after the second is not due yet.
+            leader.usage(&router(), Usage::default());
+            let waiting = vec![Waiting { model: model("m1"), count: 1, slack_ms: 500 }];
+            leader.usage(&router(), Usage { waiting, ..Usage::default() });
+            assert_eq!(orders.get(), 0);
+            NOW_MS.set(NOW_MS.get() + 50);
+            let text = DOCUMENT.replace(r#""version":3"#, r#""version":4"#);
+            leader.take_document(Version(4), text.into(), platform::document::decode);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            assert_eq!(orders.get(), 1, "the engine is taken for at work, and was told nothing");
+        })
+        .await;
+}
--- a/tests/swap_fake/mod.rs
+++ b/tests/swap_fake/mod.rs
@@ -278,9 +278,9 @@
     /// `engines` engines that hold three of `models` models each.
     pub fn new(seed: u64, engines: usize, models: usize, trouble: Trouble) -> Self {
         let mut planner = Planner::new(Term(1), Settings::default(), 0);
-        planner.on(0, Event::OrdersAllowed);
+        let _ = planner.on(0, Event::OrdersAllowed);
         let spec = spec(models);
-        planner.on(0, Event::Engine(spec.clone()));
+        let _ = planner.on(0, Event::Engine(spec.clone()));
         let engines = (0..engines).map(|at| {
             Engine::new(at, &[at * 3 % models, (at * 3 + 1) % models, (at * 3 + 2) % models])
         });
--- a/tests/swap_planner.rs
+++ b/tests/swap_planner.rs
@@ -158,19 +158,19 @@
     let state = |world: &mut World| Event::State(Box::new(world.engines[0].state()));
 
     let announced = state(&mut world);
-    world.planner.on(0, announced);
-    world.planner.on(10, told(0, false));
+    let _ = world.planner.on(0, announced);
+    let _ = world.planner.on(10, told(0, false));
     let adapter = model_ref(3, Some(1));
     let ticket = sent(&world.planner.on(30, usage(&[&first, &adapter]))).expect("a load");
-    world.planner.on(40, accepted(ticket));
+    let _ = world.planner.on(40, accepted(ticket));
     let actions = world.planner.on(1_500, Event::Tick);
     assert!(actions.iter().any(|action| matches!(action, Action::Read { .. })), "{actions:?}");
     world.engines[0].holds.insert(first.model.clone(), Vec::new());
     let announced = state(&mut world);
-    world.planner.on(1_501, usage(&[&adapter]));
+    let _ = world.planner.on(1_501, usage(&[&adapter]));
     let ticket = sent(&world.planner.on(1_520, announced)).expect("the adapter");
-    world.planner.on(1_521, told(1, true));
-    world.planner.on(1_522, accepted(ticket));
+    let _ = world.planner.on(1_521, told(1, true));
+    let _ = world.planner.on(1_522, accepted(ticket));
 
     let is_ordered = (1_600..6_000).step_by(100).any(|now_ms| {
         let mut actions = world.planner.on(now_ms, usage(&[&second]));
