A router logs the rate limit that a target names in its answers

The header is read, what a target last said is kept by its life, and a change is logged with the age of the request that brought it. Nothing is decided by it yet.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 use http::{HeaderMap, StatusCode};
 
 use crate::ids::{ModelRef, TargetId};
+use crate::rate_limit;
 
 pub use run::{Dependencies, client, handler, run};
 pub use state::RouterState;
@@ -94,12 +95,14 @@
 }
 
 /// What a target announces about itself in the head of a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetNotice {
     /// The target is leaving: it finishes running requests and accepts no new ones.
     pub is_leaving: bool,
     /// How long the target asks to get no requests.
     pub pause_ms: Option<u64>,
+    /// The rate limit that the target names.
+    pub rate_limit: rate_limit::Statement,
 }
 
 /// Reads requests and responses, and writes the headers of attempts.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -407,7 +407,7 @@
         Err(_) => return Err(AttemptFailure::TimedOut),
     };
     let notice = router.protocol.read_notice(head.status, &head.headers, &routed.info.id);
-    router.apply_notice(&reservation.target, reservation.incarnation, notice);
+    router.apply_notice(&reservation.target, reservation.incarnation, sent_ms, notice);
     match router.protocol.classify_response(head.status, &head.headers, &routed.info.id) {
         ResponseClass::Answer => Ok(TargetResponse {
             reservation: note_response(reservation, head.status),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,8 @@
 use crate::ids::{Incarnation, ModelRef, TargetId, Zone};
 use crate::membership::{feed, table};
 use crate::placement::swap::demand;
+use crate::rate_limit::TargetLife;
+use crate::rate_limit::statements::{StatedAt, Statements};
 use crate::routes::{self, index};
 use crate::web;
 
@@ -37,6 +39,7 @@
     pub(super) balancer: RefCell<Balancer>,
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) pool: RefCell<ConnectionPool>,
+    rate_limits: RefCell<Statements>,
     /// Reads request bodies within a memory limit.
     pub(super) body_reader: web::intake::Intake,
     queue: RefCell<RequestQueue>,
@@ -246,13 +249,25 @@
         }
     }
 
-    /// Applies a notice that a target sent in the head of a response.
+    /// Applies a notice that a target sent in the head of the response to a request of `sent_ms`.
     pub(super) fn apply_notice(
         &self,
         target: &TargetId,
         incarnation: Incarnation,
+        sent_ms: u64,
         notice: TargetNotice,
     ) {
+        let life = TargetLife { target: target.clone(), incarnation };
+        let at = StatedAt { sent_ms, read_ms: self.now_ms() };
+        if self.rate_limits.borrow_mut().record(&life, notice.rate_limit, at) {
+            log::info!(
+                "target {target} of incarnation {incarnation} says in an answer to a request of {} ms \
+                 ago: rate limit {:?}",
+                at.read_ms.saturating_sub(sent_ms),
+                notice.rate_limit
+            );
+            metrics::counter!("fescuebay_rate_limit_changes_total").increment(1);
+        }
         if notice.is_leaving && self.balancer.borrow_mut().record_leaving(target, incarnation) {
             log::info!(
                 "target {target} of incarnation {incarnation} says in an answer that it leaves"
@@ -426,6 +441,7 @@
             balancer: RefCell::new(Balancer::new(self.zone)),
             budget: RefCell::new(RetryBudget::new(self.budget)),
             pool: RefCell::default(),
+            rate_limits: RefCell::default(),
             body_reader: web::intake::Intake::new(MAX_BODIES_BYTES),
             queue: RefCell::default(),
             senders: RefCell::default(),
