--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -169,7 +169,7 @@
 }
 
 /// Reads one request with its body; `None` when the connection ends.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
