A new leader knows the rate limits that were named under the one before

What was seen: the process test of faults (a killed leader, a paused and a restarted router, 120 callers a second) got 30 requests at a target of two a second in 4 s; 17 are allowed. The lines: the restarted router sent 23 requests that had waited within 2 ms at table 2.1, without a limit. Its first news came from the leader of term 2, which no router had told of the limit yet.

A limit that the fleet acts on lived in the memory of one leader. Ruled out: permits of the paused router (it sent none that were over), own permits of routers without a leader (one in 1.3 s).

Change: voters follow the limits as they follow the route table, a new leader begins with its copy, and routers tell a new leader again what they know. Test in memory: a_new_leader_tells_the_limits_that_were_named_under_the_one_before.

The same lines showed one router with 12 of 20 permits and two with none for 10 s: who asks first when the schedule opens gets the permit. The leader now lets the routers that were served last ask last (no_router_keeps_a_limited_target_to_itself: each of six gets 14 to 26 of 20 on the average).

--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -12,6 +12,7 @@
 use crate::membership::feed;
 use crate::placement::swap::demand;
 use crate::rate_limit::message::TargetStatement;
+use crate::rate_limit::statements::Statements;
 use crate::routes;
 
 /// Time for which a leader holds a long poll without updates.
@@ -51,7 +52,9 @@
     clock: BootClock,
     term: RefCell<Term>,
     loads: RefCell<feed::FeedCursor>,
-    rate_limits: RefCell<feed::FeedCursor>,
+    rate_limits_cursor: RefCell<feed::FeedCursor>,
+    /// What targets last said of their rate limits.
+    pub rate_limits: RefCell<Statements>,
     version: RefCell<Option<routes::Version>>,
     heard_ms: RefCell<Option<u64>>,
 }
@@ -64,6 +67,7 @@
             clock,
             term: RefCell::default(),
             loads: RefCell::default(),
+            rate_limits_cursor: RefCell::default(),
             rate_limits: RefCell::default(),
             version: RefCell::default(),
             heard_ms: RefCell::default(),
@@ -89,7 +93,7 @@
             is_router,
             cursor: state.feed.borrow().cursor(),
             loads: *state.loads.borrow(),
-            rate_limits: *state.rate_limits.borrow(),
+            rate_limits: *state.rate_limits_cursor.borrow(),
             routes: *state.version.borrow(),
             usage: follower.usage(),
         };
@@ -135,7 +139,13 @@
         }
     }
     if let Some((cursor, told)) = &response.rate_limits {
-        state.rate_limits.replace(*cursor);
+        state.rate_limits_cursor.replace(*cursor);
+        let now_ms = state.clock.now_ms();
+        let mut rate_limits = state.rate_limits.borrow_mut();
+        for statement in told {
+            rate_limits.record_limit(&statement.life, statement.limit, statement.stated_at(now_ms));
+        }
+        drop(rate_limits);
         follower.apply_rate_limits(told);
     }
     state.loads.replace(response.loads.cursor);
--- a/src/coordinator/leader/permits.rs
+++ b/src/coordinator/leader/permits.rs
@@ -3,8 +3,26 @@
 use super::Leader;
 use crate::ids::DaemonId;
 use crate::rate_limit::message::{PermitAsk, PermitGrant};
+use crate::rate_limit::statements::Statements;
 
 impl Leader {
+    /// Begins with what this daemon was told of rate limits while another one led.
+    pub fn inherit_rate_limits(&self, statements: &Statements) {
+        let now_ms = self.context.clock.now_ms();
+        let mut permits = self.permits.borrow_mut();
+        for statement in statements.to_messages(now_ms) {
+            permits.record(now_ms, &statement);
+            log::info!(
+                "term {} inherits of target {} of incarnation {}, {} ms old: rate limit {:?}",
+                self.term,
+                statement.life.target,
+                statement.life.incarnation,
+                statement.read_age_ms,
+                statement.limit
+            );
+        }
+    }
+
     /// Answers a router that asks for permits or passes on statements. `None` if this leader may no
     /// longer be the leader.
     pub fn answer_permits(&self, from: &DaemonId, asks: &[PermitAsk]) -> Option<Vec<PermitGrant>> {
--- a/src/coordinator/leader/updates.rs
+++ b/src/coordinator/leader/updates.rs
@@ -93,10 +93,10 @@
             || self.has_rate_limits_for(watch)
     }
 
-    /// Whether a router has other statements of targets on their rate limits. Voters do not use
-    /// them.
+    /// Whether a follower has other statements of targets on their rate limits. Voters keep them
+    /// for when they lead.
     fn has_rate_limits_for(&self, watch: &WatchRequest) -> bool {
-        watch.is_router && self.rate_limits_cursor.get() != watch.rate_limits
+        self.rate_limits_cursor.get() != watch.rate_limits
     }
 
     /// Whether there is a newer document for a router. Voters have it in their log.
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -33,12 +33,12 @@
     Watch(Box<WatchRequest>),
     /// The requests waiting and running at a router. The leader answers.
     Usage(Box<demand::RouterDemand>),
-    /// Statements of targets on their rate limits, and the permits that a router wants. The leader
-    /// answers.
-    Permits(Vec<PermitAsk>),
     /// Read when the voter sent its last order. The leader of this term asks, which also stops a
     /// leader of an earlier term from sending orders.
     LastOrder(Term),
+    /// Statements of targets on their rate limits, and the permits that a router wants. The leader
+    /// answers.
+    Permits(Vec<PermitAsk>),
 }
 
 /// A follower's long poll for updates. It also serves as its heartbeat.
@@ -75,7 +75,7 @@
     /// Changes of the requests at each target, over all routers.
     pub loads: loads::LoadChanges,
     /// The leader's position in the changes of rate limits, and what all targets last said of
-    /// theirs, if the follower is a router at another position.
+    /// theirs, if the follower is at another position.
     pub rate_limits: Option<(feed::FeedCursor, Vec<TargetStatement>)>,
     /// The voters.
     pub voters: Vec<DaemonId>,
@@ -135,10 +135,10 @@
     Routes(Bytes),
     /// To [`Request::Watch`].
     Watch(Box<WatchResponse>),
-    /// To [`Request::Permits`].
-    Permits(Vec<PermitGrant>),
     /// To [`Request::LastOrder`].
     LastOrder(LastOrder),
+    /// To [`Request::Permits`].
+    Permits(Vec<PermitGrant>),
 }
 
 /// Encodes a request or a reply.
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -245,6 +245,7 @@
             }),
         };
         let leader = Leader::start(now.term, context, &entries);
+        leader.inherit_rate_limits(&self.following.rate_limits.borrow());
         self.led_since_ms.set(self.config.clock.now_ms());
         self.leader.replace(Some(Rc::clone(&leader)));
         self.publish_document();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -480,6 +480,7 @@
 
     fn handle_leader_change(&self) {
         self.discovery_since_ms.set(Some(self.now_ms()));
+        self.balancer.borrow_mut().permits_mut().forget_told();
     }
 
     fn apply_loads(&self, routers: u32, changes: &loads::LoadChanges) {
--- a/src/rate_limit/message.rs
+++ b/src/rate_limit/message.rs
@@ -3,7 +3,7 @@
 //! Times are sent as ages, because the clocks of daemons differ.
 
 use super::TargetLife;
-use super::statements::StatedAt;
+use super::statements::{StatedAt, Statements};
 use crate::units::PerSecond;
 
 /// The last statement of a target that names a limit, or did.
@@ -52,6 +52,26 @@
     pub starts_in_ms: Vec<u64>,
     /// Time until a further permit would start.
     pub next_in_ms: u64,
+    /// Time until the router may ask again: sooner for one that has had none for longer.
+    pub ask_in_ms: u64,
     /// Time until all requests that wait at any router for the target would have a permit.
     pub clears_in_ms: u64,
 }
+
+impl Statements {
+    /// What a target last said, for another daemon.
+    pub(super) fn to_message(&self, now_ms: u64, life: &TargetLife) -> TargetStatement {
+        let StatedAt { sent_ms, read_ms } = self.stated_at(life).unwrap_or_default();
+        TargetStatement {
+            life: life.clone(),
+            limit: self.limit(&life.target, life.incarnation),
+            sent_age_ms: now_ms.saturating_sub(sent_ms),
+            read_age_ms: now_ms.saturating_sub(read_ms),
+        }
+    }
+
+    /// What all targets last said, for another daemon.
+    pub fn to_messages(&self, now_ms: u64) -> Vec<TargetStatement> {
+        self.lives().map(|life| self.to_message(now_ms, life)).collect()
+    }
+}
--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -39,6 +39,24 @@
     Limited(PerSecond),
 }
 
+impl Statement {
+    /// Reads a limit in requests a second, as a decimal number. An invalid one says nothing.
+    pub fn parse(value: &[u8]) -> Self {
+        let text = std::str::from_utf8(value).ok();
+        let rate = text.and_then(|text| text.trim().parse::<f64>().ok());
+        match rate.filter(|rate| rate.is_finite() && *rate >= 0.0) {
+            Some(rate) => Statement::Limited(PerSecond(rate)),
+            None => {
+                log::info!(
+                    "a target names a rate limit of {:?}; invalid value ignored",
+                    String::from_utf8_lossy(value)
+                );
+                Statement::Unknown
+            }
+        }
+    }
+}
+
 /// One incarnation of a target.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/rate_limit/permits.rs
+++ b/src/rate_limit/permits.rs
@@ -6,7 +6,7 @@
 
 use super::message::{PermitAsk, PermitGrant, TargetStatement};
 use super::statements::{StatedAt, Statements};
-use super::{Claim, PERMIT_VALID_MS, SCHEDULE_AHEAD_MS, Statement, TargetLife, interval_ms};
+use super::{Claim, PERMIT_VALID_MS, Statement, TargetLife, interval_ms};
 use crate::ids::{Incarnation, TargetId};
 use crate::units::PerSecond;
 
@@ -53,6 +53,8 @@
     /// are expected to have theirs.
     next_ms: u64,
     clears_ms: u64,
+    /// When the leader may be asked again.
+    ask_ms: u64,
     /// Waiting requests of this router that the leader knew of then.
     told_waiting: u32,
     /// When the limit became known.
@@ -131,6 +133,7 @@
             permits: Vec::new(),
             next_ms: now_ms,
             clears_ms: now_ms,
+            ask_ms: now_ms,
             told_waiting: 0,
             since_ms: now_ms,
             phase: life.target.hash_fraction(self.seed),
@@ -168,6 +171,16 @@
         self.leader_lost_ms.is_some()
     }
 
+    /// Notes that another daemon leads, which may know none of the statements.
+    pub fn forget_told(&mut self) {
+        self.targets.iter_mut().for_each(|known| known.is_told = false);
+    }
+
+    /// What all targets last said, for another daemon.
+    pub fn statements(&self, now_ms: u64) -> Vec<TargetStatement> {
+        self.statements.to_messages(now_ms)
+    }
+
     /// Whether a statement is known that the leader was not told.
     pub fn has_untold(&self) -> bool {
         self.targets.iter().any(|known| !known.is_told)
@@ -219,7 +232,7 @@
         let own_next_ms = self.own_next_ms(&self.targets[at], limit);
         let next_id = PermitId(self.last_id + 1);
         let known = &mut self.targets[at];
-        known.permits.retain(|permit| permit.is_reserved || now_ms <= permit.end_ms);
+        known.permits.retain(|permit| now_ms <= permit.end_ms);
         let is_usable = |permit: &&mut Permit| !permit.is_reserved && permit.start_ms <= now_ms;
         if let Some(permit) = known.permits.iter_mut().find(is_usable) {
             permit.is_reserved = true;
@@ -266,7 +279,7 @@
         let mut asks = Vec::new();
         for known in &self.targets {
             let claim = claim(&known.life);
-            let is_open = known.next_ms <= now_ms + SCHEDULE_AHEAD_MS;
+            let is_open = known.ask_ms <= now_ms;
             let wanted = claim.count.saturating_sub(self.unreserved(now_ms, &known.life));
             let count = if is_open { wanted } else { 0 };
             if count == 0 && known.is_told {
@@ -304,6 +317,7 @@
             }
             known.next_ms = now_ms + grant.next_in_ms;
             known.clears_ms = now_ms + grant.clears_in_ms;
+            known.ask_ms = now_ms + grant.ask_in_ms;
             known.told_waiting = ask.patient.saturating_sub(grant.starts_in_ms.len() as u32);
             for start_in_ms in &grant.starts_in_ms {
                 self.last_id += 1;
@@ -340,7 +354,7 @@
             let starts = known.permits.iter().map(|permit| permit.start_ms);
             let limit = self.statements.limit(&known.life.target, known.life.incarnation);
             let own = limit.and_then(|limit| self.own_next_ms(known, limit));
-            let asks = [known.next_ms, known.next_ms.saturating_sub(SCHEDULE_AHEAD_MS)];
+            let asks = [known.next_ms, known.ask_ms];
             let asks = asks.into_iter().filter(move |_| own.is_none());
             starts.chain(own).chain(asks)
         });
--- a/src/rate_limit/schedule.rs
+++ b/src/rate_limit/schedule.rs
@@ -5,7 +5,7 @@
 //! not used gets no burst.
 
 use super::message::{PermitAsk, PermitGrant, TargetStatement};
-use super::statements::{StatedAt, Statements};
+use super::statements::Statements;
 use super::{PERMIT_VALID_MS, SCHEDULE_AHEAD_MS, TargetLife, interval_ms};
 use crate::ids::{DaemonId, TargetId};
 
@@ -13,14 +13,20 @@
 const CATCH_UP_MS: f64 = 500.0;
 /// A permit that starts within this time starts at once.
 pub const AT_ONCE_MS: u64 = 20;
+/// Part of the time ahead by which the router that was granted a permit last is set back.
+const MAX_SETBACK_PERCENT: u64 = 75;
 /// Time for which the number of requests that wait at a router counts.
 const WAITING_TTL_MS: u64 = 2_000;
 
+/// A router that asked lately.
 #[derive(Clone, Debug)]
-struct Waiting {
+struct WaitingRouter {
     router: DaemonId,
-    count: u32,
+    /// Its requests without a permit.
+    waiting: u32,
     told_ms: u64,
+    /// When it was last granted a permit.
+    granted_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -28,8 +34,7 @@
     life: TargetLife,
     /// When the next permit starts at the earliest.
     next_ms: f64,
-    /// Requests without a permit, by router.
-    waiting: Vec<Waiting>,
+    routers: Vec<WaitingRouter>,
 }
 
 /// The permits of all limited targets, as scheduled by the leader of one term.
@@ -81,17 +86,23 @@
         let life = &ask.statement.life;
         let statement = self.statements.to_message(now_ms, life);
         let Some(limit) = statement.limit else {
-            let starts_in_ms = Vec::new();
-            return PermitGrant { statement, starts_in_ms, next_in_ms: 0, clears_in_ms: 0 };
+            return PermitGrant {
+                statement,
+                starts_in_ms: Vec::new(),
+                next_in_ms: 0,
+                ask_in_ms: 0,
+                clears_in_ms: 0,
+            };
         };
         let interval_ms = interval_ms(limit);
         let schedule = self.schedule(now_ms, life);
         let catch_up_ms = (CATCH_UP_MS - interval_ms).max(0.0);
         schedule.next_ms = schedule.next_ms.max(now_ms as f64 - catch_up_ms);
+        let ahead_ms = schedule.ahead_ms(now_ms, router);
         let mut starts_in_ms = Vec::new();
         for number in 0..ask.count {
             let start_in_ms = schedule.start_in_ms(now_ms);
-            let limit_ms = if number < ask.patient { SCHEDULE_AHEAD_MS } else { AT_ONCE_MS };
+            let limit_ms = if number < ask.patient { ahead_ms } else { AT_ONCE_MS };
             if start_in_ms > limit_ms {
                 break;
             }
@@ -100,16 +111,18 @@
         }
         // Requests with another target do not wait for this one.
         let unserved = ask.patient.saturating_sub(starts_in_ms.len() as u32);
-        let waiting = schedule.update_waiting(now_ms, router, unserved);
+        schedule.update_waiting(now_ms, router, unserved, !starts_in_ms.is_empty());
+        let waiting: u32 = schedule.routers.iter().map(|router| router.waiting).sum();
         let next_in_ms = schedule.start_in_ms(now_ms);
+        let ask_in_ms = next_in_ms.saturating_sub(schedule.ahead_ms(now_ms, router));
         let clears_in_ms = next_in_ms + (f64::from(waiting) * interval_ms) as u64;
-        PermitGrant { statement, starts_in_ms, next_in_ms, clears_in_ms }
+        PermitGrant { statement, starts_in_ms, next_in_ms, ask_in_ms, clears_in_ms }
     }
 
     /// The schedule of a target, begun anew for a later incarnation.
     fn schedule(&mut self, now_ms: u64, life: &TargetLife) -> &mut TargetSchedule {
         let next_ms = self.first_start_ms.max(now_ms) as f64;
-        let new = || TargetSchedule { life: life.clone(), next_ms, waiting: Vec::new() };
+        let new = || TargetSchedule { life: life.clone(), next_ms, routers: Vec::new() };
         let at = match self.position(&life.target) {
             Ok(at) => at,
             Err(_) => {
@@ -136,31 +149,39 @@
         (self.next_ms - now_ms as f64).max(0.0).ceil() as u64
     }
 
-    /// Sets the number of requests that wait at a router, and returns that of all routers.
-    fn update_waiting(&mut self, now_ms: u64, router: &DaemonId, count: u32) -> u32 {
-        self.waiting.retain(|waiting| {
-            waiting.router != *router && now_ms < waiting.told_ms + WAITING_TTL_MS
+    /// How far ahead permits are granted to a router: the less far, the more of the waiting routers
+    /// have had none for longer.
+    fn ahead_ms(&self, now_ms: u64, router: &DaemonId) -> u64 {
+        let last_ms = |id: &DaemonId| {
+            let known = self.routers.iter().find(|known| known.router == *id);
+            known.map_or(0, |known| known.granted_ms)
+        };
+        let own_ms = last_ms(router);
+        let waits = |known: &&WaitingRouter| {
+            known.waiting > 0 && known.router != *router && now_ms < known.told_ms + WAITING_TTL_MS
+        };
+        let others = self.routers.iter().filter(waits);
+        let (before, count) = others.fold((0, 1), |(before, count), known| {
+            (before + u64::from(known.granted_ms < own_ms), count + 1)
         });
-        if count > 0 {
-            self.waiting.push(Waiting { router: router.clone(), count, told_ms: now_ms });
-        }
-        self.waiting.iter().map(|waiting| waiting.count).sum()
+        SCHEDULE_AHEAD_MS - SCHEDULE_AHEAD_MS * MAX_SETBACK_PERCENT * before / (count * 100)
     }
-}
 
-impl Statements {
-    /// What a target last said, for another daemon.
-    pub(super) fn to_message(&self, now_ms: u64, life: &TargetLife) -> TargetStatement {
-        let StatedAt { sent_ms, read_ms } = self.stated_at(life).unwrap_or_default();
-        TargetStatement {
-            life: life.clone(),
-            limit: self.limit(&life.target, life.incarnation),
-            sent_age_ms: now_ms.saturating_sub(sent_ms),
-            read_age_ms: now_ms.saturating_sub(read_ms),
+    /// Notes how many requests wait at a router, and whether it was granted a permit.
+    fn update_waiting(&mut self, now_ms: u64, router: &DaemonId, waiting: u32, is_granted: bool) {
+        self.routers.retain(|known| now_ms < known.told_ms + WAITING_TTL_MS);
+        let at = match self.routers.iter().position(|known| known.router == *router) {
+            Some(at) => at,
+            None => {
+                let router = router.clone();
+                self.routers.push(WaitingRouter { router, waiting, told_ms: 0, granted_ms: 0 });
+                self.routers.len() - 1
+            }
+        };
+        let known = &mut self.routers[at];
+        (known.waiting, known.told_ms) = (waiting, now_ms);
+        if is_granted {
+            known.granted_ms = now_ms;
         }
     }
-
-    fn to_messages(&self, now_ms: u64) -> Vec<TargetStatement> {
-        self.lives().map(|life| self.to_message(now_ms, life)).collect()
-    }
 }
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -8,10 +8,11 @@
 mod streams;
 mod web;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use error_stack::{Report, ResultExt};
 use tokio::net::TcpListener;
@@ -160,8 +161,20 @@
     has_changed: tokio::sync::Notify,
     crash: tokio::sync::Notify,
     has_crashed: AtomicBool,
+    calls: Mutex<Calls>,
 }
 
+/// The calls that a stand-in got, and the limit that it names for them.
+#[derive(Default)]
+struct Calls {
+    rate_limit: Option<units::PerSecond>,
+    /// When the last ones came, at most [`MAX_CALLS`].
+    times: VecDeque<Instant>,
+}
+
+/// Calls of which a stand-in keeps the time.
+const MAX_CALLS: usize = 65_536;
+
 impl Shared {
     fn engine(&self) -> std::sync::MutexGuard<'_, Engine> {
         self.engine.lock().expect("no holder of the engine panics")
@@ -171,6 +184,20 @@
         self.streams.lock().expect("no holder of the streams panics")
     }
 
+    fn calls(&self) -> std::sync::MutexGuard<'_, Calls> {
+        self.calls.lock().expect("no holder of the calls panics")
+    }
+
+    /// Counts a call, and returns the limit to name in its response.
+    fn count_call(&self) -> Option<units::PerSecond> {
+        let mut calls = self.calls();
+        calls.times.push_back(Instant::now());
+        if calls.times.len() > MAX_CALLS {
+            calls.times.pop_front();
+        }
+        calls.rate_limit
+    }
+
     fn services(&self) -> std::sync::MutexGuard<'_, services::Services> {
         self.services.lock().expect("no holder of the services panics")
     }
@@ -224,6 +251,16 @@
         self.shared.state(false)
     }
 
+    /// Names a rate limit in all responses to calls from now on, or none.
+    pub fn name_rate_limit(&self, rate_limit: Option<units::PerSecond>) {
+        self.shared.calls().rate_limit = rate_limit;
+    }
+
+    /// When calls reached it, in order.
+    pub fn call_times(&self) -> Vec<Instant> {
+        self.shared.calls().times.iter().copied().collect()
+    }
+
     /// Tells its daemons that it is about to stop.
     pub fn leave(&self) {
         self.shared.engine().leave();
@@ -254,6 +291,7 @@
         has_changed: tokio::sync::Notify::new(),
         crash: tokio::sync::Notify::new(),
         has_crashed: AtomicBool::new(false),
+        calls: Mutex::default(),
         settings,
     });
     let mut tasks = JoinSet::new();
--- a/src/stand_in/web.rs
+++ b/src/stand_in/web.rs
@@ -7,11 +7,12 @@
 
 use axum::Router;
 use axum::body::Body;
-use axum::extract::{Path, Query, State};
-use axum::http::{HeaderMap, Method, StatusCode};
+use axum::extract::{Path, Query, Request, State};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use axum::middleware::{Next, from_fn_with_state};
 use axum::response::sse::{Event, Sse};
 use axum::response::{IntoResponse, Json, Response};
-use axum::routing::{any, get, post};
+use axum::routing::{any, delete, get, post};
 use bytes::Bytes;
 use futures::stream::{Stream, StreamExt};
 use http_body_util::Full;
@@ -72,12 +73,14 @@
 
 pub(super) async fn serve(listener: tokio::net::TcpListener, shared: Arc<Shared>) {
     let router = Router::new()
-        .route("/orders", post(take_order))
-        .route("/state", get(tell_state))
         .route("/v1/chat/completions", post(complete))
         .route("/v1/completions", post(complete))
-        .route("/streams/{request}", get(resume).delete(cancel))
+        .route("/streams/{request}", get(resume))
         .route("/services/{service}/{*path}", any(service))
+        .layer(from_fn_with_state(Arc::clone(&shared), limit_calls))
+        .route("/orders", post(take_order))
+        .route("/state", get(tell_state))
+        .route("/streams/{request}", delete(cancel))
         .with_state(shared);
     let service = TowerToHyperService::new(router);
     // Connections end with this task, as those of a process do.
@@ -95,6 +98,18 @@
     }
 }
 
+/// Counts a call, and names the rate limit in its response.
+async fn limit_calls(State(shared): State<Arc<Shared>>, request: Request, next: Next) -> Response {
+    let rate_limit = shared.count_call();
+    let mut response = next.run(request).await;
+    if let Some(rate_limit) = rate_limit {
+        let value = HeaderValue::from_str(&rate_limit.0.to_string());
+        let value = value.expect("digits and a point make a header");
+        response.headers_mut().insert(protocol::RATE_LIMIT, value);
+    }
+    response
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_millis() as u64
--- a/src/target/http.rs
+++ b/src/target/http.rs
@@ -31,6 +31,10 @@
 /// Response headers in which a target reports its load: running calls, waiting calls, slots.
 pub const LOAD: [&str; 3] = ["x-load-running", "x-load-waiting", "x-load-slots"];
 
+/// Response header in which a target names the calls a second that it takes from all daemons
+/// together, as a decimal number.
+pub const RATE_LIMIT: &str = "x-rate-limit";
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest response to an order or a state query, in bytes.
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -17,10 +17,13 @@
 use fescuebay::placement::swap::demand::{RouterDemand, WaitingRequests};
 use fescuebay::placement::swap::{EngineReport, Order, OrderReply, Settings};
 use fescuebay::platform;
+use fescuebay::rate_limit::TargetLife;
+use fescuebay::rate_limit::statements::{StatedAt, Statements};
 use fescuebay::routes::{Document, Version};
 use fescuebay::target::order::{Cached, Held, Kind, Load, Phase, State, Tier};
 use fescuebay::traffic::clock::Clock;
 use fescuebay::units::Bytes;
+use fescuebay::units::PerSecond;
 use futures::future::LocalBoxFuture;
 use tokio::task::LocalSet;
 
@@ -515,3 +518,25 @@
         })
         .await;
 }
+
+/// Guards against a router that starts under a new leader, is told of a target and not of its limit,
+/// and sends all that waits.
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_tells_the_limits_that_were_named_under_the_one_before() {
+    LocalSet::new()
+        .run_until(async {
+            let life = TargetLife { target: "a".parse().unwrap(), incarnation: Incarnation(7) };
+            let mut known = Statements::default();
+            let at = StatedAt { sent_ms: NOW_MS.get(), read_ms: NOW_MS.get() };
+            known.record_limit(&life, Some(PerSecond(2.0)), at);
+            let next = Leader::start(Term(2), context(), &[]);
+            next.inherit_rate_limits(&known);
+            next.apply_document(Version(3), DOCUMENT.into(), platform::document::decode);
+            let asked = watch_request(FeedCursor::default());
+            let news = next.answer_watch(&router(), asked, Vec::new()).await.unwrap();
+            let (_, told) = news.rate_limits.expect("it has another position");
+            let told: Vec<_> = told.iter().map(|told| (&told.life, told.limit)).collect();
+            assert_eq!(told, [(&life, Some(PerSecond(2.0)))]);
+        })
+        .await;
+}
--- a/tests/rate_limit_simulation.rs
+++ b/tests/rate_limit_simulation.rs
@@ -370,3 +370,16 @@
     assert!((1..=5).contains(&during), "{during}");
     assert!(replay.between(26_000, 30_000) >= 200);
 }
+
+/// Guards against a router that is always the first to ask.
+#[test]
+fn no_router_keeps_a_limited_target_to_itself() {
+    let replay = Replay::new(5, 6, 20.0, limited(2.0)).run(63_000);
+    let of = |number: usize| {
+        let own = replay.reached.iter().filter(|(at, who)| *at >= NOTICE_MS && *who == number);
+        own.count()
+    };
+    let shares: Vec<usize> = (0..6).map(of).collect();
+    // Two a second over 60 s and six routers are twenty each.
+    assert!(shares.iter().all(|share| (14..=26).contains(share)), "{shares:?}");
+}
