The daemons of our own interface keep the rate limits that targets name

What was seen: six daemons with 20 look-ups a second each sent 471 calls in 4 s to a target that named 1.2 a second (tests/rate_limits_own.rs on the code before; 12 are allowed).

Cause: our own interface had no way to name a limit, and the users' rule holds for both interfaces.

Change: a target names the calls a second that it takes from all daemons together in x-rate-limit. The routing engine takes the same permits (rate_limit) as the router of the platform, and the leader of the control group schedules them. Calls, retries, hedges and resumed streams need one; a call that was chosen before the limit was heard is withdrawn and chosen anew at no cost to the retry budget. A cancellation needs none: it frees a slot. Who cannot be served in its time is refused at once as targets-limited with the time to return. A new leader begins with what its own traffic knows.

Not covered: a call opens its connection after its permit is used, so it may reach the target up to 1 s later.

--- a/benches/measures_routing/mod.rs
+++ b/benches/measures_routing/mod.rs
@@ -263,7 +263,7 @@
                     self.outcomes[job].is_refused = true;
                     self.ended += 1;
                 }
-                Action::ReportDemand(_) | Action::TargetDied { .. } => {}
+                Action::AskPermits | Action::ReportDemand(_) | Action::TargetDied { .. } => {}
             }
         }
         value
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -26,6 +26,7 @@
 use crate::membership::targets::{AnnouncementOutcome, TargetRegistry, TargetReport};
 use crate::membership::{feed, targets};
 use crate::placement::demand;
+use crate::traffic::TrafficState;
 use crate::traffic::clock::Clock;
 
 /// Time for one question to another daemon.
@@ -69,8 +70,8 @@
     pub silence: targets::SilenceTimeouts,
     /// What a leader's placement works with.
     pub placement: leader::Parts,
-    /// Called when the route table was replaced.
-    pub table_changed: Box<dyn Fn()>,
+    /// The traffic of this daemon.
+    pub traffic: Arc<TrafficState>,
 }
 
 /// The control state of one daemon.
@@ -82,6 +83,8 @@
     pub(super) leader: RefCell<Option<Rc<leader::Leader>>>,
     pub(super) feed: RefCell<feed::TableFeed>,
     pub(super) places: RefCell<message::Places>,
+    /// The version of the rate limits that the leader told of.
+    pub(super) rate_limits: Cell<message::Version>,
     pub(super) known_leader: RefCell<Option<DaemonId>>,
     pub(super) is_leaving: Cell<bool>,
     registry: RefCell<TargetRegistry>,
@@ -105,6 +108,7 @@
             leader: RefCell::default(),
             feed: RefCell::default(),
             places: RefCell::default(),
+            rate_limits: Cell::default(),
             known_leader: RefCell::default(),
             is_leaving: Cell::new(false),
             registry: RefCell::new(registry),
@@ -160,6 +164,10 @@
                 Some(leader) => leader.demand(self.now_ms(), from, entries),
                 None => self.not_leader(),
             },
+            Request::Permits(asks) => match self.leading() {
+                Some(leader) => leader.permits(self, from, &asks),
+                None => self.not_leader(),
+            },
             Request::Show(show) => match self.leading() {
                 Some(leader) => leader.show(self, show),
                 None => self.not_leader(),
--- a/src/daemon/follow.rs
+++ b/src/daemon/follow.rs
@@ -23,6 +23,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest time between two messages of demand, so that a burst makes one.
 const DEMAND_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before permits are asked for, so that a burst of requests makes one message.
+const PERMIT_PAUSE: Duration = Duration::from_millis(2);
+/// Time for one question for permits: after this, requests do without one.
+const PERMIT_LIMIT: Duration = Duration::from_millis(300);
 /// Time between two looks at the watched targets.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
@@ -38,6 +42,7 @@
                     last_term = news.term;
                     log::info!("following the leader of term {last_term}");
                     core.report_all();
+                    core.parts.traffic.leader_changed();
                 }
                 if news.term == last_term {
                     take(&core, *news, asked_ms);
@@ -64,14 +69,22 @@
         cursor: core.feed.borrow().cursor(),
         daemons: core.places.borrow().version,
         poison: core.parts.published.poison.load().revision(),
+        rate_limits: core.rate_limits.get(),
     }
 }
 
 fn take(core: &Core, news: News, asked_ms: u64) {
-    take_batch(core, news.batch);
     if let Some(places) = news.daemons {
         core.places.replace(places);
     }
+    // Limits go before the targets that they are for: requests may wait for those.
+    let told = news.rate_limits.map(|(version, told)| {
+        core.rate_limits.set(version);
+        told
+    });
+    let daemons = core.places.borrow().list.len() as u32;
+    core.parts.traffic.rate_limits_told(daemons, &told.unwrap_or_default());
+    take_batch(core, news.batch);
     if let Some(feed) = news.poison {
         let mirror = core.parts.published.poison.load().after(&feed);
         core.parts.published.poison.store(Arc::new(mirror));
@@ -90,7 +103,7 @@
         feed::ApplyOutcome::Applied => {
             let table = core.feed.borrow().table().clone();
             core.parts.published.table.store(Arc::new(table));
-            (core.parts.table_changed)();
+            core.parts.traffic.notify_table_changed();
         }
     }
 }
@@ -175,3 +188,28 @@
         tokio::time::sleep(DEMAND_PAUSE).await;
     }
 }
+
+/// Asks the leader for permits that the traffic wants, and tells it of rate limits, until it is
+/// dropped.
+pub async fn ask_permits(core: Rc<Core>) {
+    loop {
+        core.parts.traffic.permits_wanted().await;
+        tokio::time::sleep(PERMIT_PAUSE).await;
+        let asks = core.parts.traffic.permit_asks();
+        if asks.is_empty() {
+            continue;
+        }
+        let asked_ms = core.now_ms();
+        let asked = core.ask_leader(Request::Permits(asks.clone()), PERMIT_LIMIT);
+        match tokio::time::timeout(PERMIT_LIMIT, asked).await {
+            Ok(Ok(Reply::Permits(grants))) => {
+                core.parts.traffic.permits_granted(asked_ms, &asks, Some(&grants));
+            }
+            _ => {
+                log::info!("no leader grants permits");
+                metrics::counter!("fescuebay_permit_asks_lost_total").increment(1);
+                core.parts.traffic.permits_granted(asked_ms, &asks, None);
+            }
+        }
+    }
+}
--- a/src/daemon/leader/mod.rs
+++ b/src/daemon/leader/mod.rs
@@ -4,6 +4,7 @@
 mod catalogue;
 mod checks;
 mod lives;
+mod permits;
 mod show;
 
 use std::cell::{Cell, RefCell};
@@ -31,6 +32,7 @@
 use crate::membership::targets::TargetReport;
 use crate::placement::planner::{Action, Event, Planner};
 use crate::placement::{demand, driver, ledger, settings};
+use crate::rate_limit::schedule::PermitSchedule;
 use crate::target::{Target, order};
 
 /// Time between two looks at the daemons and targets.
@@ -71,6 +73,9 @@
     news: watch::Sender<u64>,
     revision: Cell<Revision>,
     cold: checks::Cold,
+    /// Permits for limited targets, and the version of their limits.
+    permits: RefCell<PermitSchedule>,
+    rate_limits: Cell<Version>,
     now_ms: Cell<u64>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -120,6 +125,8 @@
             news: watch::Sender::new(0),
             revision: Cell::new(Revision(0)),
             cold: checks::Cold::default(),
+            permits: RefCell::new(permits::inherited(core, now_ms)),
+            rate_limits: Cell::new(Version { term, number: 1 }),
             now_ms: Cell::new(now_ms),
             tasks: RefCell::default(),
         });
@@ -195,6 +202,7 @@
             fleet,
             daemons: (places.version != watch.daemons).then(|| places.clone()),
             poison,
+            rate_limits: self.rate_limits_for(core.now_ms(), watch),
         })
     }
 
@@ -360,6 +368,7 @@
         || !is_same_fleet
         || news.daemons.is_some()
         || news.poison.is_some()
+        || news.rate_limits.is_some()
 }
 
 /// Looks after daemons, targets and the time of the replicated state until it is aborted.
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -11,6 +11,7 @@
 use crate::membership::feed::{FeedBatch, FeedCursor};
 use crate::membership::targets::{AnnouncementOutcome, TargetReport};
 use crate::placement::demand;
+use crate::rate_limit::message::{PermitAsk, PermitGrant, TargetStatement};
 use crate::target::order;
 
 /// A question to another daemon.
@@ -40,6 +41,8 @@
     ReplaceVoter(DaemonId, DaemonId),
     /// To any voter: who leads, and how the log stands.
     Status,
+    /// To the leader: what targets said of their rate limits, and the permits that are wanted.
+    Permits(Vec<PermitAsk>),
 }
 
 /// What operators are shown, known to the leader alone.
@@ -68,6 +71,8 @@
     pub daemons: Version,
     /// The revision of the list of poison requests that it has.
     pub poison: u64,
+    /// The version of the rate limits that it was told of.
+    pub rate_limits: Version,
 }
 
 /// The version of a list that a leader keeps. Versions of different terms are never equal.
@@ -126,6 +131,8 @@
     Shown(String),
     /// How the log stands at a voter.
     Status(Box<Status>),
+    /// The permits that the leader grants.
+    Permits(Vec<PermitGrant>),
 }
 
 /// When a replica of a model is expected.
@@ -170,6 +177,8 @@
     pub daemons: Option<Places>,
     /// Changes of the list of poison requests.
     pub poison: Option<poison::Feed>,
+    /// What all targets last said of their rate limits, if any of it changed.
+    pub rate_limits: Option<(Version, Vec<TargetStatement>)>,
 }
 
 /// Changes of the configuration.
--- a/src/daemon/serve.rs
+++ b/src/daemon/serve.rs
@@ -348,7 +348,7 @@
             order_token: order_token(settings),
             fencing: settings.targets.fencing.clone(),
         },
-        table_changed: Box::new(move || shared.notify_table_changed()),
+        traffic: shared,
     });
     let answers = Answers { core: Rc::clone(&core), group: cluster.group };
     let listen = settings.daemon.peer_address();
@@ -359,6 +359,7 @@
     tokio::task::spawn_local(follow::look(Rc::clone(&core)));
     tokio::task::spawn_local(follow::report(Rc::clone(&core)));
     tokio::task::spawn_local(follow::tell_demand(Rc::clone(&core)));
+    tokio::task::spawn_local(follow::ask_permits(Rc::clone(&core)));
     let voting = vote(Rc::clone(&core), settings, first_change);
     tokio::select! {
         failed = voting => failed,
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -31,14 +31,14 @@
 
 /// Chooses one of `candidates`, which are indices in `targets`; `None` if none has room.
 ///
-/// `can_join` returns whether the call may run beside the calls in flight at a target. A suspected
-/// target is chosen only if no candidate is up.
+/// `is_allowed` returns whether the call may go to the target at an index, beside what this module
+/// decides. A suspected target is chosen only if no candidate is up.
 pub fn choose_target(
     now_ms: u64,
     targets: &[Target],
     candidates: &[u32],
     requirements: &TargetRequirements<'_>,
-    can_join: impl Fn(&Target) -> bool,
+    is_allowed: impl Fn(u32) -> bool,
     rng: &mut impl Rng,
 ) -> Option<u32> {
     let is_open = |index: u32, standing: Standing| {
@@ -46,7 +46,7 @@
         target.standing == standing
             && target.has_room(now_ms, requirements.is_long, requirements.long_share)
             && !requirements.avoided_targets.contains(&target.number)
-            && can_join(target)
+            && is_allowed(index)
     };
     let zone_cost = CROSS_ZONE_MS / (requirements.expected_first_ms + 1.0);
     let cost = |index: u32| targets[index as usize].cost(now_ms, zone_cost);
--- a/src/routing/engine/arrival.rs
+++ b/src/routing/engine/arrival.rs
@@ -28,7 +28,9 @@
         let duration_key = arrival.destination.duration_key();
         let expected = self.durations.expected(&duration_key, &arrival.class);
         let expected_ms = expected.total_for_tokens_ms(arrival.max_tokens);
+        self.sequence += 1;
         let request = Request {
+            number: self.sequence,
             usage_index,
             duration_key,
             state: RequestState::Parked,
@@ -43,6 +45,8 @@
             is_delivering: false,
             attempts: 0,
             unsent_attempts: 0,
+            awaited: None,
+            await_until_ms: None,
             trial_unavailable_at: None,
             was_written: false,
             is_admitted: false,
@@ -181,6 +185,15 @@
             self.has_empty_queue |= queue.is_empty();
             return self.refuse(cx, ticket, RefusalCode::NotInTime, wait_ms);
         }
+        let Some(request) = self.requests.get(ticket) else { return };
+        let queue = &self.queues[index];
+        let ahead = admission::count_ahead(queue, &position);
+        let limited_ms = self.limited_wait_ms(cx.now_ms, &request.arrival.destination, ahead);
+        if !request.can_meet_deadline(cx.now_ms, limited_ms as f64) {
+            self.has_empty_queue |= queue.is_empty();
+            return self.refuse_limited(cx, ticket, limited_ms);
+        }
+        let Some(request) = self.requests.get_mut(ticket) else { return };
         request.state = RequestState::Waiting(position);
         request.queued_ms = cx.now_ms;
         self.queues[index].insert(QueuedRequest { position, ticket });
@@ -260,6 +273,18 @@
         self.refuse_with_retry_after(cx, ticket, code, retry_after_ms);
     }
 
+    /// Refuses a request because its targets are at their rate limits for `wait_ms`.
+    pub(super) fn refuse_limited(
+        &mut self,
+        cx: &mut EventContext<'_>,
+        ticket: Ticket,
+        wait_ms: u64,
+    ) {
+        self.refusal_rate.record_refusal(cx.now_ms);
+        let return_ms = self.next_return_in_ms(cx.now_ms, ticket).unwrap_or(wait_ms);
+        self.refuse_with_retry_after(cx, ticket, RefusalCode::TargetsLimited, return_ms.max(1));
+    }
+
     fn refuse_with_retry_after(
         &mut self,
         cx: &mut EventContext<'_>,
--- a/src/routing/engine/dispatch.rs
+++ b/src/routing/engine/dispatch.rs
@@ -1,6 +1,6 @@
 //! Dispatch: selects queued requests and sends them to targets that have room.
 
-use super::{Action, AttemptStart, EventContext, RequestState, RoutingEngine, Ticket};
+use super::{Action, AttemptStart, Destination, EventContext, RequestState, RoutingEngine, Ticket};
 use crate::routing::choice::{self, TargetRequirements};
 use crate::routing::hedge;
 use crate::routing::queue::QueuedRequest;
@@ -12,11 +12,34 @@
 const MAX_SKIPPED_REQUESTS: usize = 8;
 
 impl RoutingEngine {
-    /// Chooses a target with room for a request and returns its index.
+    /// Chooses a target with room for a request and returns its index. If the best one is limited,
+    /// the request waits for its permit.
     pub(super) fn choose_target_for(
         &mut self,
         cx: &mut EventContext<'_>,
         ticket: Ticket,
+    ) -> Option<u32> {
+        if self.permits.is_empty() {
+            return self.choose_among(cx, ticket, |_| true);
+        }
+        let gates = self.gates_for(cx.now_ms, ticket);
+        let open = self.choose_among(cx, ticket, |index| gates.is_open(index));
+        let may_await = self.may_await(cx.now_ms, ticket);
+        let awaited = match may_await || open.is_none() {
+            true => self.choose_among(cx, ticket, |index| gates.is_open_at_once(index)),
+            false => None,
+        };
+        let awaited = awaited.filter(|index| !gates.is_open(*index));
+        self.await_permit(cx.now_ms, ticket, &gates, awaited, open.is_some());
+        open.filter(|_| awaited.is_none())
+    }
+
+    /// Chooses among the targets with room for a request that are allowed.
+    fn choose_among(
+        &self,
+        cx: &mut EventContext<'_>,
+        ticket: Ticket,
+        is_allowed: impl Fn(u32) -> bool,
     ) -> Option<u32> {
         let request = self.requests.get(ticket)?;
         let arrival = &request.arrival;
@@ -32,12 +55,27 @@
             avoided_targets: &request.avoided_targets,
         };
         let is_suspect = self.is_suspect(cx.now_ms, ticket);
-        let can_join = |target: &Target| !is_suspect || !self.is_running_suspect(cx.now_ms, target);
-        let candidates = match self.queue_index(&arrival.destination) {
-            Ok(index) => self.queues[index].candidates(),
-            Err(_) => arrival.destination.candidates(&self.table),
+        let is_allowed = |index: u32| {
+            let target = &self.targets[index as usize];
+            is_allowed(index) && (!is_suspect || !self.is_running_suspect(cx.now_ms, target))
         };
-        choice::choose_target(cx.now_ms, &self.targets, candidates, &requirements, can_join, cx.rng)
+        let candidates = self.candidates(&arrival.destination);
+        choice::choose_target(
+            cx.now_ms,
+            &self.targets,
+            candidates,
+            &requirements,
+            is_allowed,
+            cx.rng,
+        )
+    }
+
+    /// Indices of the targets that can serve a destination.
+    pub(super) fn candidates(&self, destination: &Destination) -> &[u32] {
+        match self.queue_index(destination) {
+            Ok(index) => self.queues[index].candidates(),
+            Err(_) => destination.candidates(&self.table),
+        }
     }
 
     pub(super) fn is_suspect(&self, now_ms: u64, ticket: Ticket) -> bool {
@@ -55,7 +93,10 @@
     pub(super) fn send_attempt(&mut self, cx: &mut EventContext<'_>, ticket: Ticket, index: u32) {
         self.uncount_waiting(ticket);
         let is_suspect = self.is_suspect(cx.now_ms, ticket);
+        let entry = self.table.entry(index);
+        let permit = self.permits.reserve(cx.now_ms, &entry.target, entry.incarnation);
         let Some(request) = self.requests.get_mut(ticket) else { return };
+        request.awaited = None;
         let target = &mut self.targets[index as usize];
         let attempt = request.attempts;
         request.attempts += 1;
@@ -94,6 +135,7 @@
             predicted_ms: request.predicted_ms.take(),
             hedge_after_ms,
             is_suspect,
+            permit,
         }));
     }
 
@@ -143,7 +185,8 @@
     fn is_restricted(&self, now_ms: u64, ticket: Ticket) -> bool {
         let has_avoided_targets =
             self.requests.get(ticket).is_some_and(|r| !r.avoided_targets.is_empty());
-        has_avoided_targets || self.is_suspect(now_ms, ticket)
+        let is_awaiting = self.requests.get(ticket).is_some_and(|r| r.awaited.is_some());
+        has_avoided_targets || is_awaiting || self.is_suspect(now_ms, ticket)
     }
 
     /// Removes a request from its queue and sends it, or refuses it if it can't meet its deadline.
@@ -177,7 +220,10 @@
         let target = &self.targets[index as usize];
         let long_share = self.settings.long_share;
         let work_kinds = [false, true].map(|is_long| target.has_room(now_ms, is_long, long_share));
-        if target.standing != crate::membership::table::Standing::Up || work_kinds == [false; 2] {
+        if target.standing != crate::membership::table::Standing::Up
+            || work_kinds == [false; 2]
+            || !self.has_permit(now_ms, index)
+        {
             return None;
         }
         for rank in self.fair_scheduler.rank_order() {
--- a/src/routing/engine/mod.rs
+++ b/src/routing/engine/mod.rs
@@ -8,6 +8,7 @@
 mod arrival;
 mod dispatch;
 mod outcome;
+mod permits;
 mod table_update;
 mod tick;
 
@@ -17,6 +18,8 @@
 
 use crate::ids::{ClassName, Digest, ModelRef, ServiceName, TargetId, TenantId};
 use crate::membership::table::RouteTable;
+use crate::rate_limit::TargetLife;
+use crate::rate_limit::permits::{PermitId, PermitPool};
 use crate::routing::admission::{self, WaitEstimate};
 use crate::routing::affinity::{ConversationHash, PrefixAffinity};
 use crate::routing::budget::RetryBudget;
@@ -122,6 +125,8 @@
     pub hedge_after_ms: Option<u64>,
     /// Whether the request may have crashed a target, so that it may be sent only as a trial.
     pub is_suspect: bool,
+    /// The permit to send it, if the target is limited.
+    pub permit: Option<PermitId>,
 }
 
 /// An effect that the caller of the engine must carry out.
@@ -138,6 +143,8 @@
     },
     /// Report demand for a model to placement.
     ReportDemand(ModelDemand),
+    /// Ask the leader for permits, or tell it of a rate limit.
+    AskPermits,
     /// Report the requests that were running at a target that died to the poison records.
     TargetDied {
         /// The target.
@@ -225,6 +232,8 @@
 
 #[derive(Clone, Debug)]
 struct Request {
+    /// Numbers requests in the order of their arrival.
+    number: u64,
     arrival: Arrival,
     duration_key: duration::DurationKey,
     usage_index: usize,
@@ -241,6 +250,10 @@
     attempts: u32,
     /// Attempts that were not sent because no trial was available.
     unsent_attempts: u32,
+    /// The limited target for whose permit the request waits.
+    awaited: Option<permits::AwaitedPermit>,
+    /// Until when it waits for a permit although another target could take it.
+    await_until_ms: Option<u64>,
     /// The target where a trial was last unavailable; it is also in `avoided_targets`.
     trial_unavailable_at: Option<TargetNumber>,
     was_written: bool,
@@ -319,6 +332,10 @@
     suspects: Suspects,
     broken_calls: Vec<BrokenCall>,
     demand_tracker: DemandTracker,
+    permits: PermitPool,
+    /// Interrupted streams that wait for a permit to be resumed, by target.
+    waiting_resumes: Vec<TargetLife>,
+    is_permit_wanted: bool,
     usages_to_unpark: Vec<usize>,
     has_empty_queue: bool,
 }
--- a/src/routing/engine/outcome.rs
+++ b/src/routing/engine/outcome.rs
@@ -97,7 +97,7 @@
             was_written: request.was_written,
         };
         request.was_written |= !failure.is_unwritten();
-        request.unsent_attempts += u32::from(failure == AttemptFailure::TrialUnavailable);
+        request.unsent_attempts += u32::from(failure.is_free());
         let number = target_of_call(request, attempt);
         if failure == AttemptFailure::TrialUnavailable {
             // Only the latest such target stays avoided: earlier ones may offer a trial again.
@@ -105,7 +105,9 @@
             request.avoided_targets.retain(|avoided| Some(*avoided) != last);
         }
         if let Some(number) = number {
-            request.avoided_targets.push(number);
+            if failure != AttemptFailure::Withdrawn {
+                request.avoided_targets.push(number);
+            }
             self.record_failure(cx.now_ms, number, ticket, failure);
             self.release_call(cx, number, ticket, attempt);
         }
@@ -129,7 +131,7 @@
         let is_refused_as_suspect = self.suspects.refused_for_ms(cx.now_ms, &digest).is_some();
         let next = retry::decide_retry(failed_attempt);
         // Nothing was sent, so the retry is not charged to the retry budget.
-        let is_free = failed_attempt.failure == AttemptFailure::TrialUnavailable;
+        let is_free = failed_attempt.failure.is_free();
         if next == RetryDecision::Retry
             && !is_refused_as_suspect
             && !is_past_deadline
@@ -171,7 +173,9 @@
         match failure {
             AttemptFailure::Busy => target.record_busy(now_ms),
             AttemptFailure::Call { .. } => target.record_failure(now_ms),
-            AttemptFailure::TrialUnavailable | AttemptFailure::ClosedAsPoison => {}
+            AttemptFailure::Withdrawn
+            | AttemptFailure::TrialUnavailable
+            | AttemptFailure::ClosedAsPoison => {}
         }
         if let Some(digest) = digest.filter(|_| failure.may_have_died()) {
             self.suspects.record_failure(now_ms, number, &digest);
@@ -293,6 +297,7 @@
         if std::mem::take(&mut self.has_empty_queue) {
             self.queues.retain(|queue| !queue.is_empty());
         }
+        self.ask_permits(cx);
     }
 
     /// Queues parked requests of a tenant and class while its in-flight limit allows.
--- a/src/routing/engine/tick.rs
+++ b/src/routing/engine/tick.rs
@@ -90,6 +90,7 @@
         ready_at: impl Fn(&ModelRef) -> Option<u64>,
     ) {
         let mut late: Vec<(Ticket, f64)> = Vec::new();
+        let mut limited: Vec<(Ticket, u64)> = Vec::new();
         for queue in &self.queues {
             let candidates = queue.candidates();
             let ready_ms = match &queue.destination {
@@ -110,10 +111,13 @@
                             .1
                             .max(MIN_FURTHER_WAIT_MS)
                     };
-                    if request.can_meet_deadline(cx.now_ms, wait_ms) {
-                        ahead += 1;
-                    } else {
+                    let limited_ms = self.limited_wait_ms(cx.now_ms, &queue.destination, ahead);
+                    if !request.can_meet_deadline(cx.now_ms, wait_ms) {
                         late.push((queued.ticket, wait_ms));
+                    } else if !request.can_meet_deadline(cx.now_ms, limited_ms as f64) {
+                        limited.push((queued.ticket, limited_ms));
+                    } else {
+                        ahead += 1;
                     }
                 }
             }
@@ -121,6 +125,9 @@
         for (ticket, wait_ms) in late {
             self.refuse(cx, ticket, RefusalCode::NotInTime, wait_ms);
         }
+        for (ticket, wait_ms) in limited {
+            self.refuse_limited(cx, ticket, wait_ms);
+        }
     }
 
     /// Reports models with waiting or running requests but no new arrivals, once per period.
--- a/src/routing/refusal.rs
+++ b/src/routing/refusal.rs
@@ -76,6 +76,7 @@
     NotInTime, 503, "not-in-time", "The request is not expected to be answered by its deadline.";
     DeadlinePassed, 504, "deadline-passed", "The deadline passed while the request waited.";
     TargetBusy, 503, "target-busy", "The targets asked refused the request for now.";
+    TargetsLimited, 503, "targets-limited", "The targets are at the rate limits that they name.";
     TargetFailed, 502, "target-failed", "The target failed before it had answered.";
     TargetSilent, 504, "target-silent", "The target did not answer in time.";
     PoisonSuspect, 422, "poison-suspect", "Targets failed while running this very request.";
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -30,6 +30,8 @@
     },
     /// The target responded that it is too busy (429 or 503).
     Busy,
+    /// Not sent: the target has named a rate limit meanwhile, or the permit was over.
+    Withdrawn,
     /// Not sent: the request is suspect and no trial is available at this target now.
     TrialUnavailable,
     /// Not sent: the request is refused as poison because too many targets died running it.
@@ -52,10 +54,18 @@
     pub fn is_unwritten(self) -> bool {
         match self {
             AttemptFailure::Call { written, .. } => written == Written::No,
-            AttemptFailure::TrialUnavailable | AttemptFailure::ClosedAsPoison => true,
+            AttemptFailure::Withdrawn
+            | AttemptFailure::TrialUnavailable
+            | AttemptFailure::ClosedAsPoison => true,
             AttemptFailure::Busy => false,
         }
     }
+
+    /// Whether a retry takes nothing from the retry budget: nothing was sent, and the request may
+    /// be sent as soon as its target takes it.
+    pub fn is_free(self) -> bool {
+        matches!(self, AttemptFailure::Withdrawn | AttemptFailure::TrialUnavailable)
+    }
 }
 
 /// A failed attempt and the state of its request.
@@ -96,6 +106,7 @@
         AttemptFailure::Busy => RefusalCode::TargetBusy,
         AttemptFailure::Call { cause: Cause::Silent, .. } => RefusalCode::TargetSilent,
         AttemptFailure::Call { .. } => RefusalCode::TargetFailed,
+        AttemptFailure::Withdrawn => RefusalCode::TargetsLimited,
         AttemptFailure::TrialUnavailable | AttemptFailure::ClosedAsPoison => {
             RefusalCode::PoisonSuspect
         }
@@ -105,7 +116,7 @@
 
 /// Decides whether to retry after a failed attempt. The caller checks the retry budget.
 pub fn decide_retry(attempt: &FailedAttempt) -> RetryDecision {
-    if attempt.failure == AttemptFailure::TrialUnavailable && !attempt.is_delivering {
+    if attempt.failure.is_free() && !attempt.is_delivering {
         return RetryDecision::Retry;
     }
     let may_repeat =
@@ -174,6 +185,7 @@
             | RefusalCode::NotInTime
             | RefusalCode::DeadlinePassed
             | RefusalCode::TargetBusy
+            | RefusalCode::TargetsLimited
             | RefusalCode::TargetFailed
             | RefusalCode::TargetSilent
             | RefusalCode::InProgress
--- a/src/target/call.rs
+++ b/src/target/call.rs
@@ -7,6 +7,7 @@
 use futures::stream::BoxStream;
 
 use crate::ids::{RequestId, TargetId};
+use crate::rate_limit;
 
 /// One attempt of a request, as sent to a target.
 #[derive(Clone, Debug)]
@@ -48,6 +49,8 @@
     pub headers: http::HeaderMap,
     /// Load that the target reports in the response headers, if any.
     pub load: Option<super::order::Load>,
+    /// What the target says of its rate limit in the response headers.
+    pub rate_limit: rate_limit::Statement,
     /// The body. The stream ends after [`Part::End`] or an error; an end without either is a bug of
     /// the adapter.
     pub body: BoxStream<'static, Result<Part>>,
--- a/src/target/http.rs
+++ b/src/target/http.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::ids::{RequestId, TargetId};
+use crate::rate_limit;
 use crate::target::{self, call, order};
 
 /// Header with the request id, which the target also uses as the id of the stream.
@@ -137,6 +138,7 @@
     ) -> call::Answer {
         let (mut head, body) = response.into_parts();
         let load = read_load(&head.headers);
+        let rate_limit = read_rate_limit(&head.headers);
         let is_delimited = is_head_request || is_delimited(&head);
         let is_event_stream_body = is_event_stream(&head.headers);
         remove_hop_headers(&mut head.headers);
@@ -145,7 +147,7 @@
             true => decode_events(target, body, first_offset),
             false => stream_plain_body(target, body, is_delimited),
         };
-        call::Answer { status: head.status, headers: head.headers, load, body }
+        call::Answer { status: head.status, headers: head.headers, load, rate_limit, body }
     }
 }
 
@@ -239,7 +241,7 @@
 
 fn remove_hop_headers(headers: &mut http::HeaderMap) {
     let hop = ["connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"];
-    for name in hop.iter().chain(&LOAD) {
+    for name in hop.iter().chain(&LOAD).chain(&[RATE_LIMIT]) {
         headers.remove(*name);
     }
 }
@@ -254,6 +256,14 @@
     })
 }
 
+/// Reads the rate limit that a target names. An invalid one neither sets nor ends a limit.
+fn read_rate_limit(headers: &http::HeaderMap) -> rate_limit::Statement {
+    match headers.get(RATE_LIMIT) {
+        Some(value) => rate_limit::Statement::parse(value.as_bytes()),
+        None => rate_limit::Statement::Unlimited,
+    }
+}
+
 /// Decodes an event stream up to its end marker; each event gets its offset.
 fn decode_events(
     target: TargetId,
--- a/src/traffic/call.rs
+++ b/src/traffic/call.rs
@@ -9,15 +9,16 @@
 use http::{HeaderMap, Method, StatusCode, header};
 
 use crate::ids::{ClassName, RequestId, TenantId};
+use crate::rate_limit::TargetLife;
 use crate::routing::engine::{Arrival, AttemptFailure, AttemptStart};
 use crate::routing::refusal::{Refusal, RefusalCode, RunStatus};
 use crate::routing::retry;
 use crate::target::Target;
 use crate::target::call::{self, Answer, Attempt, Cause, Written};
-use crate::traffic::measure;
 use crate::traffic::poison::TrialDecision;
 use crate::traffic::request_guard::{OpenedAttempt, RequestGuard};
 use crate::traffic::state::TrafficState;
+use crate::traffic::{measure, permits};
 
 /// The header in which a target returns the id of the request that it answers.
 const REQUEST_HEADER: &str = "x-request-id";
@@ -72,6 +73,7 @@
     pub(super) guard: RequestGuard,
     pub(super) request: RequestId,
     pub(super) attempt: u32,
+    pub(super) life: TargetLife,
     pub(super) target: Arc<dyn Target>,
     pub(super) answer: Answer,
 }
@@ -105,7 +107,7 @@
     let mut hedge_at = hedge_at(&first);
     let mut sent: FuturesUnordered<AttemptFuture> = FuturesUnordered::new();
     let mut open = vec![first.attempt];
-    sent.push(send_attempt(&mut guard, call, &request, first));
+    sent.push(send_attempt(shared, &mut guard, call, &request, first));
     loop {
         tokio::select! {
             biased;
@@ -117,7 +119,7 @@
                         let next = guard.fail_attempt(start.attempt, failure).await?;
                         hedge_at = self::hedge_at(&next);
                         open.push(next.attempt);
-                        sent.push(send_attempt(&mut guard, call, &request, next));
+                        sent.push(send_attempt(shared, &mut guard, call, &request, next));
                         continue;
                     }
                     Err(failure) => {
@@ -127,13 +129,14 @@
                 };
                 open.iter().for_each(|attempt| guard.abandon_attempt(*attempt));
                 let attempt = start.attempt;
-                return Ok(StartedResponse { guard, request, attempt, target, answer });
+                let life = permits::target_life(&start);
+                return Ok(StartedResponse { guard, request, attempt, life, target, answer });
             }
             () = sleep_until_opt(hedge_at) => {
                 hedge_at = None;
                 if let Some(start) = guard.start_hedge() {
                     open.push(start.attempt);
-                    sent.push(send_attempt(&mut guard, call, &request, start));
+                    sent.push(send_attempt(shared, &mut guard, call, &request, start));
                 }
             }
             () = tokio::time::sleep_until(deadline) => {
@@ -170,6 +173,7 @@
 }
 
 fn send_attempt(
+    shared: &Arc<TrafficState>,
     guard: &mut RequestGuard,
     call: &Call,
     request: &RequestId,
@@ -178,13 +182,25 @@
     let OpenedAttempt { target, trial } = guard.open_attempt(&start);
     let attempt = call.attempt(request, start.attempt);
     measure::count_attempt(call);
+    let shared = Arc::clone(shared);
     Box::pin(async move {
         let result = match trial {
             Some(trial) => check_trial(trial.await),
             None => Ok(()),
         };
+        let life = permits::target_life(&start);
         let result = match result {
-            Ok(()) => check_answer(&attempt.request.clone(), target.call(attempt).await),
+            Ok(()) if !shared.begin_send(&life, &start) => Err(AttemptFailure::Withdrawn),
+            Ok(()) => {
+                let (request, sent_ms) = (attempt.request.clone(), shared.now_ms());
+                let result = target.call(attempt).await;
+                if let Ok(answer) = &result
+                    && !is_for_other_request(&request, &answer.headers)
+                {
+                    shared.record_rate_limit(&life, answer.rate_limit, sent_ms);
+                }
+                check_answer(&request, result)
+            }
             Err(failure) => Err(failure),
         };
         (start, target, result)
--- a/src/traffic/jobs/executor.rs
+++ b/src/traffic/jobs/executor.rs
@@ -93,6 +93,7 @@
         RefusalCode::TooManyWaiting
         | RefusalCode::QueueFull
         | RefusalCode::TargetBusy
+        | RefusalCode::TargetsLimited
         | RefusalCode::TargetFailed
         | RefusalCode::TargetSilent
         | RefusalCode::NotInTime
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 pub mod jobs;
 pub mod limits;
 mod measure;
+mod permits;
 pub mod poison;
 pub mod policy;
 pub mod problem;
--- a/src/traffic/relay.rs
+++ b/src/traffic/relay.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::ids::RequestId;
+use crate::rate_limit::TargetLife;
 use crate::routing::engine::AttemptFailure;
 use crate::routing::refusal::{Refusal, RefusalCode, RunStatus};
 use crate::routing::retry;
@@ -151,6 +152,7 @@
     began_ms: u64,
     guard: RequestGuard,
     attempt: u32,
+    life: TargetLife,
     target: Arc<dyn Target>,
     body: BoxStream<'static, call::Result<Part>>,
     stream: StreamAssembler,
@@ -197,7 +199,7 @@
         began_ms: u64,
         first: Part,
     ) -> Response {
-        let StartedResponse { guard, request, attempt, target, answer } = started;
+        let StartedResponse { guard, request, attempt, life, target, answer } = started;
         let now_ms = shared.now_ms();
         guard.record_first_byte(attempt, answer.load);
         guard.start_delivery();
@@ -214,6 +216,7 @@
             began_ms,
             guard,
             attempt,
+            life,
             target,
             body: answer.body,
             stream: StreamAssembler::new(now_ms, attempt),
@@ -295,16 +298,25 @@
             let StreamRecovery::Resume { offset, attempt } = self.stream.recover() else {
                 return Err(RelayError::Incomplete(self.incomplete_refusal()));
             };
+            let limit = Duration::from_millis(RESUME_TIMEOUT_MS);
+            let has_permit = tokio::select! {
+                has_permit = self.shared.wait_to_resume(&self.life, limit) => has_permit,
+                () = self.caller.wait_closed() => return Err(RelayError::CallerGone),
+            };
+            if !has_permit {
+                continue;
+            }
             measure::count_stream_event(&self.call, "resumed");
+            let sent_ms = self.shared.now_ms();
             let request = self.request.clone();
             let resume = self.target.resume(Resume { request, attempt, offset });
-            let limit = Duration::from_millis(RESUME_TIMEOUT_MS);
             let answer = tokio::select! {
                 answer = timeout(limit, resume) => answer,
                 () = self.caller.wait_closed() => return Err(RelayError::CallerGone),
             };
             match answer {
                 Ok(Ok(answer)) if !is_for_other_request(&self.request, &answer.headers) => {
+                    self.shared.record_rate_limit(&self.life, answer.rate_limit, sent_ms);
                     self.body = answer.body;
                     return Ok(());
                 }
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -72,6 +72,8 @@
     next_request_number: AtomicU64,
     is_draining: AtomicBool,
     pub(super) wake: Notify,
+    /// Notified when the leader should be asked for permits, or told of a rate limit.
+    pub(super) permit_asks_due: Notify,
     pub(super) next_wake_ms: AtomicU64,
     pub(super) driver_passes: AtomicU64,
     active: AtomicUsize,
@@ -116,6 +118,7 @@
             next_request_number: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
             wake: Notify::new(),
+            permit_asks_due: Notify::new(),
             next_wake_ms: AtomicU64::new(0),
             driver_passes: AtomicU64::new(0),
             active: AtomicUsize::new(0),
@@ -255,6 +258,7 @@
         for notification in notifications {
             match notification {
                 Notification::Demand(demand) => self.placement.report_demand(demand),
+                Notification::PermitsWanted => self.permit_asks_due.notify_one(),
                 Notification::TargetDied(target, digests) => {
                     self.poison.record_target_death(&target, &digests);
                 }
@@ -266,6 +270,7 @@
 /// A notification for another module, sent after the lock is released.
 enum Notification {
     Demand(ModelDemand),
+    PermitsWanted,
     TargetDied(TargetId, Vec<Digest>),
 }
 
@@ -290,6 +295,7 @@
                     self.deliver_decision(ticket, Decision::Refuse(refusal));
                 }
                 Action::ReportDemand(demand) => notifications.push(Notification::Demand(demand)),
+                Action::AskPermits => notifications.push(Notification::PermitsWanted),
                 Action::TargetDied { target, digests } => {
                     notifications.push(Notification::TargetDied(target, digests));
                 }
--- a/tests/jobs_http.rs
+++ b/tests/jobs_http.rs
@@ -54,7 +54,8 @@
             let mut headers = http::HeaderMap::new();
             headers.insert("content-type", "application/json".parse().unwrap());
             let body = futures::stream::iter(parts).boxed();
-            Ok(call::Answer { status: StatusCode::CREATED, headers, load: None, body })
+            let rate_limit = Default::default();
+            Ok(call::Answer { status: StatusCode::CREATED, headers, load: None, rate_limit, body })
         }
         .boxed()
     }
--- a/tests/routing_engine.rs
+++ b/tests/routing_engine.rs
@@ -81,7 +81,7 @@
                 Action::Refuse { ticket, refusal } => {
                     self.refused.push((ticket, refusal.code, refusal.ran));
                 }
-                Action::ReportDemand(_) | Action::TargetDied { .. } => {}
+                Action::AskPermits | Action::ReportDemand(_) | Action::TargetDied { .. } => {}
             }
         }
         value
--- a/tests/traffic_support/mod.rs
+++ b/tests/traffic_support/mod.rs
@@ -243,7 +243,8 @@
         let broken = self.error(Cause::Broken, Written::Maybe);
         let seen = self.seen.clone();
         let body = body(script, is_stream, broken, seen, open);
-        Ok(Answer { status, headers, load, body })
+        let rate_limit = fescuebay::rate_limit::Statement::Unlimited;
+        Ok(Answer { status, headers, load, rate_limit, body })
     }
 }
 
