Placement does not count on engines that name a rate limit

Cause: a busy model is kept on as many engines as its requests in flight need. Limited engines get few, so two of them at half a request a second looked like enough for eight a second, and most callers would be refused.

Change: the leader tells placement the limits; replicas on limited engines count only if these take the model's arrivals, and no further replica is put on one.

Before: a_model_on_limited_engines_gets_a_replica_on_another_one fails (the model stays on the two limited engines). After: it passes, and so do the other 11 tests of the planner.

--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -223,8 +223,9 @@
 
     fn new_planner(&self, now_ms: u64) -> swap::Planner {
         let mut planner = swap::Planner::new(self.term, self.context.placement, now_ms);
+        // It knows no engines yet, so it returns no actions.
+        let _ = planner.handle_event(now_ms, self.rate_limits_event());
         if self.is_order_allowed.get() {
-            // It knows no engines yet, so it returns no actions.
             let _ = planner.handle_event(now_ms, swap::Event::OrdersAllowed);
         }
         planner
--- a/src/coordinator/leader/permits.rs
+++ b/src/coordinator/leader/permits.rs
@@ -2,6 +2,7 @@
 
 use super::Leader;
 use crate::ids::DaemonId;
+use crate::placement::swap;
 use crate::rate_limit::message::{PermitAsk, PermitGrant};
 use crate::rate_limit::statements::Statements;
 
@@ -23,6 +24,13 @@
         }
     }
 
+    /// The limits that targets name now, as an event of placement.
+    pub(super) fn rate_limits_event(&self) -> swap::Event {
+        let statements = self.permits.borrow().statements(self.context.clock.now_ms());
+        let limited = statements.into_iter().filter_map(|told| Some((told.life, told.limit?)));
+        swap::Event::RateLimits(limited.collect())
+    }
+
     /// Answers a router that asks for permits or passes on statements. `None` if this leader may no
     /// longer be the leader.
     pub fn answer_permits(&self, from: &DaemonId, asks: &[PermitAsk]) -> Option<Vec<PermitGrant>> {
@@ -45,6 +53,7 @@
         let grants = asks.iter().map(|ask| permits.grant(now_ms, from, ask)).collect();
         drop(permits);
         if is_changed {
+            self.broadcast_event(&self.rate_limits_event());
             let mut cursor = self.rate_limits_cursor.get();
             cursor.sequence.0 += 1;
             self.rate_limits_cursor.set(cursor);
--- a/src/placement/swap/engine/mod.rs
+++ b/src/placement/swap/engine/mod.rs
@@ -108,6 +108,8 @@
     pub incarnation: Incarnation,
     pub address: SocketAddr,
     pub is_leaving: bool,
+    /// The requests a second that it takes from all routers, if it names a limit.
+    pub limit_per_s: Option<f64>,
     /// Sorted by model.
     pub models: Vec<LoadedModel>,
     /// Copies in the memory or on the disk of the VM, sorted by model.
@@ -140,6 +142,7 @@
             incarnation: state.incarnation,
             address: state.address,
             is_leaving: state.leaving,
+            limit_per_s: None,
             models: Vec::new(),
             cached: Vec::new(),
             unloaded: Vec::new(),
--- a/src/placement/swap/mod.rs
+++ b/src/placement/swap/mod.rs
@@ -21,8 +21,10 @@
 use std::collections::VecDeque;
 
 use crate::ids::{AdapterName, DaemonId, Incarnation, ModelName, ModelRef, TargetId, Term};
+use crate::rate_limit::TargetLife;
 use crate::routes;
 use crate::target::order;
+use crate::units::PerSecond;
 
 use demand::AggregateDemand;
 use engine::EngineState;
@@ -102,6 +104,8 @@
     TargetGone(TargetId, Incarnation),
     /// No other daemon sends orders any more, so this planner may.
     OrdersAllowed,
+    /// The rate limits that engines name now; all others name none.
+    RateLimits(Vec<(TargetLife, PerSecond)>),
     /// A router reported its waiting and running requests.
     RouterDemand(DaemonId, demand::RouterDemand),
     /// An order was answered, or no response came.
@@ -177,6 +181,8 @@
     /// Sorted by target.
     engines: Vec<EngineState>,
     demand: AggregateDemand,
+    /// The rate limits of engines, sorted.
+    rate_limits: Vec<(TargetLife, PerSecond)>,
     /// Times at which loads from the weight store were ordered, oldest first.
     store_starts_ms: VecDeque<u64>,
     last_ticket: u64,
@@ -206,6 +212,7 @@
             specs: EngineSpecs::default(),
             engines: Vec::new(),
             demand: AggregateDemand::default(),
+            rate_limits: Vec::new(),
             store_starts_ms: VecDeque::new(),
             last_ticket: 0,
             is_ordering_allowed: false,
@@ -241,6 +248,7 @@
         self.next_round_ms = self.now_ms + MIN_ROUND_INTERVAL_MS + pairs / COUNTED_PAIRS_PER_MS;
         self.is_round_due = false;
         self.update_running();
+        self.update_rate_limits();
         self.counts = ModelCounts::collect(&self.specs, &self.engines, &self.demand);
         if self.can_order() {
             self.plan_loads();
@@ -259,6 +267,17 @@
         }
     }
 
+    /// Updates the rate limit of each engine.
+    fn update_rate_limits(&mut self) {
+        for engine in &mut self.engines {
+            let is_same = |(life, _): &&(TargetLife, PerSecond)| {
+                life.target == engine.target && life.incarnation == engine.incarnation
+            };
+            let found = self.rate_limits.iter().find(is_same);
+            engine.limit_per_s = found.map(|(_, limit)| limit.0);
+        }
+    }
+
     /// Time at which [`Event::Tick`] is due.
     pub fn wake_ms(&self) -> u64 {
         let engines = self.engines.iter().filter_map(|engine| engine.wake_ms(self.now_ms));
@@ -305,6 +324,10 @@
             Event::Announced(state) => self.apply_announcement(&state),
             Event::TargetGone(target, incarnation) => self.remove_engine(&target, incarnation),
             Event::OrdersAllowed => self.is_ordering_allowed = true,
+            Event::RateLimits(mut rate_limits) => {
+                rate_limits.sort_by(|(a, _), (b, _)| a.cmp(b));
+                self.rate_limits = rate_limits;
+            }
             Event::RouterDemand(router, demand) => {
                 self.demand.apply_report(self.now_ms, router, demand);
             }
--- a/src/placement/swap/model_counts.rs
+++ b/src/placement/swap/model_counts.rs
@@ -14,10 +14,24 @@
     pub running: u32,
     /// Replicas that are loaded or being loaded on engines that are not leaving.
     pub replicas: u32,
+    /// Those of them on engines that name a rate limit, and the requests a second that these take.
+    pub limited_replicas: u32,
+    pub limited_per_s: f64,
     /// Engines that are not leaving and have a copy, loaded or not.
     pub copies: u32,
 }
 
+impl ModelCount {
+    /// Replicas that serve requests at `rate_per_s`: those on limited engines count only if these
+    /// take as many.
+    pub(super) fn serving_replicas(&self, rate_per_s: f64) -> u32 {
+        match self.limited_per_s >= rate_per_s {
+            true => self.replicas,
+            false => self.replicas.saturating_sub(self.limited_replicas),
+        }
+    }
+}
+
 /// Counts for all models.
 #[derive(Debug, Default)]
 pub(super) struct ModelCounts {
@@ -45,6 +59,10 @@
                 counts.update(&loaded.model, |count| {
                     count.replicas += u32::from(!loaded.is_unloading);
                     count.copies += 1;
+                    if let Some(limit_per_s) = engine.limit_per_s.filter(|_| !loaded.is_unloading) {
+                        count.limited_replicas += 1;
+                        count.limited_per_s += limit_per_s;
+                    }
                 });
             }
             if let Some(model) = engine.incoming_model() {
--- a/src/placement/swap/plan.rs
+++ b/src/placement/swap/plan.rs
@@ -104,7 +104,7 @@
                 0 if count.waiting > 0 => LoadReason::NoReplica,
                 0 if count.copies == 0 => LoadReason::NoCopy,
                 0 => continue,
-                replicas if replicas < wanted_replicas(&count, rate_per_s) => {
+                _ if count.serving_replicas(rate_per_s) < wanted_replicas(&count, rate_per_s) => {
                     LoadReason::TooFewReplicas
                 }
                 _ => continue,
@@ -170,7 +170,9 @@
         let engine = &self.engines[at];
         let source = engine.load_source(model);
         let is_blocked = source == Source::Store && !can_use_store;
-        if engine.is_leaving || engine.find(model).is_some() || is_blocked {
+        // Another replica there would serve no more requests.
+        let is_limited = engine.limit_per_s.is_some() && reason == LoadReason::TooFewReplicas;
+        if engine.is_leaving || engine.find(model).is_some() || is_blocked || is_limited {
             return None;
         }
         let load_ms = self.load_ms(engine, model, round.store_loads);
--- a/src/placement/swap/round.rs
+++ b/src/placement/swap/round.rs
@@ -133,7 +133,8 @@
             let rate_per_s = self.demand.rate_per_s(self.now_ms, &loaded.model);
             let has_waiting = count.waiting > 0;
             let is_in_use = loaded.running > 0 && reason != LoadReason::NoReplica;
-            let has_no_spare = count.replicas <= super::plan::wanted_replicas(&count, rate_per_s);
+            let serving = count.serving_replicas(rate_per_s);
+            let has_no_spare = serving <= super::plan::wanted_replicas(&count, rate_per_s);
             let is_high_rate = super::plan::is_high_rate(rate_per_s);
             if has_waiting || is_in_use || (has_no_spare && is_high_rate) {
                 continue;
--- a/tests/swap_planner.rs
+++ b/tests/swap_planner.rs
@@ -4,9 +4,11 @@
 
 use std::collections::VecDeque;
 
-use fescuebay::ids::ModelRef;
+use fescuebay::ids::{Incarnation, ModelRef, TargetId};
 use fescuebay::placement::swap::demand::{RouterDemand, RunningRequests, WaitingRequests};
 use fescuebay::placement::swap::{Action, EngineReport, Event, OrderReply};
+use fescuebay::rate_limit::TargetLife;
+use fescuebay::units::PerSecond;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -300,3 +302,35 @@
         run_load(&mut simulation, seed, 15_000, rare_per_s, 12.0);
     }
 }
+
+/// The load: a busy model whose engines all name a low rate limit. They run few requests, so counts
+/// of those show no need.
+#[test]
+fn a_model_on_limited_engines_gets_a_replica_on_another_one() {
+    for is_limited in [false, true] {
+        let mut simulation = Simulation::new(1, 4, 12, Faults::default());
+        run_load(&mut simulation, 1, 10_000, 0.5, 8.0);
+        let busy = model_ref(0, None);
+        let holders = |simulation: &Simulation| {
+            let holds = |target: &TargetId| {
+                simulation.planner.replicas(target).unwrap_or_default().contains(&busy)
+            };
+            let targets = simulation.engines.iter().map(|engine| engine.target.clone());
+            targets.filter(holds).collect::<Vec<TargetId>>()
+        };
+        let before = holders(&simulation);
+        assert!(before.len() < 4, "{before:?}");
+        let lives = simulation.engines.iter().filter(|engine| before.contains(&engine.target));
+        let limits = lives.map(|engine| {
+            let (target, incarnation) = (engine.target.clone(), Incarnation(1));
+            (TargetLife { target, incarnation }, PerSecond(0.5))
+        });
+        let limits = Event::RateLimits(limits.filter(|_| is_limited).collect());
+        let now_ms = simulation.now_ms;
+        let _ = simulation.planner.handle_event(now_ms, limits);
+        run_load(&mut simulation, 2, 10_000, 0.5, 8.0);
+        let after = holders(&simulation);
+        let is_elsewhere = after.iter().any(|target| !before.contains(target));
+        assert!(!is_limited || is_elsewhere, "{before:?}, {after:?}");
+    }
+}
