--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,9 +7,14 @@
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
+/// Where the folder of this name is.
+pub fn path_of(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
 /// A folder of this name for one test, empty at first.
 pub fn folder(name: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder = path_of(name);
     if folder.exists() {
         std::fs::remove_dir_all(&folder).unwrap();
     }
