A target that is not at its address any more is passed over

Cause: a misdirected request is no fault of its target if the target lacks the model; without a model nothing was concluded at all. Ruled out: the pause, which the soak had reported: the new life asked for it, and no request was meant for it.

Change: without a model, a misdirected request makes the router avoid the target as a failed one does.

--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -295,7 +295,8 @@
         (AttemptFailure::Misdirected, Some(model)) => {
             balancer.record_missing_model(router.now_ms(), target, model);
         }
-        (AttemptFailure::NotRun | AttemptFailure::Misdirected | AttemptFailure::Withdrawn, _) => {}
+        (AttemptFailure::NotRun | AttemptFailure::Withdrawn, _) => {}
+        // Without a model to lack, another target is at this address.
         _ => balancer.record_failure(router.now_ms(), target),
     }
 }
--- a/tests/gateway_faults.rs
+++ b/tests/gateway_faults.rs
@@ -397,3 +397,19 @@
         assert_eq!(target.requests(), 0);
     });
 }
+
+/// Guards against callers that are refused one after the other while a table shows a target whose
+/// address another one has: it answers at once, so it always looks the least busy.
+#[test]
+fn a_target_that_is_not_at_its_address_any_more_is_passed_over() {
+    on_one_thread(async {
+        let other = "HTTP/1.1 421 Misdirected\r\nAttempt-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+        let gone = ScriptedTarget::start("a", vec![Action::Write(other.to_owned())]).await;
+        let good = ScriptedTarget::start("b", vec![ok("fine")]).await;
+        let router = Router::start(vec![gone.entry("app", &[]), good.entry("app", &[])]).await;
+        for _ in 0..20 {
+            router.request("POST", "/unsafe/x", "", "").await;
+        }
+        assert!(gone.requests() <= 2, "{} of 20 requests went there", gone.requests());
+    });
+}
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -41,6 +41,8 @@
     pub life: u64,
     pub router: IpAddr,
     pub id: String,
+    /// Whether it was for this life: a router may not know yet that another one is at the address.
+    pub is_meant: bool,
     /// Whether the target ran it.
     pub is_run: bool,
 }
