Gateway: finding a slot, the reservation of one and permits stand in files of their own

Moved without a change of logic: slot (reserve, wait, give up), reservation (a request's slot and its permit), permits (what is asked and granted).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,14 +9,17 @@
 pub mod balancer;
 pub mod choice;
 pub mod events;
+mod permits;
 mod pool;
 pub mod proxy;
 pub mod queue;
 pub mod refusal;
 mod relay;
+mod reservation;
 pub mod retry;
 pub mod retry_budget;
 mod run;
+mod slot;
 mod state;
 pub mod wait_limit;
 
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -10,13 +10,13 @@
 use hyper::body::Incoming;
 use rand::Rng as _;
 
-use super::balancer::{TargetChoice, TargetQuery};
+use super::balancer::TargetQuery;
 use super::events::{self, RequestEvent};
-use super::queue::{WaiterId, WaitingRequest};
 use super::refusal::{self, RefusalReason};
+use super::reservation::SlotReservation;
 use super::retry::{self, AttemptFailure, FailedAttempt, RequestFailure, RetryDecision};
-use super::state::{RouterState, SlotReservation};
-use super::{AttemptOptions, RequestInfo, ResponseClass, relay, wait_limit};
+use super::state::RouterState;
+use super::{AttemptOptions, RequestInfo, ResponseClass, relay, slot, wait_limit};
 use crate::ids::{ServiceName, TargetId};
 use crate::routes::{self, Route, index};
 use crate::web::client::Connection;
@@ -32,13 +32,8 @@
 const RESPONSE_TIMEOUT_SHARE: f64 = 0.7;
 /// Lower bound of the response timeout of an idempotent request.
 const MIN_RESPONSE_TIMEOUT_MS: u64 = 60;
-/// No request is sent to a target when the process exits in less than this: most streams would be
-/// cut off, and the caller still has time to retry elsewhere.
-const SEND_CUTOFF_MS: u64 = 3_000;
 /// Requests that are still unanswered get an error response this long before the process exits.
 const RESPONSE_CUTOFF_MS: u64 = 250;
-/// Longest wait for the permit of a limited target while another target could take the request.
-const MAX_PERMIT_WAIT_MS: u64 = 60;
 /// Pause before a request is retried after a target declined to run it.
 const RETRY_PAUSE_MS: u64 = 15;
 
@@ -64,7 +59,7 @@
 impl RoutedRequest {
     /// Id of the prompt prefix: all parts of the prompt but the last, which is specific to this
     /// request.
-    fn prompt_prefix(&self) -> Option<u64> {
+    pub fn prompt_prefix(&self) -> Option<u64> {
         let parts = &self.info.prompt_parts;
         let last_shared = parts.len().checked_sub(2)?;
         Some(parts[last_shared].0)
@@ -193,7 +188,7 @@
     routed: Rc<RoutedRequest>,
 ) -> http::Response<Body> {
     loop {
-        let reservation = match reserve_slot(&router, &routed, routed.arrived_ms).await {
+        let reservation = match slot::reserve_slot(&router, &routed, routed.arrived_ms).await {
             Ok(reservation) => reservation,
             Err(reason) => {
                 let failure = retry::request_failure(
@@ -301,116 +296,6 @@
     }
 }
 
-/// Reserves a slot at a target, at once or after a wait in the queue. The wait is limited by the
-/// time from `since_ms`.
-pub(super) async fn reserve_slot(
-    router: &RouterState,
-    routed: &RoutedRequest,
-    since_ms: u64,
-) -> Result<SlotReservation, RefusalReason> {
-    let avoided_targets = routed.avoided_targets.borrow().clone();
-    let query = TargetQuery {
-        service: &routed.service,
-        model: routed.info.model.as_ref(),
-        prompt_prefix: routed.prompt_prefix(),
-        avoided_targets: &avoided_targets,
-        salt: router.next_salt(),
-    };
-    let mut choice = router.try_reserve(&query, routed.prompt_tokens(), true);
-    if let Err(reason @ TargetChoice::AwaitPermit { has_alternative: true, .. }) = choice {
-        let until_ms = router.now_ms() + MAX_PERMIT_WAIT_MS;
-        choice = wait_in_queue(router, routed, &query, reason, until_ms).await?;
-        if choice.is_err() {
-            choice = router.try_reserve(&query, routed.prompt_tokens(), false);
-        }
-    }
-    let reason = match choice {
-        Ok(reservation) => return Ok(reservation),
-        Err(reason) => reason,
-    };
-    let limit_ms = wait_limit::max_wait_ms(&wait_limit::UnplacedRequest {
-        reason,
-        kind: routed.route.kind,
-        latency_target_ms: routed.route.latency_target_ms,
-        total_ms: routed.deadline_ms.saturating_sub(since_ms),
-        discovery_ms: router.discovery_ms(),
-    });
-    let give_up_ms = since_ms + limit_ms;
-    if is_hopeless(reason, give_up_ms) {
-        return Err(refusal_reason(router, &query, reason));
-    }
-    let choice = wait_in_queue(router, routed, &query, reason, give_up_ms).await?;
-    choice.map_err(|reason| refusal_reason(router, &query, reason))
-}
-
-/// Whether no target can take the request by `give_up_ms`.
-fn is_hopeless(reason: TargetChoice, give_up_ms: u64) -> bool {
-    match reason {
-        TargetChoice::AllPaused { .. } => true,
-        TargetChoice::AllLimited { clears_at_ms, .. } => clears_at_ms > give_up_ms,
-        TargetChoice::Selected(_)
-        | TargetChoice::AwaitPermit { .. }
-        | TargetChoice::AllFull
-        | TargetChoice::NoReplica
-        | TargetChoice::NoTarget => false,
-    }
-}
-
-/// Waits in the queue for a slot until `give_up_ms`. Without one, returns why there was none.
-async fn wait_in_queue(
-    router: &RouterState,
-    routed: &RoutedRequest,
-    query: &TargetQuery<'_>,
-    reason: TargetChoice,
-    give_up_ms: u64,
-) -> Result<Result<SlotReservation, TargetChoice>, RefusalReason> {
-    let waiter = WaitingRequest {
-        id: WaiterId(0),
-        service: routed.service.clone(),
-        model: routed.info.model.clone(),
-        prompt_prefix: query.prompt_prefix,
-        prompt_tokens: routed.prompt_tokens(),
-        avoided_targets: query.avoided_targets.to_vec(),
-        rank: routed.route.rank,
-        respond_by_ms: routed.arrived_ms + routed.route.latency_target_ms,
-        give_up_ms,
-        may_await: matches!(reason, TargetChoice::AwaitPermit { .. }),
-        awaited: None,
-    };
-    let wait_ms = give_up_ms.saturating_sub(router.now_ms());
-    let waited = router.wait_for_slot(&routed.info.id, waiter, reason);
-    tokio::select! {
-        reservation = waited => Ok(reservation),
-        () = tokio::time::sleep(Duration::from_millis(wait_ms)) => Ok(Err(reason)),
-        () = router.wait_until_exit_in(SEND_CUTOFF_MS) => Err(RefusalReason::ShuttingDown),
-    }
-}
-
-fn refusal_reason(
-    router: &RouterState,
-    query: &TargetQuery<'_>,
-    reason: TargetChoice,
-) -> RefusalReason {
-    let now_ms = router.now_ms();
-    match reason {
-        TargetChoice::NoTarget => RefusalReason::NoTargets,
-        TargetChoice::AllPaused { resumes_at_ms } => {
-            RefusalReason::AllPaused { resumes_in_ms: resumes_at_ms.saturating_sub(now_ms) }
-        }
-        TargetChoice::AllLimited { .. } | TargetChoice::AwaitPermit { .. } => {
-            match router.balancer.borrow_mut().next_return_ms(now_ms, query) {
-                Some(return_ms) => {
-                    RefusalReason::AllLimited { opens_in_ms: return_ms.saturating_sub(now_ms) }
-                }
-                None => RefusalReason::NoFreeTarget,
-            }
-        }
-        TargetChoice::Selected(_) | TargetChoice::AllFull | TargetChoice::NoReplica => {
-            RefusalReason::NoFreeTarget
-        }
-    }
-}
-
 /// Sends one attempt and waits for the head of the response.
 pub(super) async fn send_attempt(
     router: &Rc<RouterState>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 use super::events::{self, RequestEvent};
 use super::proxy::{self, RoutedRequest, TargetResponse};
 use super::retry::AttemptFailure;
+use super::slot;
 use super::state::RouterState;
 use crate::ids::TargetId;
 use crate::routes::Kind;
@@ -400,7 +401,7 @@
             if !can_retry || !self.is_resumable() {
                 return false;
             }
-            let Ok(reservation) = proxy::reserve_slot(router, routed, router.now_ms()).await else {
+            let Ok(reservation) = slot::reserve_slot(router, routed, router.now_ms()).await else {
                 return false;
             };
             target = reservation.target.clone();
--- /dev/null
+++ b/src/gateway/reservation.rs
@@ -0,0 +1,78 @@
+//! A request's slot at a target.
+
+use std::rc::Weak;
+
+use super::state::RouterState;
+use crate::ids::{Incarnation, ModelRef, TargetId};
+use crate::membership::feed;
+use crate::rate_limit::permits::PermitId;
+
+/// A request's slot at a target. Dropping it releases the slot to the next waiting request.
+pub(super) struct SlotReservation {
+    pub(super) router: Weak<RouterState>,
+    pub target: TargetId,
+    pub incarnation: Incarnation,
+    pub address: std::net::SocketAddr,
+    /// Requests in flight at the target, including this one.
+    pub in_flight: u32,
+    /// The version of the target table that the target was chosen from.
+    pub table_version: feed::FeedCursor,
+    /// The permit, if the target is limited.
+    pub(super) permit: Option<PermitId>,
+    pub(super) model: Option<ModelRef>,
+    pub(super) unread_tokens: u64,
+    pub(super) started_ms: u64,
+    pub(super) is_answered: bool,
+}
+
+impl SlotReservation {
+    /// Whether the request may still be sent. Its permit is used up.
+    pub(super) fn begin_send(&mut self) -> bool {
+        let Some(router) = self.router.upgrade() else { return false };
+        let now_ms = router.now_ms();
+        let permit = self.permit.take();
+        let mut balancer = router.balancer.borrow_mut();
+        balancer.begin_send(now_ms, &self.target, self.incarnation, permit)
+    }
+
+    /// Records that the target has started its response.
+    pub fn note_answered(&mut self) {
+        if let Some(router) = self.router.upgrade().filter(|_| !self.is_answered) {
+            router.balancer.borrow_mut().record_answer(
+                self.started_ms,
+                &self.target,
+                self.incarnation,
+            );
+        }
+        self.is_answered = true;
+    }
+
+    /// Records that the target has read the prompt: its first event has arrived.
+    pub(super) fn note_prompt_read(&mut self) {
+        let prompt_tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(router) = self.router.upgrade().filter(|_| prompt_tokens > 0) {
+            router.balancer.borrow_mut().record_prompt_read(
+                &self.target,
+                self.incarnation,
+                prompt_tokens,
+            );
+        }
+    }
+}
+
+impl Drop for SlotReservation {
+    fn drop(&mut self) {
+        self.note_prompt_read();
+        let Some(router) = self.router.upgrade() else { return };
+        let mut balancer = router.balancer.borrow_mut();
+        balancer.finish_request(&self.target, self.incarnation, self.model.as_ref());
+        if let Some(permit) = self.permit.take() {
+            balancer.permits_mut().release(&self.target, permit);
+        }
+        if !self.is_answered {
+            balancer.record_no_answer(self.started_ms, &self.target, self.incarnation);
+        }
+        drop(balancer);
+        router.dispatch_waiting();
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,8 @@
 use super::balancer::{Balancer, TargetChoice, TargetQuery};
 use super::choice::{PermitClaims, PermitUse};
 use super::pool::ConnectionPool;
-use super::queue::{AwaitedPermit, RequestQueue, WaiterId, WaitingRequest};
+use super::queue::{RequestQueue, WaiterId, WaitingRequest};
+use super::reservation::SlotReservation;
 use super::retry_budget::{RetryBudget, RetryBudgetSettings};
 use super::{RequestProtocol, TargetNotice, events};
 use crate::clock::BootClock;
@@ -18,7 +19,7 @@
 use crate::ids::{Incarnation, ModelRef, TargetId, Zone};
 use crate::membership::{feed, table};
 use crate::placement::swap::demand;
-use crate::rate_limit::permits::{PermitId, PermitPool};
+use crate::rate_limit::permits::PermitPool;
 use crate::rate_limit::statements::StatedAt;
 use crate::rate_limit::{TargetLife, message};
 use crate::routes::{self, index};
@@ -43,7 +44,7 @@
     pub(super) pool: RefCell<ConnectionPool>,
     /// Reads request bodies within a memory limit.
     pub(super) body_reader: web::intake::Intake,
-    queue: RefCell<RequestQueue>,
+    pub(super) queue: RefCell<RequestQueue>,
     senders: RefCell<Vec<(WaiterId, ReservationSender)>>,
     arrivals: RefCell<Vec<(ModelRef, u32)>>,
     last_update_ms: Cell<Option<u64>>,
@@ -374,76 +375,6 @@
     }
 }
 
-/// A request's slot at a target. Dropping it releases the slot to the next waiting request.
-pub(super) struct SlotReservation {
-    router: Weak<RouterState>,
-    pub target: TargetId,
-    pub incarnation: Incarnation,
-    pub address: std::net::SocketAddr,
-    /// Requests in flight at the target, including this one.
-    pub in_flight: u32,
-    /// The version of the target table that the target was chosen from.
-    pub table_version: feed::FeedCursor,
-    /// The permit, if the target is limited.
-    permit: Option<PermitId>,
-    model: Option<ModelRef>,
-    unread_tokens: u64,
-    started_ms: u64,
-    is_answered: bool,
-}
-
-impl SlotReservation {
-    /// Whether the request may still be sent. Its permit is used up.
-    pub(super) fn begin_send(&mut self) -> bool {
-        let Some(router) = self.router.upgrade() else { return false };
-        let now_ms = router.now_ms();
-        let permit = self.permit.take();
-        let mut balancer = router.balancer.borrow_mut();
-        balancer.begin_send(now_ms, &self.target, self.incarnation, permit)
-    }
-
-    /// Records that the target has started its response.
-    pub fn note_answered(&mut self) {
-        if let Some(router) = self.router.upgrade().filter(|_| !self.is_answered) {
-            router.balancer.borrow_mut().record_answer(
-                self.started_ms,
-                &self.target,
-                self.incarnation,
-            );
-        }
-        self.is_answered = true;
-    }
-
-    /// Records that the target has read the prompt: its first event has arrived.
-    pub(super) fn note_prompt_read(&mut self) {
-        let prompt_tokens = std::mem::take(&mut self.unread_tokens);
-        if let Some(router) = self.router.upgrade().filter(|_| prompt_tokens > 0) {
-            router.balancer.borrow_mut().record_prompt_read(
-                &self.target,
-                self.incarnation,
-                prompt_tokens,
-            );
-        }
-    }
-}
-
-impl Drop for SlotReservation {
-    fn drop(&mut self) {
-        self.note_prompt_read();
-        let Some(router) = self.router.upgrade() else { return };
-        let mut balancer = router.balancer.borrow_mut();
-        balancer.finish_request(&self.target, self.incarnation, self.model.as_ref());
-        if let Some(permit) = self.permit.take() {
-            balancer.permits_mut().release(&self.target, permit);
-        }
-        if !self.is_answered {
-            balancer.record_no_answer(self.started_ms, &self.target, self.incarnation);
-        }
-        drop(balancer);
-        router.dispatch_waiting();
-    }
-}
-
 impl follow::Follower for RouterState {
     fn usage(&self) -> demand::RouterDemand {
         self.take_usage()
@@ -498,74 +429,6 @@
     }
 }
 
-/// Permits for limited targets.
-impl RouterState {
-    /// The permits that waiting requests count on; `None` while no target is limited.
-    fn permit_claims(&self) -> Option<PermitClaims> {
-        if self.balancer.borrow().permits().is_empty() {
-            return None;
-        }
-        Some(self.queue.borrow().permit_claims())
-    }
-
-    fn awaited_permit(&self, choice: TargetChoice) -> Option<AwaitedPermit> {
-        let (index, has_alternative) = match choice {
-            TargetChoice::AwaitPermit { index, has_alternative } => (index, has_alternative),
-            TargetChoice::AllLimited { index, .. } => (index, false),
-            _ => return None,
-        };
-        let balancer = self.balancer.borrow();
-        let entry = &balancer.target(index).entry;
-        let life = TargetLife { target: entry.target.clone(), incarnation: entry.incarnation };
-        Some(AwaitedPermit { life, has_alternative })
-    }
-
-    /// The limit that the target of a reservation names, in requests a second.
-    pub(super) fn rate_limit(&self, reservation: &SlotReservation) -> Option<f64> {
-        let balancer = self.balancer.borrow();
-        let limit = balancer.permits().limit(&reservation.target, reservation.incarnation);
-        limit.map(|limit| limit.0)
-    }
-
-    /// What to ask the leader: permits for waiting requests, and statements that it does not know.
-    pub(super) fn take_permit_asks(&self) -> Vec<message::PermitAsk> {
-        let now_ms = self.now_ms();
-        let claims = self.queue.borrow().permit_claims();
-        self.balancer.borrow().permits().asks(now_ms, |life| claims.get(life))
-    }
-
-    /// Applies the leader's grants to asks that were sent at `asked_ms`; `None` if no leader
-    /// answered.
-    pub(super) fn apply_grants(
-        &self,
-        asked_ms: u64,
-        asks: &[message::PermitAsk],
-        grants: Option<&[message::PermitGrant]>,
-    ) {
-        let now_ms = self.now_ms();
-        let mut balancer = self.balancer.borrow_mut();
-        match grants {
-            Some(grants) => balancer.permits_mut().apply_grants(now_ms, asked_ms, asks, grants),
-            None => balancer.permits_mut().set_leader_lost(now_ms),
-        }
-        let has_untold = grants.is_some() && balancer.permits().has_untold();
-        drop(balancer);
-        if has_untold {
-            self.permits_wanted.notify_one();
-        }
-        self.dispatch_waiting();
-        self.permits_changed.notify_one();
-    }
-
-    /// When a permit starts next, or may be asked for, while requests wait.
-    pub(super) fn next_permit_change_ms(&self) -> Option<u64> {
-        if self.queue.borrow().is_empty() {
-            return None;
-        }
-        self.balancer.borrow().permits().next_change_ms(self.now_ms())
-    }
-}
-
 impl RouterStateBuilder {
     /// Sets the clock.
     pub fn clock(mut self, clock: BootClock) -> Self {
