Without a leader a request behind others waits for its own permit

Cause: the time at which a router gives itself its next permit was told to each waiting request, so those behind the first waited to their limit and were refused late. Found by reading. Change: each counts those before it. Test: without_a_leader_a_request_behind_others_waits_for_its_own_permit. It was written with the change and not run on the code before, where both times are the same.

--- a/src/rate_limit/permits.rs
+++ b/src/rate_limit/permits.rs
@@ -166,11 +166,6 @@
         }
     }
 
-    /// Whether no leader answered the last time.
-    pub fn is_leader_lost(&self) -> bool {
-        self.leader_lost_ms.is_some()
-    }
-
     /// Notes that another daemon leads, which may know none of the statements.
     pub fn forget_told(&mut self) {
         self.targets.iter_mut().for_each(|known| known.is_told = false);
@@ -207,7 +202,12 @@
                 Gate::Closed { next_ms: known.next_ms, clears_ms }
             }
             Some(next_ms) if next_ms <= now_ms && claimed == 0 => Gate::Permit,
-            Some(next_ms) => Gate::Closed { next_ms, clears_ms: next_ms },
+            Some(next_ms) => {
+                let routers = self.routers.unwrap_or(1);
+                let ahead_ms = own_interval_ms(limit, routers) * f64::from(claimed);
+                let next_ms = next_ms.saturating_add(ahead_ms as u64);
+                Gate::Closed { next_ms, clears_ms: next_ms }
+            }
         }
     }
 
--- a/tests/rate_limit_permits.rs
+++ b/tests/rate_limit_permits.rs
@@ -168,3 +168,16 @@
     assert_eq!(pool.gate(LED_MS + 6, &life(), 0), Gate::Unlimited);
     assert!(self::asks(&pool, LED_MS + 7, 0).is_empty(), "it was told");
 }
+
+/// Guards against callers that wait in vain behind others while no leader answers.
+#[test]
+fn without_a_leader_a_request_behind_others_waits_for_its_own_permit() {
+    let mut pool = pool(LED_MS, 2.0);
+    pool.set_leader_lost(LED_MS);
+    let closed = |claimed| match pool.gate(LED_MS, &life(), claimed) {
+        Gate::Closed { clears_ms, .. } => clears_ms,
+        Gate::Unlimited | Gate::Permit => panic!("it has no permit yet"),
+    };
+    // Half of a sixth of two a second is one in six seconds.
+    assert_eq!(closed(3) - closed(1), 12_000);
+}
