A rate limit that changes a little with each response keeps its permits and is no news

Cause, found by reading: each change of a limit dropped the permits of its target at that router and was told to all routers. A target that works its limit out anew for each response would get few requests and cause news without end. Change: permits are dropped for a limit below 0.7 of the one before (what was granted for a second at most stays within the users' half), and all routers are told of a change by more than a tenth, a beginning and an end.

--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -27,6 +27,11 @@
 /// the limit ends.
 const MIN_RATE_PER_S: f64 = 0.2;
 
+/// Part of a limit below which a lower one counts as much lower.
+const MUCH_LOWER: f64 = 0.7;
+/// Part of a limit by which it must have changed to be told to all routers.
+const WORTH_TELLING: f64 = 0.1;
+
 /// What the head of a response says about the rate limit of its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Statement {
@@ -80,3 +85,17 @@
 fn interval_ms(limit: PerSecond) -> f64 {
     1_000.0 / limit.0.max(MIN_RATE_PER_S)
 }
+
+/// Whether a limit has fallen so far that permits of the one before would exceed it.
+fn is_much_lower(limit: PerSecond, before: PerSecond) -> bool {
+    limit.0 < before.0 * MUCH_LOWER
+}
+
+/// Whether all routers should be told of a changed limit. One that changes a little with each
+/// response would be news without end.
+fn is_worth_telling(limit: Option<PerSecond>, told: Option<PerSecond>) -> bool {
+    match (limit, told) {
+        (Some(limit), Some(told)) => (limit.0 - told.0).abs() > told.0 * WORTH_TELLING,
+        (limit, told) => limit.is_some() != told.is_some(),
+    }
+}
--- a/src/rate_limit/permits.rs
+++ b/src/rate_limit/permits.rs
@@ -6,7 +6,7 @@
 
 use super::message::{PermitAsk, PermitGrant, TargetStatement};
 use super::statements::{StatedAt, Statements};
-use super::{Claim, PERMIT_VALID_MS, Statement, TargetLife, interval_ms};
+use super::{Claim, PERMIT_VALID_MS, Statement, TargetLife, interval_ms, is_much_lower};
 use crate::ids::{Incarnation, TargetId};
 use crate::units::PerSecond;
 
@@ -47,6 +47,8 @@
 #[derive(Clone, Debug)]
 struct TargetPermits {
     life: TargetLife,
+    /// The last limit, by which the permits were scheduled.
+    limit: Option<PerSecond>,
     /// In the order of their starts.
     permits: Vec<Permit>,
     /// When a further permit of the leader may start, and when the waiting requests of all routers
@@ -126,10 +128,22 @@
         true
     }
 
-    /// Drops the permits of a limit that has changed: they were scheduled by another one.
+    /// Applies a changed limit. A limit that changes a little with each response keeps its permits;
+    /// those of a much higher one are dropped.
     fn apply_change(&mut self, now_ms: u64, life: &TargetLife, is_told: bool) {
+        let limit = self.limit(&life.target, life.incarnation);
+        if let Ok(at) = self.position(&life.target)
+            && let Some(limit) = limit
+            && self.targets[at].life == *life
+            && self.targets[at].limit.is_some_and(|before| !is_much_lower(limit, before))
+        {
+            let known = &mut self.targets[at];
+            (known.limit, known.is_told) = (Some(limit), is_told);
+            return;
+        }
         let new = TargetPermits {
             life: life.clone(),
+            limit,
             permits: Vec::new(),
             next_ms: now_ms,
             clears_ms: now_ms,
--- a/src/rate_limit/schedule.rs
+++ b/src/rate_limit/schedule.rs
@@ -6,8 +6,11 @@
 
 use super::message::{PermitAsk, PermitGrant, TargetStatement};
 use super::statements::Statements;
-use super::{PERMIT_VALID_MS, SCHEDULE_AHEAD_MS, TargetLife, interval_ms};
+use super::{
+    PERMIT_VALID_MS, SCHEDULE_AHEAD_MS, TargetLife, interval_ms, is_much_lower, is_worth_telling,
+};
 use crate::ids::{DaemonId, TargetId};
+use crate::units::PerSecond;
 
 /// Unused time that a schedule catches up on.
 const CATCH_UP_MS: f64 = 500.0;
@@ -32,6 +35,8 @@
 #[derive(Clone, Debug)]
 struct TargetSchedule {
     life: TargetLife,
+    /// The limit that all routers were told of.
+    told: Option<PerSecond>,
     /// When the next permit starts at the earliest.
     next_ms: f64,
     routers: Vec<WaitingRouter>,
@@ -62,23 +67,27 @@
         self.statements.to_messages(now_ms)
     }
 
-    /// Records a statement. Returns whether a limit changed.
+    /// Records a statement. Returns whether all routers should be told of it.
     pub fn record(&mut self, now_ms: u64, statement: &TargetStatement) -> bool {
         let at = statement.stated_at(now_ms);
         let before = self.statements.limit(&statement.life.target, statement.life.incarnation);
-        let is_changed = self.statements.record_limit(&statement.life, statement.limit, at);
+        if !self.statements.record_limit(&statement.life, statement.limit, at) {
+            return false;
+        }
         let after = self.statements.limit(&statement.life.target, statement.life.incarnation);
-        let Some(limit) = after.filter(|_| is_changed) else { return is_changed };
         let schedule = self.schedule(now_ms, &statement.life);
-        match before {
-            // Routers drop the permits of a higher limit as soon as they hear of the lower one.
-            Some(before) if before > limit => {
-                let restart_ms = now_ms as f64 + interval_ms(limit);
-                schedule.next_ms = schedule.next_ms.max(restart_ms);
-            }
-            Some(_) | None => {}
+        // Routers drop the permits of a much higher limit as soon as they hear of the lower one.
+        if let (Some(before), Some(limit)) = (before, after)
+            && is_much_lower(limit, before)
+        {
+            let restart_ms = now_ms as f64 + interval_ms(limit);
+            schedule.next_ms = schedule.next_ms.max(restart_ms);
+        }
+        let is_news = is_worth_telling(after, schedule.told);
+        if is_news {
+            schedule.told = after;
         }
-        true
+        is_news
     }
 
     /// Grants permits to a router.
@@ -122,7 +131,8 @@
     /// The schedule of a target, begun anew for a later incarnation.
     fn schedule(&mut self, now_ms: u64, life: &TargetLife) -> &mut TargetSchedule {
         let next_ms = self.first_start_ms.max(now_ms) as f64;
-        let new = || TargetSchedule { life: life.clone(), next_ms, routers: Vec::new() };
+        let new =
+            || TargetSchedule { life: life.clone(), told: None, next_ms, routers: Vec::new() };
         let at = match self.position(&life.target) {
             Ok(at) => at,
             Err(_) => {
--- a/tests/rate_limit_permits.rs
+++ b/tests/rate_limit_permits.rs
@@ -181,3 +181,24 @@
     // Half of a sixth of two a second is one in six seconds.
     assert_eq!(closed(3) - closed(1), 12_000);
 }
+
+/// Guards against permits that are dropped, and news to all routers, with each response of a target
+/// whose limit changes all the time.
+#[test]
+fn a_limit_that_changes_a_little_keeps_its_permits_and_is_no_news() {
+    let mut pool = pool(LED_MS, 2.0);
+    let mut schedule = schedule();
+    let first = asks(&pool, LED_MS, 1);
+    let grants = answer(&mut schedule, LED_MS, &first);
+    pool.apply_grants(LED_MS + 6, LED_MS, &first, &grants);
+    name_limit(&mut pool, LED_MS + 20, 1.9);
+    assert_eq!(pool.gate(LED_MS + 20, &life(), 0), Gate::Permit, "it was granted at 2.0");
+    let mut told = 0;
+    for (number, limit) in [1.9, 2.1, 1.95, 2.0, 1.0, 1.05, 3.0].into_iter().enumerate() {
+        let now_ms = LED_MS + 100 + number as u64 * 20;
+        name_limit(&mut pool, now_ms, limit + 0.01);
+        let ask = asks(&pool, now_ms, 0).remove(0);
+        told += u32::from(schedule.record(now_ms, &ask.statement));
+    }
+    assert_eq!(told, 2, "the fall to one a second, and the rise to three");
+}
