A running request claims no permit because of its hedge

Cause: looking for a hedge's target noted the limited target as awaited by a request that runs elsewhere. It counted as waiting until its end: the leader granted permits that nobody used, and requests behind it were held back. Change: a hedge chooses among open targets and waits for no permit. Test: a_running_request_asks_for_no_permit_because_of_its_hedge failed before (the engine asked for a permit), and passes; the other 7 of routing_limits too.

--- a/src/routing/engine/dispatch.rs
+++ b/src/routing/engine/dispatch.rs
@@ -34,6 +34,16 @@
         open.filter(|_| awaited.is_none())
     }
 
+    /// Chooses a target with room for a request that waits for no permit.
+    pub(super) fn choose_open_target_for(
+        &self,
+        cx: &mut EventContext<'_>,
+        ticket: Ticket,
+    ) -> Option<u32> {
+        let gates = self.gates_for(cx.now_ms, ticket);
+        self.choose_among(cx, ticket, |index| gates.is_open(index))
+    }
+
     /// Chooses among the targets with room for a request that are allowed.
     fn choose_among(
         &self,
--- a/src/routing/engine/outcome.rs
+++ b/src/routing/engine/outcome.rs
@@ -209,7 +209,7 @@
         let Some((number, _)) = first else { return };
         // The target of the first attempt is avoided for this choice only.
         request.avoided_targets.push(number);
-        let index = self.choose_target_for(cx, ticket);
+        let index = self.choose_open_target_for(cx, ticket);
         if let Some(request) = self.requests.get_mut(ticket) {
             request.avoided_targets.pop();
         }
--- a/tests/routing_limits.rs
+++ b/tests/routing_limits.rs
@@ -284,3 +284,21 @@
     // Half of a sixth of six a second, over 40 s.
     assert!((15..=24).contains(&sent), "{sent} of 20");
 }
+
+/// Guards against a request that is answered elsewhere and still counts on a permit, since a hedge of
+/// it was looked for.
+#[test]
+fn a_running_request_asks_for_no_permit_because_of_its_hedge() {
+    let mut harness = Harness::new(&["a", "b"]);
+    harness.name_limit("a", 0.5);
+    harness.arrive(5_000);
+    harness.advance(100);
+    harness.send_all();
+    harness.arrive(5_000);
+    harness.advance(100);
+    let start = harness.running[0].clone();
+    assert_eq!(harness.target(&start), "b");
+    harness.advance(2_000);
+    harness.handle(|engine, cx| engine.hedge(cx, start.ticket));
+    assert!(harness.engine.permit_asks(harness.now_ms).is_empty(), "nothing waits");
+}
