--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -2,32 +2,16 @@
 
 mod gateway_support;
 
-use std::rc::Rc;
-
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 use gateway_support::{
-    Action, END, Router, ScriptedTarget, answer, events, eventually, header, on_one_thread, status,
+    Action, END, Router, ScriptedTarget, answer, endless_head, events, eventually, header,
+    invalid_responses, on_one_thread, status,
 };
 
 const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 const CHUNK: &str = "4\r\nxxxx\r\n";
 
-/// The head of a signed response whose body ends with its connection.
-fn endless_head() -> String {
-    answer("200 OK", "").replace("Content-Length: 0\r\n", "")
-}
-
-/// Endless data that is no valid response, with names.
-fn invalid_responses() -> Vec<(&'static str, Action)> {
-    vec![
-        ("an endless header", Action::Flood("HTTP/1.1 200 OK\r\nX-A: ".to_owned(), "a")),
-        ("endless headers", Action::Flood("HTTP/1.1 200 OK\r\n".to_owned(), "X-A: b\r\n")),
-        ("interim responses", Action::Flood(String::new(), "HTTP/1.1 100 Continue\r\n\r\n")),
-        ("not HTTP", Action::Flood(String::new(), "nonsense ")),
-    ]
-}
-
 #[test]
 fn endless_invalid_data_closes_the_connection_and_is_not_reported_as_not_run() {
     for (name, action) in invalid_responses() {
@@ -127,44 +111,6 @@
     });
 }
 
-/// The resident memory of this process, in bytes.
-fn resident_bytes() -> usize {
-    let text = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
-    let kib: usize = line.split_whitespace().nth(1).unwrap().parse().unwrap();
-    kib << 10
-}
-
-/// Guards against memory growth with a hundred concurrent endless responses whose callers do not
-/// read.
-#[test]
-fn a_hundred_endless_responses_do_not_grow_the_memory_of_a_router() {
-    const ANSWERS: usize = 100;
-    const MAX_GROWTH_BYTES: usize = ANSWERS * (256 << 10);
-    let mut actions = invalid_responses();
-    actions.push(("a body", Action::Flood(endless_head(), "x")));
-    for (name, action) in actions {
-        on_one_thread(async move {
-            let bad = ScriptedTarget::start("a", vec![action]).await;
-            let entry = fescuebay::membership::table::TargetEntry {
-                slots: ANSWERS as u32,
-                ..bad.entry("app", &[])
-            };
-            let router = Rc::new(Router::start(vec![entry]).await);
-            let before_bytes = resident_bytes();
-            let mut callers = Vec::new();
-            for _ in 0..ANSWERS {
-                callers.push(router.send("POST", "/unsafe/x", "Deadline-Ms: 1400\r\n", "b").await);
-            }
-            eventually(|| bad.requests() == ANSWERS).await;
-            eventually(|| bad.seen.borrow().closed_by_router as usize == ANSWERS).await;
-            let grown_bytes = resident_bytes().saturating_sub(before_bytes);
-            assert!(grown_bytes < MAX_GROWTH_BYTES, "{name}: {grown_bytes} bytes more");
-            drop(callers);
-        });
-    }
-}
-
 /// Guards against waiting without limit for a request body that stops halfway or never ends.
 #[test]
 fn a_request_whose_body_does_not_end_is_answered_within_its_timeout() {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -204,6 +204,21 @@
     )
 }
 
+/// The head of a signed response whose body ends with its connection.
+pub fn endless_head() -> String {
+    answer("200 OK", "").replace("Content-Length: 0\r\n", "")
+}
+
+/// Endless data that is no valid response, with names.
+pub fn invalid_responses() -> Vec<(&'static str, Action)> {
+    vec![
+        ("an endless header", Action::Flood("HTTP/1.1 200 OK\r\nX-A: ".to_owned(), "a")),
+        ("endless headers", Action::Flood("HTTP/1.1 200 OK\r\n".to_owned(), "X-A: b\r\n")),
+        ("interim responses", Action::Flood(String::new(), "HTTP/1.1 100 Continue\r\n\r\n")),
+        ("not HTTP", Action::Flood(String::new(), "nonsense ")),
+    ]
+}
+
 /// The head of a signed stream, and its events.
 pub fn events(from: usize, to: usize) -> String {
     let head = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s1\r\n\
