A cut-off router before a limited target is played with real processes

A proxy could not stand on the paths between daemons, since a voter listens at the port at which all others reach it.

Change: `peer_listen_port` in [vm], for a VM whose port is mapped on the way; without it nothing changes. The proxy of the soak moves to tests/common and can disturb the path of one client. tests/rate_limits plays six routers of which two reach no voter for 4 s and one is cut off in one direction.

--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -100,7 +100,7 @@
         let (voter, own) = (Rc::clone(&answering), own_id.clone());
         Box::pin(async move { voter.answer(&own, request).await })
     }));
-    let peers = SocketAddr::new(settings.vm.ip, settings.vm.peer_port);
+    let peers = SocketAddr::new(settings.vm.ip, settings.vm.peer_listen_port);
     let answers = Rc::new(PeerHandler { voter: Rc::clone(&voter) });
     let listening = peer::server::serve(peers, identity, answers).await;
     let _server = listening.change_context(Error { step: "listen for other daemons" })?;
--- a/src/settings/vm.rs
+++ b/src/settings/vm.rs
@@ -69,8 +69,11 @@
     pub readiness: Option<SocketAddr>,
     /// Where operators and targets connect, at a voter.
     pub control: Option<SocketAddr>,
-    /// The port for other daemons, the same on every VM.
+    /// The port at which other daemons reach a VM, the same on every VM.
     pub peer_port: u16,
+    /// The port at which this VM listens for other daemons. It differs from `peer_port` where a
+    /// port is mapped on the way.
+    pub peer_listen_port: u16,
     /// The port for metrics.
     pub metrics_port: u16,
 }
@@ -188,7 +191,9 @@
     let readiness = reader.optional(section, "readiness", parsed);
     let control = reader.optional(section, "control", parsed);
     let peer_port = reader.required(section, "peer_port", parsed);
+    let peer_listen_port = reader.optional(section, "peer_listen_port", parsed);
     let metrics_port = reader.or(section, "metrics_port", METRICS_PORT, parsed);
+    let peer_port = peer_port?.value;
     Some(Vm {
         role: role?.value,
         ip: ip?.value,
@@ -196,7 +201,8 @@
         callers: callers.map(|at| at.value),
         readiness: readiness.map(|at| at.value),
         control: control.map(|at| at.value),
-        peer_port: peer_port?.value,
+        peer_port,
+        peer_listen_port: peer_listen_port.map_or(peer_port, |at| at.value),
         metrics_port,
     })
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod process;
+pub mod proxy;
 
 use std::path::PathBuf;
 use std::process::{Command, Output};
--- a/tests/soak/proxy.rs
+++ b/tests/common/proxy.rs
@@ -1,6 +1,6 @@
-//! A proxy on loopback whose manner can be changed while connections are open.
+//! A proxy on loopback that disturbs its connections, while they are open too.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,30 +9,59 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::plan::PathMode;
-
 /// Bytes that a trickle passes on at once, and the pause after them.
 const TRICKLE_BYTES: usize = 24;
 const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two looks at a path that passes nothing on.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
-/// A path to one server.
+/// What a proxy does with a path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathMode {
+    /// Passes all on.
+    Open,
+    /// Passes all on this much later.
+    Delayed(u64),
+    /// Resets connections, old and new.
+    Reset,
+    /// Passes nothing on and closes nothing.
+    Silent,
+    /// Passes on what goes to the server alone.
+    OneWay,
+    /// Passes on a few bytes at a time.
+    Trickle,
+}
+
+type SharedMode = Rc<Cell<PathMode>>;
+
+/// The paths to one server, one for each address that connects.
 #[derive(Clone)]
 pub struct Proxy {
     pub address: SocketAddr,
-    mode: Rc<Cell<PathMode>>,
+    /// Sorted by address; those of clients that connected or were disturbed.
+    paths: Rc<RefCell<Vec<(IpAddr, SharedMode)>>>,
+    /// What a client gets that connects for the first time.
+    default_mode: SharedMode,
 }
 
 impl Proxy {
+    /// Starts a proxy before `server` at a free port.
     pub async fn start(server: SocketAddr) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let mode = Rc::new(Cell::new(PathMode::Open));
-        let shared = Rc::clone(&mode);
+        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), server).await
+    }
+
+    /// Starts a proxy at `address` before `server`.
+    pub async fn start_at(address: SocketAddr, server: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
+        let proxy = Self {
+            address: listener.local_addr().unwrap(),
+            paths: Rc::default(),
+            default_mode: Rc::new(Cell::new(PathMode::Open)),
+        };
+        let accepting = proxy.clone();
         tokio::task::spawn_local(async move {
             while let Ok((client, from)) = listener.accept().await {
-                let mode = Rc::clone(&shared);
+                let mode = accepting.path(from.ip());
                 tokio::task::spawn_local(async move {
                     // The server sees the address of the client.
                     if let Some(onward) = connect(from.ip(), server).await {
@@ -41,11 +70,31 @@
                 });
             }
         });
-        Self { address, mode }
+        proxy
     }
 
+    /// Changes the paths of all clients.
     pub fn set(&self, mode: PathMode) {
-        self.mode.set(mode);
+        self.default_mode.set(mode);
+        self.paths.borrow().iter().for_each(|(_, path)| path.set(mode));
+    }
+
+    /// Changes the path of one client.
+    pub fn set_from(&self, client: IpAddr, mode: PathMode) {
+        self.path(client).set(mode);
+    }
+
+    fn path(&self, client: IpAddr) -> SharedMode {
+        let mut paths = self.paths.borrow_mut();
+        let at = match paths.binary_search_by_key(&client, |(known, _)| *known) {
+            Ok(at) => at,
+            Err(at) => {
+                let mode = Rc::new(Cell::new(self.default_mode.get()));
+                paths.insert(at, (client, mode));
+                at
+            }
+        };
+        Rc::clone(&paths[at].1)
     }
 }
 
@@ -55,7 +104,7 @@
     socket.connect(server).await.ok()
 }
 
-async fn join(client: TcpStream, server: TcpStream, mode: Rc<Cell<PathMode>>) {
+async fn join(client: TcpStream, server: TcpStream, mode: SharedMode) {
     let reset = || {
         // Without lingering the end of the streams resets their connections.
         let _ = socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO));
@@ -79,7 +128,7 @@
     }
 }
 
-async fn wait_for_reset(mode: Rc<Cell<PathMode>>) {
+async fn wait_for_reset(mode: SharedMode) {
     while mode.get() != PathMode::Reset {
         tokio::time::sleep(LOOK_PAUSE).await;
     }
@@ -89,7 +138,7 @@
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mode: Rc<Cell<PathMode>>,
+    mode: SharedMode,
     is_to_server: bool,
 ) {
     let mut bytes = [0; 8 << 10];
--- a/tests/rate_limit_support/mod.rs
+++ b/tests/rate_limit_support/mod.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::common::process::until;
+use super::common::proxy::{PathMode, Proxy};
 use super::gateway_support::{END, events, header, read_request, status};
 use super::roles_support::{Net, Vm, ask, call};
 
@@ -137,6 +138,8 @@
 /// Voters, routers, and targets that keep announcing themselves.
 pub struct Fleet {
     pub voters: Vec<Vm>,
+    /// The paths from other daemons to each voter.
+    pub peer_paths: Vec<Proxy>,
     pub routers: Vec<Vm>,
     pub targets: Vec<LimitedTarget>,
     announcing: JoinHandle<()>,
@@ -151,7 +154,11 @@
 impl Fleet {
     /// Starts three voters, this many routers, and the targets; returns once all routers serve.
     pub async fn start(name: &str, routers: usize, targets: Vec<LimitedTarget>) -> Self {
-        let net = Net::new(name, 3);
+        let net = Net::with_proxies(name, 3);
+        let mut peer_paths = Vec::new();
+        for number in 0..3 {
+            peer_paths.push(net.proxy(number).await);
+        }
         let mut voters: Vec<Vm> = (0..3).map(|number| net.voter(number)).collect();
         voters.iter_mut().for_each(Vm::start);
         let first = voters[0].control();
@@ -161,7 +168,7 @@
         let controls = voters.iter().map(Vm::control).collect();
         let words = targets.iter().map(|target| (target.id.clone(), target.address)).collect();
         let announcing = tokio::task::spawn_local(announce(controls, words));
-        let fleet = Self { voters, routers, targets, announcing };
+        let fleet = Self { voters, peer_paths, routers, targets, announcing };
         for router in &fleet.routers {
             until("a router serves", async || fleet.request(router, "/look/x").await.status == 200)
                 .await;
@@ -191,6 +198,12 @@
         leader.unwrap()
     }
 
+    /// Changes all paths from a router to voters.
+    pub fn set_paths_from(&self, router: usize, mode: PathMode) {
+        let ip = self.routers[router].ip;
+        self.peer_paths.iter().for_each(|path| path.set_from(ip, mode));
+    }
+
     /// Presses on all routers for a while, each caller with its next request `pause` after the
     /// last one began, and returns the answers.
     pub async fn press(
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::process::until;
+use common::proxy::PathMode;
 use gateway_support::on_one_thread;
 use rate_limit_support::{Answer, Fleet, LimitedTarget, Manner, NOTICE, WINDOW, allowed, press};
 
@@ -169,3 +170,33 @@
         until("it is used again", is_used).await;
     });
 }
+
+/// The load: callers press on six routers while two of them reach no voter, are heard again, and
+/// one more is cut off in one direction.
+#[test]
+fn a_limit_is_kept_by_routers_that_are_cut_off_from_the_voters() {
+    on_one_thread(async {
+        let target = LimitedTarget::start("app-1", Some(2.0)).await;
+        let fleet = Fleet::start("rate-limits-cut", 6, vec![target]).await;
+        let from = Instant::now() + NOTICE;
+        let callers = fleet.routers.iter().map(|router| router.callers()).collect();
+        let pause = Duration::from_millis(50);
+        let length = NOTICE + WINDOW + WINDOW + WINDOW;
+        let pressing = tokio::task::spawn_local(press(callers, "/order/x", pause, length));
+        tokio::time::sleep(NOTICE).await;
+        fleet.set_paths_from(0, PathMode::Silent);
+        fleet.set_paths_from(1, PathMode::Silent);
+        tokio::time::sleep(WINDOW).await;
+        let while_cut = fleet.targets[0].since(Instant::now() - WINDOW);
+        fleet.set_paths_from(0, PathMode::Open);
+        fleet.set_paths_from(1, PathMode::Open);
+        fleet.set_paths_from(2, PathMode::OneWay);
+        tokio::time::sleep(WINDOW).await;
+        fleet.set_paths_from(2, PathMode::Open);
+        let answers = pressing.await.unwrap();
+        let most = fleet.targets[0].most_in_window(from);
+        assert!(most <= allowed(2.0), "{most} requests in 4 s, {} answers", answers.len());
+        assert!(while_cut >= 5, "{while_cut} requests in 4 s while two routers were cut off");
+        check_refusals(&answers);
+    });
+}
--- a/tests/roles_support/mod.rs
+++ b/tests/roles_support/mod.rs
@@ -11,11 +11,15 @@
 
 use super::common;
 use super::common::process::{self, PATIENCE, Process};
+use super::common::proxy::Proxy;
 use super::gateway_support::status;
 
 const CALLERS: u16 = 8080;
 const READINESS: u16 = 8081;
 const CONTROL: u16 = 8090;
+const PEERS: u16 = 7100;
+/// Where a VM listens whose paths from other daemons lead through a proxy.
+const PEERS_BEHIND_PROXY: u16 = 7200;
 
 /// One VM: its settings, its process, and what it logged.
 pub struct Vm {
@@ -31,12 +35,25 @@
     folder: PathBuf,
     net: [u8; 2],
     voters: usize,
+    is_proxied: bool,
 }
 
 impl Net {
     /// Room for this many voters, and for routers.
     pub fn new(name: &str, voters: usize) -> Self {
-        Self { folder: common::folder(name), net: process::free_net(CONTROL), voters }
+        let net = process::free_net(CONTROL);
+        Self { folder: common::folder(name), net, voters, is_proxied: false }
+    }
+
+    /// The same, where a proxy stands before each voter on the paths from other daemons.
+    pub fn with_proxies(name: &str, voters: usize) -> Self {
+        Self { is_proxied: true, ..Self::new(name, voters) }
+    }
+
+    /// Starts the proxy before a voter.
+    pub async fn proxy(&self, number: usize) -> Proxy {
+        let at = |port| SocketAddr::new(self.ip(number), port);
+        Proxy::start_at(at(PEERS), at(PEERS_BEHIND_PROXY)).await
     }
 
     fn ip(&self, number: usize) -> IpAddr {
@@ -47,7 +64,7 @@
     fn text(&self, role: &str, ip: IpAddr, keys: &str) -> String {
         let first: Vec<String> = (0..self.voters).map(|n| self.ip(n).to_string()).collect();
         format!(
-            "[vm]\nrole = {role}\nip = {ip}\navailability_zone = z\npeer_port = 7100\n{keys}\
+            "[vm]\nrole = {role}\nip = {ip}\navailability_zone = z\npeer_port = {PEERS}\n{keys}\
              [targets]\nheartbeat_ms = 500\ntakeover_ms = 300\n[stop]\nlimit_s = 12\n\
              [group]\ncluster = c\nfirst = {}\nmay_form = true\nmax_lost = 1\n",
             first.join(",")
@@ -64,7 +81,10 @@
     pub fn voter(&self, number: usize) -> Vm {
         let ip = self.ip(number);
         let data = self.folder.join(format!("data-{number}"));
-        let keys = format!("control = {ip}:{CONTROL}\n");
+        let mut keys = format!("control = {ip}:{CONTROL}\n");
+        if self.is_proxied {
+            keys += &format!("peer_listen_port = {PEERS_BEHIND_PROXY}\n");
+        }
         let text = self.text("voter", ip, &keys) + &format!("data_folder = {}\n", data.display());
         self.vm("voter", number, &text)
     }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -8,9 +8,9 @@
 use tokio::sync::Mutex;
 
 use crate::common::process::until;
+use crate::common::proxy::{PathMode, Proxy};
 use crate::gateway_support::status;
-use crate::plan::{Fault, PathMode, Size};
-use crate::proxy::Proxy;
+use crate::plan::{Fault, Size};
 use crate::record::{Disturbance, Shared};
 use crate::report::Promise;
 use crate::roles_support::{Net, Vm, ask, call};
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,7 +8,6 @@
 mod checks;
 mod fleet;
 mod plan;
-mod proxy;
 mod record;
 mod report;
 mod targets;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,6 +6,8 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 
+use crate::common::proxy::PathMode;
+
 /// Time before the first fault, in which the fleet starts.
 const CALM_MS: u64 = 1_500;
 /// Time between two faults; shorter ones overlap.
@@ -17,23 +19,6 @@
 /// How long it names a limit, which must be kept from 3 s on.
 const LIMITED_MS: std::ops::Range<u64> = 6_000..14_000;
 
-/// What a proxy does with a path.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PathMode {
-    /// Passes all on.
-    Open,
-    /// Passes all on this much later.
-    Delayed(u64),
-    /// Resets connections, old and new.
-    Reset,
-    /// Passes nothing on and closes nothing.
-    Silent,
-    /// Passes on what goes to the server alone.
-    OneWay,
-    /// Passes on a few bytes at a time.
-    Trickle,
-}
-
 /// What a target does with requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
--- a/tests/soak/targets.rs
+++ b/tests/soak/targets.rs
@@ -8,9 +8,9 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::common::proxy::{PathMode, Proxy};
 use crate::gateway_support::{END, header, read_request};
-use crate::plan::{Manner, PathMode};
-use crate::proxy::Proxy;
+use crate::plan::Manner;
 use crate::record::{Arrival, Says, Shared, Word};
 use crate::report::Promise;
 use crate::roles_support::call;
--- a/tests/vm_settings.rs
+++ b/tests/vm_settings.rs
@@ -37,3 +37,12 @@
         assert!(found.iter().any(|problem| problem.contains(expected)), "{expected}: {found:?}");
     }
 }
+
+#[test]
+fn a_vm_listens_for_other_daemons_where_they_reach_it_unless_told_otherwise() {
+    let settings = vm::read(ROUTER).unwrap();
+    assert_eq!((settings.vm.peer_port, settings.vm.peer_listen_port), (7100, 7100));
+    let mapped = ROUTER.replace("peer_port = 7100", "peer_port = 7100\npeer_listen_port = 7200");
+    let settings = vm::read(&mapped).unwrap();
+    assert_eq!((settings.vm.peer_port, settings.vm.peer_listen_port), (7100, 7200));
+}
