--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -9,12 +9,11 @@
 use super::reservation::SlotReservation;
 use super::state::RouterState;
 use super::wait_limit;
+use crate::rate_limit;
 
 /// No request is sent to a target when the process exits in less than this: most streams would be
 /// cut off, and the caller still has time to retry elsewhere.
 const SEND_CUTOFF_MS: u64 = 3_000;
-/// Longest wait for the permit of a limited target while another target could take the request.
-const MAX_PERMIT_WAIT_MS: u64 = 60;
 
 /// Reserves a slot at a target, at once or after a wait in the queue. The wait is limited by the
 /// time from `since_ms`.
@@ -33,7 +32,7 @@
     };
     let mut choice = router.try_reserve(&query, routed.prompt_tokens(), true);
     if let Err(reason @ TargetChoice::AwaitPermit { has_alternative: true, .. }) = choice {
-        let until_ms = router.now_ms() + MAX_PERMIT_WAIT_MS;
+        let until_ms = router.now_ms() + rate_limit::MAX_CHOICE_WAIT_MS;
         choice = wait_in_queue(router, routed, &query, reason, until_ms).await?;
         if choice.is_err() {
             choice = router.try_reserve(&query, routed.prompt_tokens(), false);
--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -23,6 +23,8 @@
 pub const PERMIT_VALID_MS: u64 = 400;
 /// How far ahead permits are scheduled.
 pub const SCHEDULE_AHEAD_MS: u64 = 1_000;
+/// Longest wait for a permit of the preferred target while another one could take the request.
+pub const MAX_CHOICE_WAIT_MS: u64 = 60;
 /// The rate at which a target is used that names a lower limit: it tells in responses alone when
 /// the limit ends.
 const MIN_RATE_PER_S: f64 = 0.2;
--- a/src/routing/engine/permits.rs
+++ b/src/routing/engine/permits.rs
@@ -6,12 +6,9 @@
 use crate::rate_limit::permits::{Gate, PermitId};
 use crate::rate_limit::schedule::AT_ONCE_MS;
 use crate::rate_limit::statements::StatedAt;
-use crate::rate_limit::{Claim, SCHEDULE_AHEAD_MS, Statement, TargetLife};
+use crate::rate_limit::{Claim, MAX_CHOICE_WAIT_MS, SCHEDULE_AHEAD_MS, Statement, TargetLife};
 use crate::routing::target::TargetNumber;
 
-/// Longest wait for a permit while another target could take the request.
-const MAX_PERMIT_WAIT_MS: u64 = 60;
-
 /// The limited target whose permit a request counts on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct AwaitedPermit {
@@ -119,7 +116,7 @@
         if target.is_some() {
             self.is_permit_wanted = true;
             if has_alternative {
-                request.await_until_ms.get_or_insert(now_ms + MAX_PERMIT_WAIT_MS);
+                request.await_until_ms.get_or_insert(now_ms + MAX_CHOICE_WAIT_MS);
             }
         }
     }
