A signal that comes while a process starts is kept, and SIGHUP does not end a daemon

Cause: a role read its settings and started logging before it handled signals, and `serve` without a role had no handler for SIGHUP at all and none for SIGTERM before the daemon was up; until then the system ends the process.

Change: signals are handled before the settings are read, in both ways to serve, by the same type; a daemon of our own interface says that it reads its settings at the start alone and goes on. What is left is the time between the start of the program and its first steps; the soak waits for these.

--- a/src/cli/role.rs
+++ b/src/cli/role.rs
@@ -13,7 +13,7 @@
 
 use super::check::{refused, text};
 use super::output::print;
-use super::serve::{failed, metrics_text};
+use super::serve::{failed, handle_signals, metrics_text};
 use super::{Error, Result};
 use crate::coordinator::client::VoterClient;
 use crate::coordinator::daemon_at;
@@ -28,14 +28,15 @@
 
 /// Runs a role until the process is told to stop.
 pub(super) fn run(role: Role, file: &Path, verbosity: u8) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.change_context_lazy(|| failed("start the runtime"))?;
+    let signals = handle_signals(&runtime)?;
     let settings = read(role, file)?;
     let lines = logging::start_events(verbosity).change_context_lazy(|| failed("start logging"))?;
     // A task that panics ends alone, so it has to be told.
     std::panic::set_hook(Box::new(|panic| log::error!("a task has failed: {panic}")));
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.change_context_lazy(|| failed("start the runtime"))?;
     log::info!("start: {role} {} in {}", settings.vm.ip, settings.vm.availability_zone);
-    let ran = LocalSet::new().block_on(&runtime, serve(settings, file.to_owned()));
+    let ran = LocalSet::new().block_on(&runtime, serve(settings, signals, file.to_owned()));
     log::info!("stop: {role}, {}", if ran.is_ok() { "as asked" } else { "after a failure" });
     // The thread that writes lines ends with the process, so what it has not written is written here.
     let _ = std::io::stdout().write_all(&lines.take());
@@ -56,12 +57,11 @@
     }
 }
 
-async fn serve(settings: Settings, file: PathBuf) -> Result<()> {
+async fn serve(settings: Settings, signals: stop::Signals, file: PathBuf) -> Result<()> {
     let client = gateway::client(&settings);
     let reloaded = RefCell::new(Rc::clone(&client));
     let role = settings.vm.role;
-    let signals = stop::listen(move || reload(role, &file, &reloaded.borrow()));
-    let stop = signals.change_context_lazy(|| failed("listen for signals"))?;
+    let stop = stop::listen(signals, move || reload(role, &file, &reloaded.borrow()));
     serve_metrics(&settings)?;
     match role {
         Role::Router => {
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -7,14 +7,13 @@
 use error_stack::{Report, ResultExt as _, bail};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
 
 use super::check::{refused, text};
 use super::output::print;
 use super::{Error, Result};
 use crate::daemon::dev;
 use crate::settings::{self, Settings, vm};
-use crate::{daemon, logging};
+use crate::{daemon, logging, stop};
 
 /// Time between two looks whether the daemon has failed.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
@@ -54,7 +53,8 @@
         };
         start_logging(settings.log, verbosity)?;
         let runtime = runtime(settings.daemon.threads)?;
-        runtime.block_on(serve(settings))
+        let signals = handle_signals(&runtime)?;
+        runtime.block_on(serve(settings, signals))
     }
 }
 
@@ -62,7 +62,9 @@
     /// Runs the daemon and its stand-in targets.
     pub fn run(self, verbosity: u8) -> Result<()> {
         start_logging(settings::Log::default(), verbosity)?;
-        runtime(settings::THREADS)?.block_on(run_dev())
+        let runtime = runtime(settings::THREADS)?;
+        let signals = handle_signals(&runtime)?;
+        runtime.block_on(run_dev(signals))
     }
 }
 
@@ -94,28 +96,35 @@
     }))
 }
 
-/// Waits for SIGTERM or SIGINT, or until the daemon fails. Returns whether it failed.
-async fn until_stopped(daemon: &daemon::Daemon) -> Result<bool> {
-    let listen = |kind| signal(kind).change_context_lazy(|| failed("listen for signals"));
-    let (mut terminate, mut interrupt) =
-        (listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?);
+/// Handles signals from now on: one that comes while the process starts is kept until it is served.
+pub(super) fn handle_signals(runtime: &Runtime) -> Result<stop::Signals> {
+    let _context = runtime.enter();
+    stop::Signals::register().change_context_lazy(|| failed("listen for signals"))
+}
+
+/// Waits for a signal to stop, or until the daemon fails. Returns whether it failed.
+async fn until_stopped(daemon: &daemon::Daemon, signals: &mut stop::Signals) -> bool {
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(false),
-            _ = interrupt.recv() => return Ok(false),
+            request = signals.next() => match request {
+                stop::SignalRequest::Stop => return false,
+                stop::SignalRequest::Reload => {
+                    log::info!("reload: not supported, settings are read at the start alone");
+                }
+            },
             () = tokio::time::sleep(LOOK_PAUSE) => {}
         }
         if daemon.has_failed() {
-            return Ok(true);
+            return true;
         }
     }
 }
 
-async fn serve(settings: Settings) -> Result<()> {
+async fn serve(settings: Settings, mut signals: stop::Signals) -> Result<()> {
     let first_change = settings.first_change();
     let started = daemon::serve(settings, first_change, metrics_text()?).await;
     let daemon = started.change_context_lazy(|| failed("start the daemon"))?;
-    let has_failed = until_stopped(&daemon).await?;
+    let has_failed = until_stopped(&daemon, &mut signals).await;
     let stopped = daemon.stop().await;
     stopped.change_context_lazy(|| failed("run the daemon"))?;
     match has_failed {
@@ -124,10 +133,10 @@
     }
 }
 
-async fn run_dev() -> Result<()> {
+async fn run_dev(mut signals: stop::Signals) -> Result<()> {
     let started = dev::start(metrics_text()?).await;
     let dev = started.change_context_lazy(|| failed("start the daemon"))?;
     print(&dev.suggestions());
-    until_stopped(&dev.daemon).await?;
+    until_stopped(&dev.daemon, &mut signals).await;
     dev.stop().await.change_context_lazy(|| failed("stop the daemon"))
 }
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -30,33 +30,58 @@
     }
 }
 
-/// Listens for SIGTERM and SIGINT, and calls `reload` at each SIGHUP, on the current `LocalSet`.
-///
-/// # Errors
-/// The system refuses.
-pub fn listen(reload: impl Fn() + 'static) -> io::Result<Signal> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignalRequest {
+    /// The process is to stop: SIGTERM or SIGINT.
+    Stop,
+    /// The settings file has changed: SIGHUP.
+    Reload,
+}
+
+/// The signals that a process handles. Those that arrive before they are asked for are kept.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Unix,
+    interrupt: Unix,
+    hangup: Unix,
+}
+
+impl Signals {
+    /// Handles signals from now on; without this they end the process. Needs a runtime.
+    ///
+    /// # Errors
+    /// The system refuses.
+    pub fn register() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for the next signal.
+    pub async fn next(&mut self) -> SignalRequest {
+        tokio::select! {
+            _ = self.terminate.recv() => SignalRequest::Stop,
+            _ = self.interrupt.recv() => SignalRequest::Stop,
+            _ = self.hangup.recv() => SignalRequest::Reload,
+        }
+    }
+}
+
+/// Waits for signals on the current `LocalSet`, and calls `reload` when the settings have changed.
+pub fn listen(mut signals: Signals, reload: impl Fn() + 'static) -> Signal {
     let (sender, stop) = Signal::by_hand();
     tokio::task::spawn_local(async move {
-        while !next(&mut terminate, &mut interrupt, &mut hangup).await {
+        while signals.next().await == SignalRequest::Reload {
             reload();
         }
         let _ = sender.send(true);
         // Later signals change nothing, and must not end the process early.
         loop {
-            next(&mut terminate, &mut interrupt, &mut hangup).await;
+            signals.next().await;
         }
     });
-    Ok(stop)
-}
-
-/// Waits for a signal; whether it tells to stop.
-async fn next(terminate: &mut Unix, interrupt: &mut Unix, hangup: &mut Unix) -> bool {
-    tokio::select! {
-        _ = terminate.recv() => true,
-        _ = interrupt.recv() => true,
-        _ = hangup.recv() => false,
-    }
+    stop
 }
