The soak plays all paths of the roles, documents, lost folders, and the daemons of our own interface

New: paths between daemons (delay, reset, silence, one direction, a trickle, cut off), voters that lose their folder, all voters killed, stops in turn, announcements held up, heads without end, targets that never answer, callers that leave, documents that race, reuse a version or are invalid; `--role own` with the daemons of our own interface. Checked besides: documents in force and kept, no request lost, time limits, repeats, attempts, deadlines, service after the last fault, memory, descriptors, idle processor time, processes that end by themselves. A signal ends it and its processes.

A voter's folder is lost only while all other voters run: more than max_lost voters would be lost otherwise, which is what the group is promised to bear. SIGHUP is sent once a process handles it (read in /proc): the system ends any program that has not come so far.

--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -21,6 +21,11 @@
         self.0.id()
     }
 
+    /// Its exit code if it has ended; `Some(None)` after a signal.
+    pub fn ended(&mut self) -> Option<Option<i32>> {
+        self.0.try_wait().unwrap().map(|status| status.code())
+    }
+
     /// Sends a signal by name to this process alone.
     pub fn signal(&self, name: &str) {
         let id = self.0.id().to_string();
--- a/tests/nine/cluster.rs
+++ b/tests/nine/cluster.rs
@@ -65,6 +65,11 @@
         self.process.as_ref().expect("it runs").signal(name);
     }
 
+    /// Its exit code if it has ended; `Some(None)` after a signal.
+    pub fn ended(&mut self) -> Option<Option<i32>> {
+        self.process.as_mut().and_then(Process::ended)
+    }
+
     /// Waits for its end after a signal and returns its exit code.
     pub async fn exit_code(&mut self) -> Option<i32> {
         self.process.take().expect("it runs").exit_code().await
@@ -137,6 +142,19 @@
         }
     }
 
+    /// Takes the processes out; addresses and names stay.
+    pub fn take_processes(&mut self) -> Vec<Daemon> {
+        let take = |daemon: &mut Daemon| Daemon {
+            name: daemon.name.clone(),
+            ip: daemon.ip,
+            folder: daemon.folder.clone(),
+            settings: daemon.settings.clone(),
+            log: daemon.log.clone(),
+            process: daemon.process.take(),
+        };
+        self.daemons.iter_mut().map(take).collect()
+    }
+
     /// Starts a stand-in target in an availability zone; `adjust` sets how it behaves.
     pub async fn target(
         &self,
--- a/tests/roles_support/mod.rs
+++ b/tests/roles_support/mod.rs
@@ -26,6 +26,7 @@
     pub ip: IpAddr,
     pub settings: PathBuf,
     role: &'static str,
+    data: Option<PathBuf>,
     log: PathBuf,
     process: Option<Process>,
 }
@@ -71,11 +72,11 @@
         )
     }
 
-    fn vm(&self, role: &'static str, number: usize, text: &str) -> Vm {
+    fn vm(&self, role: &'static str, number: usize, text: &str, data: Option<PathBuf>) -> Vm {
         let settings = self.folder.join(format!("{number}.ini"));
         std::fs::write(&settings, text).unwrap();
         let log = self.folder.join(format!("{number}.log"));
-        Vm { ip: self.ip(number), settings, role, log, process: None }
+        Vm { ip: self.ip(number), settings, role, data, log, process: None }
     }
 
     pub fn voter(&self, number: usize) -> Vm {
@@ -86,13 +87,13 @@
             keys += &format!("peer_listen_port = {PEERS_BEHIND_PROXY}\n");
         }
         let text = self.text("voter", ip, &keys) + &format!("data_folder = {}\n", data.display());
-        self.vm("voter", number, &text)
+        self.vm("voter", number, &text, Some(data))
     }
 
     pub fn router(&self, number: usize) -> Vm {
         let ip = self.ip(number);
         let keys = format!("callers = {ip}:{CALLERS}\nreadiness = {ip}:{READINESS}\n");
-        self.vm("router", number, &self.text("router", ip, &keys))
+        self.vm("router", number, &self.text("router", ip, &keys), None)
     }
 }
 
@@ -110,6 +111,23 @@
         self.process.as_ref().expect("it runs").signal(name);
     }
 
+    /// The id of its process, while it runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.as_ref().map(Process::id)
+    }
+
+    /// The exit code of its process if it has ended; `Some(None)` after a signal.
+    pub fn ended(&mut self) -> Option<Option<i32>> {
+        self.process.as_mut().and_then(Process::ended)
+    }
+
+    /// Takes its data folder away, as a lost disk would.
+    pub fn lose_data(&self) {
+        if let Some(data) = &self.data {
+            std::fs::remove_dir_all(data).unwrap();
+        }
+    }
+
     /// Waits for its end and returns its exit code.
     pub async fn exit_code(&mut self) -> Option<i32> {
         self.process.take().expect("it runs").exit_code().await
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -1,6 +1,8 @@
 //! Callers that keep connections until they end, and record what they get.
 
-use std::net::SocketAddr;
+use std::cell::Cell;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use rand::Rng as _;
@@ -11,19 +13,28 @@
 
 use crate::gateway_support::{header, status};
 use crate::record::{Asked, Ending, Kind, Shared};
+use crate::report::Promise;
 
 /// Longest time that a caller waits for the end of an answer.
 const PATIENCE: Duration = Duration::from_secs(7);
 /// Time that a caller gives the system.
-const DEADLINE_MS: u64 = 4_000;
+pub const DEADLINE_MS: u64 = 4_000;
 /// Longest time for a new connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// Part of the requests whose caller leaves before their end, and after how long.
+const LEAVING_PART: f64 = 0.03;
+const LEAVING_MS: std::ops::Range<u64> = 30..300;
+
 /// One caller, which sends one request after the other over connections that it keeps.
 pub struct Caller {
-    pub router: SocketAddr,
+    /// Where it connects.
+    pub path: SocketAddr,
+    /// The router behind that.
+    pub router: IpAddr,
     pub seed: u64,
-    pub end: Instant,
+    /// Whether it goes on.
+    pub is_open: Rc<Cell<bool>>,
     pub record: Shared,
 }
 
@@ -31,7 +42,7 @@
     pub async fn run(self) {
         let mut rng = StdRng::seed_from_u64(self.seed);
         let mut kept: Option<TcpStream> = None;
-        while Instant::now() < self.end {
+        while self.is_open.get() {
             tokio::time::sleep(Duration::from_millis(rng.random_range(5..160))).await;
             let stream = match kept.take() {
                 Some(stream) => stream,
@@ -48,7 +59,7 @@
     }
 
     async fn connect(&self) -> Option<TcpStream> {
-        let opened = TcpStream::connect(self.router);
+        let opened = TcpStream::connect(self.path);
         tokio::time::timeout(CONNECT_LIMIT, opened).await.ok()?.ok()
     }
 
@@ -65,11 +76,17 @@
             "POST {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\n\
              Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 1\r\n\r\nb"
         );
+        let is_leaving = rng.random_bool(LEAVING_PART);
+        let patience = match is_leaving {
+            true => Duration::from_millis(rng.random_range(LEAVING_MS)),
+            false => PATIENCE,
+        };
         let sent = Instant::now();
         let ending = match stream.write_all(text.as_bytes()).await {
-            Ok(()) => match tokio::time::timeout(PATIENCE, read_answer(&mut stream)).await {
+            Ok(()) => match tokio::time::timeout(patience, read_answer(&mut stream)).await {
                 Ok(ending) => ending,
-                Err(_) => Ending::None,
+                Err(_) if is_leaving => Ending::Left,
+                Err(_) => Ending::Unanswered,
             },
             Err(_) => Ending::None,
         };
@@ -77,12 +94,23 @@
             Ending::Whole { head, .. } => {
                 header(head, "connection").is_none_or(|value| value != "close")
             }
-            Ending::Cut | Ending::None => false,
+            Ending::Cut | Ending::None | Ending::Unanswered | Ending::Left => false,
         };
-        let asked = Asked { id, kind, sent, ending };
+        let (ended, ending) = self.falsify(Instant::now(), ending);
+        let asked = Asked { id, kind, router: self.router, sent, ended, ending };
         self.record.asked.borrow_mut().push(asked);
         goes_on.then_some(stream)
     }
+
+    /// Changes what is recorded where the soak's own side is to break a promise.
+    fn falsify(&self, ended: Instant, ending: Ending) -> (Instant, Ending) {
+        match self.record.broken.get() {
+            Some(Promise::Timeout) => (ended + PATIENCE, ending),
+            Some(Promise::Recovery | Promise::NotLost) => (ended + PATIENCE, Ending::Cut),
+            Some(Promise::Gone) => (ended - PATIENCE, Ending::Left),
+            _ => (ended, ending),
+        }
+    }
 }
 
 /// Reads one answer to its end.
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,68 +1,61 @@
-//! The processes of a run, the faults at them, and the operator's documents.
+//! The processes of a run, and the faults at them.
 
-use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, RwLock};
 
 use crate::common::process::until;
 use crate::common::proxy::{PathMode, Proxy};
+use crate::documents::{self, Operator};
 use crate::gateway_support::status;
-use crate::plan::{Fault, Size};
-use crate::record::{Disturbance, Shared};
+use crate::plan::{Daemon, Fault, Manner, Size};
+use crate::record::{Disturbance, Place, Shared};
 use crate::report::Promise;
 use crate::roles_support::{Net, Vm, ask, call};
 use crate::targets::{self, Target};
+use crate::usage::{self, Watched};
 
-const CONFIG: &str = "/api/config";
 /// Pause between the end of a process and its next start.
 const RESTART_PAUSE: Duration = Duration::from_millis(150);
-/// Time between two readings of the document.
-const READ_PAUSE: Duration = Duration::from_millis(700);
-/// Time for one call of the operator.
-const CALL_LIMIT: Duration = Duration::from_secs(2);
+/// Time for which a voter counts as lost after it is back.
+const CATCH_UP: Duration = Duration::from_secs(4);
 
 /// A process that faults take turns at.
-struct Process {
-    vm: Mutex<Vm>,
-    ip: IpAddr,
-    control: SocketAddr,
+pub struct Process {
+    pub vm: Mutex<Vm>,
+    pub ip: IpAddr,
+    pub control: SocketAddr,
+    pub callers: SocketAddr,
+    pub is_router: bool,
+}
+
+impl Process {
+    fn new(vm: Vm, is_router: bool) -> Self {
+        let (ip, control, callers) = (vm.ip, vm.control(), vm.callers());
+        Self { vm: Mutex::new(vm), ip, control, callers, is_router }
+    }
+
+    fn place(&self) -> Place {
+        if self.is_router { Place::Router(self.ip) } else { Place::Voter(self.ip) }
+    }
 }
 
 /// All that runs.
 pub struct Fleet {
-    voters: Vec<Process>,
-    routers: Vec<Process>,
+    pub voters: Vec<Process>,
+    pub routers: Vec<Process>,
+    /// The paths from other daemons to each voter.
+    peers: Vec<Proxy>,
     /// The paths from callers to routers.
     pub callers: Vec<Proxy>,
     pub targets: Rc<Vec<Target>>,
+    pub operator: Operator,
     record: Shared,
-    version: Cell<u64>,
-    is_broken: bool,
-}
-
-fn document(version: u64) -> String {
-    let route = |path: &str, kind: &str, attempts: u32, more: &str| {
-        format!(
-            r#"{{"name":"{path}","host":"h.example","pathPrefix":"/{path}/","kind":"{kind}",
-            "timeoutMs":4000,"targetLatencyMs":600,"priority":1,"service":"app",
-            "maxAttempts":{attempts}{more}}}"#
-        )
-    };
-    let stream = r#","gapTargetMs":400"#;
-    let resumable = r#","gapTargetMs":400,"resumable":true"#;
-    let routes = [
-        route("look", "safe", 2, ""),
-        route("order", "unsafe", 1, ""),
-        route("draft", "streaming", 1, stream),
-        route("contract", "streaming", 2, resumable),
-    ];
-    format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"app"}}]}}"#,
-        routes.join(",")
-    )
+    /// Faults at voters read it. Losing a folder writes it: more voters than may be lost at once
+    /// would be lost otherwise.
+    quorum: RwLock<()>,
 }
 
 impl Fleet {
@@ -73,12 +66,19 @@
         record: Shared,
         broken: Option<Promise>,
     ) -> Rc<Self> {
-        let net = Net::new(name, size.voters);
+        let net = Net::with_proxies(name, size.voters);
+        let mut peers = Vec::new();
+        for number in 0..size.voters {
+            peers.push(net.proxy(number).await);
+        }
         let mut voters: Vec<Vm> = (0..size.voters).map(|number| net.voter(number)).collect();
         voters.iter_mut().for_each(Vm::start);
         let first = voters[0].control();
-        until("a first document", async || call(first, "PUT", CONFIG, &document(1)).await == 200)
-            .await;
+        until("a first document", async || {
+            call(first, "PUT", documents::PATH, &documents::text(1, documents::Content::Own)).await
+                == 200
+        })
+        .await;
         let mut routers: Vec<Vm> =
             (0..size.routers).map(|number| net.router(10 + number)).collect();
         routers.iter_mut().for_each(Vm::start);
@@ -98,109 +98,192 @@
             .await;
             callers.push(Proxy::start(router.callers()).await);
         }
-        let process = |vm: Vm| Process { ip: vm.ip, control: vm.control(), vm: Mutex::new(vm) };
         Rc::new(Self {
-            voters: voters.into_iter().map(process).collect(),
-            routers: routers.into_iter().map(process).collect(),
+            voters: voters.into_iter().map(|vm| Process::new(vm, false)).collect(),
+            routers: routers.into_iter().map(|vm| Process::new(vm, true)).collect(),
+            peers,
             callers,
             targets,
+            operator: Operator::new(Rc::clone(&record), broken),
             record,
-            version: Cell::new(1),
-            is_broken: broken == Some(Promise::DocumentNotOlder),
+            quorum: RwLock::new(()),
         })
     }
 
+    fn process(&self, daemon: Daemon) -> &Process {
+        match daemon {
+            Daemon::Router(at) => &self.routers[at],
+            Daemon::Voter(at) => &self.voters[at],
+        }
+    }
+
     /// Injects one fault, and ends it.
     pub async fn inject(self: Rc<Self>, fault: Fault) {
         match fault {
-            Fault::StopRouter(at) => self.restart(&self.routers[at], "TERM").await,
-            Fault::KillRouter(at) => self.restart(&self.routers[at], "KILL").await,
-            Fault::PauseRouter(at, ms) => self.pause(&self.routers[at], ms).await,
-            Fault::ReloadRouter(at) => self.routers[at].vm.lock().await.signal("HUP"),
-            Fault::StopVoter(at) => self.restart(&self.voters[at], "TERM").await,
-            Fault::KillVoter(at) => self.restart(&self.voters[at], "KILL").await,
-            Fault::PauseVoter(at, ms) => self.pause(&self.voters[at], ms).await,
-            Fault::CallerPath(at, mode, ms) => disturb_path(&self.callers[at], mode, ms).await,
-            Fault::TargetPath(at, mode, ms) => {
+            Fault::Stop(daemon) => self.restart(daemon, "TERM").await,
+            Fault::Kill(daemon) => self.restart(daemon, "KILL").await,
+            Fault::Pause(daemon, ms) => self.pause(daemon, ms).await,
+            Fault::Reload(daemon) => self.reload(daemon).await,
+            Fault::RollRouters(first, count) => {
+                for at in first..first + count {
+                    self.restart(Daemon::Router(at % self.routers.len()), "TERM").await;
+                }
+            }
+            Fault::KillAllVoters => {
+                let voters = (0..self.voters.len()).map(Daemon::Voter);
+                let kills = voters.map(|voter| self.restart(voter, "KILL"));
+                futures::future::join_all(kills).await;
+            }
+            Fault::WipeVoter(at) => self.wipe(&self.voters[at]).await,
+            Fault::PeerPath(from, to, mode, ms) => self.disturb_peers(from, to, mode, ms).await,
+            Fault::CutOff(daemon, ms) => self.cut_off(daemon, ms).await,
+            Fault::CallerPath(at, mode, ms) => {
                 let from = Instant::now();
-                disturb_path(&self.targets[at].path, mode, ms).await;
-                // Requests that were held up on the way come in a bunch, whoever sent them.
-                self.routers.iter().for_each(|router| self.disturbed(router, from));
+                disturb_path(&self.callers[at], mode, ms).await;
+                self.note(Place::CallerPath(self.routers[at].ip), from, false);
             }
-            Fault::Target(at, manner, ms) => {
-                let (target, life) = (&self.targets[at], self.targets[at].life.get());
-                target.manner.set(manner);
+            Fault::TargetPath(at, mode, ms) => self.disturb_target_path(at, mode, ms).await,
+            Fault::LateAnnouncements(at, ms) => {
+                self.targets[at].is_late.set(true);
                 tokio::time::sleep(Duration::from_millis(ms)).await;
-                if target.life.get() == life && target.manner.get() == manner {
-                    target.restart();
-                }
+                self.targets[at].is_late.set(false);
             }
-            Fault::NewDocument => self.put_document().await,
+            Fault::Target(at, manner, ms) => self.change_manner(at, manner, ms).await,
+            Fault::NewDocument => self.operator.put_next(&self.voters).await,
+            Fault::RacingDocuments => self.operator.race(&self.voters).await,
+            Fault::OtherContent => self.operator.put_other_content(&self.voters).await,
+            Fault::InvalidDocument => self.operator.put_invalid(&self.voters).await,
         }
     }
 
-    fn disturbed(&self, process: &Process, from: Instant) {
-        let disturbance = Disturbance { router: process.ip, from, to: Instant::now() };
+    fn note(&self, place: Place, from: Instant, is_planned: bool) {
+        let disturbance = Disturbance { place, from, to: Instant::now(), is_planned };
         self.record.disturbances.borrow_mut().push(disturbance);
     }
 
-    async fn restart(&self, process: &Process, signal: &str) {
+    async fn restart(&self, daemon: Daemon, signal: &str) {
+        let _lost = self.quorum.read().await;
+        let process = self.process(daemon);
         let mut vm = process.vm.lock().await;
         let from = Instant::now();
         vm.signal(signal);
         vm.exit_code().await;
+        let ended = Instant::now();
         tokio::time::sleep(RESTART_PAUSE).await;
         vm.start();
-        self.disturbed(process, from);
+        // What a stop must not lose are the requests before its end.
+        self.note(process.place(), from, signal == "TERM");
+        self.note(process.place(), ended, false);
+    }
+
+    async fn reload(&self, daemon: Daemon) {
+        let process = self.process(daemon);
+        let vm = process.vm.lock().await;
+        until("it handles signals", async || vm.process_id().is_some_and(usage::handles_hangup))
+            .await;
+        let from = Instant::now();
+        vm.signal("HUP");
+        self.note(process.place(), from, true);
     }
 
-    async fn pause(&self, process: &Process, ms: u64) {
+    async fn pause(&self, daemon: Daemon, ms: u64) {
+        let _lost = self.quorum.read().await;
+        let process = self.process(daemon);
         let vm = process.vm.lock().await;
         let from = Instant::now();
         vm.signal("STOP");
         tokio::time::sleep(Duration::from_millis(ms)).await;
         vm.signal("CONT");
-        self.disturbed(process, from);
-    }
-
-    async fn put_document(&self) {
-        let version = self.version.get() + 1;
-        self.version.set(version);
-        for voter in &self.voters {
-            let text = document(version);
-            let put = call(voter.control, "PUT", CONFIG, &text);
-            if tokio::time::timeout(CALL_LIMIT, put).await == Ok(200) {
-                self.record.acknowledged.borrow_mut().push((Instant::now(), version));
-                return;
-            }
-        }
+        self.note(process.place(), from, false);
+    }
+
+    async fn wipe(&self, voter: &Process) {
+        let _all_others_run = self.quorum.write().await;
+        tokio::time::sleep(CATCH_UP).await;
+        let mut vm = voter.vm.lock().await;
+        let from = Instant::now();
+        vm.signal("KILL");
+        vm.exit_code().await;
+        vm.lose_data();
+        vm.start();
+        drop(vm);
+        tokio::time::sleep(CATCH_UP).await;
+        self.note(voter.place(), from, false);
+    }
+
+    async fn disturb_peers(&self, from: Daemon, to: usize, mode: PathMode, ms: u64) {
+        let _lost = self.quorum.read().await;
+        let (begun, process) = (Instant::now(), self.process(from));
+        self.peers[to].set_from(process.ip, mode);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+        self.peers[to].set_from(process.ip, PathMode::Open);
+        self.note(Place::PeerPath(process.ip), begun, false);
+        self.note(Place::PeerPath(self.voters[to].ip), begun, false);
     }
 
-    /// Reads the document at all voters in turn, until it is aborted.
-    pub async fn read_documents(self: Rc<Self>) {
-        for turn in 0.. {
-            let voter = &self.voters[turn % self.voters.len()];
-            let asked = Instant::now();
-            let read = ask(voter.control, "GET", CONFIG, "", "");
-            if let Ok(text) = tokio::time::timeout(CALL_LIMIT, read).await
-                && status(&text) == 200
-                && let Some(version) = version_in(&text)
-            {
-                let version = if self.is_broken { 0 } else { version };
-                self.record.read.borrow_mut().push((asked, version));
+    async fn cut_off(&self, daemon: Daemon, ms: u64) {
+        let _lost = self.quorum.read().await;
+        let (begun, process) = (Instant::now(), self.process(daemon));
+        let set = |mode| {
+            self.peers.iter().for_each(|path| path.set_from(process.ip, mode));
+            if let Daemon::Voter(at) = daemon {
+                self.peers[at].set(mode);
             }
-            tokio::time::sleep(READ_PAUSE).await;
+        };
+        set(PathMode::Silent);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+        set(PathMode::Open);
+        self.note(Place::PeerPath(process.ip), begun, false);
+    }
+
+    async fn disturb_target_path(&self, at: usize, mode: PathMode, ms: u64) {
+        let from = Instant::now();
+        disturb_path(&self.targets[at].path, mode, ms).await;
+        self.note(Place::TargetPath(at), from, false);
+    }
+
+    async fn change_manner(&self, at: usize, manner: Manner, ms: u64) {
+        let target = &self.targets[at];
+        let _turn = target.turn.lock().await;
+        let from = Instant::now();
+        target.manner.set(manner);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+        target.restart();
+        if !manner.is_sound() {
+            self.note(Place::Target(at), from, false);
         }
     }
 }
 
+impl Fleet {
+    fn at(&self, at: usize) -> &Process {
+        self.voters.iter().chain(&self.routers).nth(at).expect("one of the processes")
+    }
+}
+
+impl Watched for Fleet {
+    fn processes(&self) -> usize {
+        self.voters.len() + self.routers.len()
+    }
+
+    fn ip_of(&self, at: usize) -> (IpAddr, bool) {
+        (self.at(at).ip, self.at(at).is_router)
+    }
+
+    fn ended(&self, at: usize) -> Option<Option<i32>> {
+        let mut vm = self.at(at).vm.try_lock().ok()?;
+        let code = vm.ended()?;
+        vm.start();
+        Some(code)
+    }
+
+    fn process_id(&self, at: usize) -> Option<u32> {
+        self.at(at).vm.try_lock().ok()?.process_id()
+    }
+}
+
 async fn disturb_path(path: &Proxy, mode: PathMode, ms: u64) {
     path.set(mode);
     tokio::time::sleep(Duration::from_millis(ms)).await;
     path.set(PathMode::Open);
 }
-
-fn version_in(text: &str) -> Option<u64> {
-    let (_, rest) = text.split_once(r#""version":"#)?;
-    rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
-}
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -38,22 +38,55 @@
     AnsweringTwice,
     /// Sends bytes that are no answer.
     Garbling,
+    /// Sends a head that does not end.
+    Flooding,
+    /// Takes requests and never answers.
+    Hanging,
+}
+
+impl Manner {
+    /// Whether requests to it get whole answers, or are turned away properly.
+    pub fn is_sound(self) -> bool {
+        use Manner::{Leaving, Limited, Pausing, Slow, Well};
+        matches!(self, Well | Slow(_) | Pausing(_) | Leaving | Limited(_))
+    }
+}
+
+/// A process of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Daemon {
+    Router(usize),
+    Voter(usize),
 }
 
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
-    StopRouter(usize),
-    KillRouter(usize),
-    PauseRouter(usize, u64),
-    ReloadRouter(usize),
-    StopVoter(usize),
-    KillVoter(usize),
-    PauseVoter(usize, u64),
+    Stop(Daemon),
+    Kill(Daemon),
+    Pause(Daemon, u64),
+    Reload(Daemon),
+    /// Stops up to this many routers, each after the one before has started again.
+    RollRouters(usize, usize),
+    /// Kills all voters at once.
+    KillAllVoters,
+    /// Kills a voter and takes its folder.
+    WipeVoter(usize),
+    /// The path between two daemons, of which the second one is a voter.
+    PeerPath(Daemon, usize, PathMode, u64),
+    /// All paths between a daemon and voters.
+    CutOff(Daemon, u64),
     CallerPath(usize, PathMode, u64),
     TargetPath(usize, PathMode, u64),
+    /// What a target says of itself reaches voters only when this is over.
+    LateAnnouncements(usize, u64),
     Target(usize, Manner, u64),
     NewDocument,
+    /// Two documents at the same time, at two voters.
+    RacingDocuments,
+    /// Other content under a version that is acknowledged.
+    OtherContent,
+    InvalidDocument,
 }
 
 /// The faults of a run in the order of their times.
@@ -83,28 +116,63 @@
 }
 
 fn draw_fault(rng: &mut StdRng, size: Size) -> Fault {
-    let router = rng.random_range(0..size.routers);
+    match rng.random_range(0..20) {
+        0..=6 => draw_daemon_fault(rng, size),
+        7..=11 => draw_path_fault(rng, size),
+        12..=14 => draw_document_fault(rng),
+        _ => draw_target_fault(rng, size),
+    }
+}
+
+fn draw_daemon(rng: &mut StdRng, size: Size) -> Daemon {
+    match rng.random_bool(0.5) {
+        true => Daemon::Router(rng.random_range(0..size.routers)),
+        false => Daemon::Voter(rng.random_range(0..size.voters)),
+    }
+}
+
+fn draw_daemon_fault(rng: &mut StdRng, size: Size) -> Fault {
+    let daemon = draw_daemon(rng, size);
+    match rng.random_range(0..12) {
+        0..=2 => Fault::Stop(daemon),
+        3 | 4 => Fault::Kill(daemon),
+        5..=7 => Fault::Pause(daemon, rng.random_range(LENGTH_MS)),
+        8 => Fault::Reload(daemon),
+        9 => Fault::RollRouters(rng.random_range(0..size.routers), rng.random_range(2..5)),
+        10 => Fault::KillAllVoters,
+        _ => Fault::WipeVoter(rng.random_range(0..size.voters)),
+    }
+}
+
+fn draw_path_fault(rng: &mut StdRng, size: Size) -> Fault {
+    let length_ms = rng.random_range(LENGTH_MS);
     let voter = rng.random_range(0..size.voters);
+    match rng.random_range(0..8) {
+        0 => Fault::CallerPath(rng.random_range(0..size.routers), draw_mode(rng), length_ms),
+        1..=3 => Fault::TargetPath(rng.random_range(0..size.targets), draw_mode(rng), length_ms),
+        4..=6 => Fault::PeerPath(draw_daemon(rng, size), voter, draw_mode(rng), length_ms),
+        _ => Fault::CutOff(draw_daemon(rng, size), length_ms),
+    }
+}
+
+fn draw_document_fault(rng: &mut StdRng) -> Fault {
+    match rng.random_range(0..6) {
+        0..=2 => Fault::NewDocument,
+        3 => Fault::RacingDocuments,
+        4 => Fault::OtherContent,
+        _ => Fault::InvalidDocument,
+    }
+}
+
+fn draw_target_fault(rng: &mut StdRng, size: Size) -> Fault {
     let target = rng.random_range(0..size.targets);
-    let length_ms = rng.random_range(LENGTH_MS);
-    match rng.random_range(0..20) {
-        0 => Fault::StopRouter(router),
-        1 => Fault::KillRouter(router),
-        2 => Fault::PauseRouter(router, length_ms),
-        3 => Fault::ReloadRouter(router),
-        4 => Fault::StopVoter(voter),
-        5 => Fault::KillVoter(voter),
-        6 | 7 => Fault::PauseVoter(voter, length_ms),
-        8 => Fault::CallerPath(router, draw_mode(rng), length_ms),
-        9 | 10 => Fault::TargetPath(target, draw_mode(rng), length_ms),
-        11 => Fault::NewDocument,
-        _ => {
-            let manner = draw_manner(rng);
-            let is_limited = matches!(manner, Manner::Limited(_));
-            let length_ms = if is_limited { LIMITED_MS } else { MANNER_MS };
-            Fault::Target(target, manner, rng.random_range(length_ms))
-        }
+    if rng.random_bool(0.08) {
+        return Fault::LateAnnouncements(target, rng.random_range(LENGTH_MS));
     }
+    let manner = draw_manner(rng);
+    let is_limited = matches!(manner, Manner::Limited(_));
+    let length_ms = if is_limited { LIMITED_MS } else { MANNER_MS };
+    Fault::Target(target, manner, rng.random_range(length_ms))
 }
 
 fn draw_mode(rng: &mut StdRng) -> PathMode {
@@ -118,14 +186,16 @@
 }
 
 fn draw_manner(rng: &mut StdRng) -> Manner {
-    match rng.random_range(0..9) {
+    match rng.random_range(0..14) {
         0 => Manner::Slow(rng.random_range(50..900)),
-        1 => Manner::Pausing(rng.random_range(1..4)),
-        2 => Manner::Leaving,
-        3..=5 => Manner::Limited(f64::from(rng.random_range(5..40)) / 10.0),
-        6 => Manner::BreakingOff,
-        7 => Manner::AnsweringTwice,
-        _ => Manner::Garbling,
+        1 | 2 => Manner::Pausing(rng.random_range(1..4)),
+        3..=5 => Manner::Leaving,
+        6..=8 => Manner::Limited(f64::from(rng.random_range(5..40)) / 10.0),
+        9 => Manner::BreakingOff,
+        10 => Manner::AnsweringTwice,
+        11 => Manner::Garbling,
+        12 => Manner::Flooding,
+        _ => Manner::Hanging,
     }
 }
 
--- a/tests/soak/report.rs
+++ b/tests/soak/report.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use clap::ValueEnum as _;
+
 /// What is promised to callers and targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, clap::ValueEnum)]
 pub enum Promise {
@@ -21,19 +23,38 @@
     Leaving,
     /// A document that is read is not older than one that was acknowledged.
     DocumentNotOlder,
-}
-
-impl Promise {
-    pub const ALL: [Promise; 8] = [
-        Promise::OwnAnswer,
-        Promise::AtMostOnce,
-        Promise::NotRunIsTrue,
-        Promise::StreamOrder,
-        Promise::Limit,
-        Promise::Pause,
-        Promise::Leaving,
-        Promise::DocumentNotOlder,
-    ];
+    /// A document that is read is what was first sent under its version.
+    DocumentContent,
+    /// Routers obey an acknowledged document within its time.
+    DocumentInForce,
+    /// The newest acknowledged document can be read at the end.
+    DocumentKept,
+    /// An invalid document is refused.
+    InvalidRefused,
+    /// A request that was read gets a whole answer, also around stops, reloads and documents.
+    NotLost,
+    /// A request ends soon after the timeout of its route.
+    Timeout,
+    /// A request reaches no target once its caller has left.
+    Gone,
+    /// Repeats stay in the budget of all routers.
+    RetryBudget,
+    /// A request runs at no more targets than its route says.
+    Attempts,
+    /// Targets are told no more time than is left.
+    Deadline,
+    /// Requests are served again after the last fault.
+    Recovery,
+    /// No process ends by itself.
+    NoOwnEnd,
+    /// A process holds no more memory than it may.
+    Memory,
+    /// A process holds no more descriptors than it may.
+    Descriptors,
+    /// Targets hold no more replicas than fit.
+    ReplicaMemory,
+    /// A fleet without work needs next to no processor time.
+    IdleCores,
 }
 
 /// How often each promise was checked, and what broke.
@@ -46,16 +67,21 @@
 impl Report {
     /// Counts a check; `Err` says what broke.
     pub fn check(&mut self, promise: Promise, held: Result<(), String>) {
-        match self.checks.iter_mut().find(|(known, _)| *known == promise) {
-            Some((_, count)) => *count += 1,
-            None => self.checks.push((promise, 1)),
-        }
+        self.count(promise, 1);
         if let Err(what) = held {
             self.breaks.push((promise, what));
         }
     }
 
-    fn count(&self, promise: Promise) -> u64 {
+    /// Counts checks of which none broke.
+    pub fn count(&mut self, promise: Promise, checks: u64) {
+        match self.checks.iter_mut().find(|(known, _)| *known == promise) {
+            Some((_, count)) => *count += checks,
+            None => self.checks.push((promise, checks)),
+        }
+    }
+
+    fn checks_of(&self, promise: Promise) -> u64 {
         self.checks.iter().find(|(known, _)| *known == promise).map_or(0, |(_, count)| *count)
     }
 }
@@ -63,10 +89,10 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{:<20} {:>8} {:>8}", "promise", "checks", "broken")?;
-        for promise in Promise::ALL {
+        for promise in Promise::value_variants().iter().copied() {
             let broken = self.breaks.iter().filter(|(known, _)| *known == promise).count();
             let name = format!("{promise:?}");
-            match self.count(promise) {
+            match self.checks_of(promise) {
                 0 => writeln!(f, "{name:<20} not put to the test")?,
                 count => writeln!(f, "{name:<20} {count:>8} {broken:>8}")?,
             }
--- a/tests/soak/targets.rs
+++ b/tests/soak/targets.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
 
 use crate::common::proxy::{PathMode, Proxy};
 use crate::gateway_support::{END, header, read_request};
@@ -22,6 +23,8 @@
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(350);
 /// Time for one announcement.
 const ANNOUNCE_LIMIT: Duration = Duration::from_millis(400);
+/// Bytes of one write of a head without end.
+const FLOOD_BYTES: usize = 4 << 10;
 /// Time after an answer at which its second copy is sent.
 const COPY_PAUSE: Duration = Duration::from_millis(15);
 
@@ -32,6 +35,10 @@
     pub manner: Rc<Cell<Manner>>,
     /// Rises with each start.
     pub life: Rc<Cell<u64>>,
+    /// Held for as long as it keeps a manner: one after the other.
+    pub turn: Mutex<()>,
+    /// Whether what it says of itself is held up on its way to the voters.
+    pub is_late: Rc<Cell<bool>>,
     /// Whether it announces nothing of its leaving.
     is_silent: bool,
 }
@@ -63,7 +70,28 @@
             }
         });
         let is_silent = broken == Some(Promise::Leaving);
-        Self { number, path, manner, life, is_silent }
+        Self {
+            number,
+            path,
+            manner,
+            life,
+            turn: Mutex::default(),
+            is_late: Rc::default(),
+            is_silent,
+        }
+    }
+
+    /// Where and what it says of itself.
+    fn announcement(&self, sequence: u64) -> (String, String) {
+        let life = self.life.get();
+        let is_leaving = self.manner.get() == Manner::Leaving && !self.is_silent;
+        let state = if is_leaving { "draining" } else { "ready" };
+        let word = format!(
+            r#"{{"service":"app","address":"{}","zone":"z","slots":16,"state":"{state}",
+            "sequence":{sequence},"born":{life}}}"#,
+            self.path.address
+        );
+        (format!("/api/instances/{}", name(self.number, life)), word)
     }
 
     /// Begins a new life: it has left, and nothing that it said holds any more.
@@ -90,7 +118,7 @@
             let is_meant =
                 header(&head, "expect-instance") == Some(name(self.number, self.life.get()));
             let is_run = is_meant && !matches!(manner, Manner::Pausing(_));
-            self.note_arrival(&id, router, is_meant, is_run);
+            self.note_arrival(&head, &id, router, is_meant, is_run);
             if !is_meant {
                 let text = answer("421 Misdirected", &id, "", "");
                 if stream.write_all(text.as_bytes()).await.is_err() {
@@ -106,24 +134,31 @@
         }
     }
 
-    fn note_arrival(&self, id: &str, router: IpAddr, is_meant: bool, is_run: bool) {
+    fn note_arrival(&self, head: &str, id: &str, router: IpAddr, is_meant: bool, is_run: bool) {
         let arrival = Arrival {
             at: Instant::now(),
             target: self.number,
             life: self.life.get(),
             router,
             id: id.to_owned(),
+            deadline_ms: self.deadline_ms(head),
             is_meant,
             is_run: is_run || self.broken == Some(Promise::NotRunIsTrue),
         };
         let copies = match self.broken {
-            Some(Promise::AtMostOnce) => 2,
+            Some(Promise::AtMostOnce | Promise::RetryBudget | Promise::Attempts) => 2,
             _ => 1,
         };
         let mut arrivals = self.record.arrivals.borrow_mut();
         arrivals.extend(std::iter::repeat_n(arrival, copies));
     }
 
+    fn deadline_ms(&self, head: &str) -> Option<u64> {
+        let deadline_ms: u64 = header(head, "deadline-ms")?.parse().ok()?;
+        let more_ms = if self.broken == Some(Promise::Deadline) { 9_000 } else { 0 };
+        Some(deadline_ms + more_ms)
+    }
+
     /// The headers by which the target says something of itself; recorded as said to this router.
     fn say(&self, router: IpAddr, manner: Manner) -> String {
         let (text, says) = match manner {
@@ -165,6 +200,18 @@
             stream.write_all(b"\x00\xff not an answer\r\n\r\n").await?;
             return Ok(false);
         }
+        if manner == Manner::Hanging {
+            // Until the router gives up.
+            let mut byte = [0; 1];
+            let _ = stream.read(&mut byte).await;
+            return Ok(false);
+        }
+        if manner == Manner::Flooding {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nX-A: ").await?;
+            loop {
+                stream.write_all(&[b'a'; FLOOD_BYTES]).await?;
+            }
+        }
         if head.contains(" /draft/") || head.contains(" /contract/") {
             return self.stream(stream, head, id, said, manner).await;
         }
@@ -223,30 +270,36 @@
     )
 }
 
-/// Announces all targets to any voter, until it is aborted.
+/// Announces all targets to any voter, until it is aborted. What is late is sent as it was written.
 pub async fn announce(voters: Vec<SocketAddr>, targets: Rc<Vec<Target>>) {
+    let mut held: Vec<(Rc<Cell<bool>>, String, String)> = Vec::new();
     for sequence in 1_u64.. {
         for target in targets.iter() {
-            let (id, life) = (name(target.number, target.life.get()), target.life.get());
-            let is_leaving = target.manner.get() == Manner::Leaving && !target.is_silent;
-            let state = if is_leaving { "draining" } else { "ready" };
-            let word = format!(
-                r#"{{"service":"app","address":"{}","zone":"z","slots":16,"state":"{state}",
-                "sequence":{sequence},"born":{life}}}"#,
-                target.path.address
-            );
-            let path = format!("/api/instances/{id}");
-            for voter in &voters {
-                let told = call(*voter, "PUT", &path, &word);
-                if tokio::time::timeout(ANNOUNCE_LIMIT, told).await == Ok(200) {
-                    break;
-                }
+            let (path, word) = target.announcement(sequence);
+            if target.is_late.get() {
+                held.push((Rc::clone(&target.is_late), path, word));
+                continue;
             }
+            say(&voters, &path, &word).await;
+        }
+        // The newest first: what is older than the last one changes nothing.
+        while let Some(at) = held.iter().rposition(|(is_late, ..)| !is_late.get()) {
+            let (_, path, word) = held.remove(at);
+            say(&voters, &path, &word).await;
         }
         tokio::time::sleep(ANNOUNCE_PAUSE).await;
     }
 }
 
+async fn say(voters: &[SocketAddr], path: &str, word: &str) {
+    for voter in voters {
+        let told = call(*voter, "PUT", path, word);
+        if tokio::time::timeout(ANNOUNCE_LIMIT, told).await == Ok(200) {
+            return;
+        }
+    }
+}
+
 /// Used by the report to name a moment.
 pub fn clock_text() -> String {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
