--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -267,9 +267,11 @@
         self.shared.has_changed.notify_one();
     }
 
-    /// Ends it at once, as a crash would, and waits until its sockets are closed.
-    pub async fn kill(mut self) {
+    /// Ends it at once, as a crash would, and waits until its sockets are closed. Returns all keys
+    /// that its services executed, with their counts.
+    pub async fn kill(mut self) -> Vec<(String, u32)> {
         self.tasks.shutdown().await;
+        self.all_executions()
     }
 }
 
--- a/tests/soak/own/faults.rs
+++ b/tests/soak/own/faults.rs
@@ -178,9 +178,9 @@
         }
         let handle = target.handle.borrow_mut().take();
         if let Some(handle) = handle {
-            self.seen.past_executions.borrow_mut().extend(handle.all_executions());
             self.seen.past_peaks.borrow_mut().push(handle.peak_memory_bytes().0);
-            handle.kill().await;
+            let executions = handle.kill().await;
+            self.seen.past_executions.borrow_mut().extend(executions);
         }
         tokio::time::sleep(Duration::from_millis(ms)).await;
         let handle = start_target(&self.cluster, target.number).await;
@@ -202,8 +202,11 @@
         name(None);
         let until = Instant::now();
         let calls = target.handle.borrow().as_ref().map(|handle| handle.call_times());
-        let is_counted = |call: &Instant| (from + NOTICE..until).contains(call);
-        let calls = calls.unwrap_or_default().into_iter().filter(is_counted).collect();
+        let calls = calls.unwrap_or_default();
+        // It names the limit in answers alone.
+        let first = calls.iter().find(|call| **call >= from).copied().unwrap_or(until);
+        let is_counted = |call: &Instant| (first + NOTICE..until).contains(call);
+        let calls = calls.into_iter().filter(is_counted).collect();
         self.seen.limits.borrow_mut().push(LimitedTime { limit, calls });
     }
 }
--- a/tests/soak/own/mod.rs
+++ b/tests/soak/own/mod.rs
@@ -8,8 +8,9 @@
 use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
+use fescuebay::ids::Incarnation;
 use fescuebay::stand_in;
 use fescuebay::units::Bytes;
 use serde_json::json;
@@ -166,7 +167,10 @@
 
 async fn start_target(cluster: &Cluster, number: u16) -> stand_in::Handle {
     let adjust = |settings: stand_in::Settings| {
+        // A target that starts again under its name is told from the one before by this.
+        let started_ms = UNIX_EPOCH.elapsed().unwrap_or_default().as_millis() as u64;
         let settings = settings.load_ms(300).token_ms(15).announce_every_ms(300).slots(32);
+        let settings = settings.incarnation(Incarnation(started_ms));
         match is_engine(number) {
             true => settings.memory_bytes(Bytes(TARGET_GIB * Bytes::GIB.0)),
             false => settings.services(vec![SERVICE.parse().unwrap()]),
