Lines tell what group a voter believes in, and whom a leader admits, with their inputs

Change: log lines may carry fields (JSON: an object 'fields'); a voter tells when its belief about its membership changes, a leader tells whom it admits, over whom, and who was silent for how long. An unchanged answer to a join request is told once. What joins stands in coordinator/voter/membership.rs. No decision changed.

--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -1,5 +1,7 @@
 //! A voter: opens its log, forms or joins its group, and runs the leader while it has leadership.
 
+mod membership;
+
 use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -11,8 +13,7 @@
 
 use super::client::VoterClient;
 use super::leader::{self, Leader};
-use super::members;
-use super::message::{JoinOutcome, PutRoutesOutcome, Reply, Request, Status};
+use super::message::{PutRoutesOutcome, Reply, Request, Status};
 use super::takeover::{self, LastOrder, TakeoverStep};
 use super::{EngineClient, Error, Result, follow};
 use crate::clock::BootClock;
@@ -31,10 +32,6 @@
 const FORM_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a status request to a founder.
 const STATUS_TIMEOUT_MS: u64 = 400;
-/// Interval between two checks whether this voter is still a member of the group.
-const JOIN_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout of a join request to the leader.
-const JOIN_TIMEOUT_MS: u64 = 800;
 /// Pause before a log is reopened after a write failure.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 /// Log entries between two snapshots, the most that a restart replays. Each may hold a document.
@@ -346,29 +343,6 @@
         leader.apply_document(version, text, self.config.decode);
     }
 
-    /// Requests to join whenever this voter is not a member of the group. Returns when the log
-    /// cannot be written.
-    async fn maintain_membership(&self, own: &VoterId) {
-        loop {
-            tokio::time::sleep(JOIN_INTERVAL).await;
-            let failure = self.node.borrow().as_ref().and_then(|n| n.status().failure);
-            if let Some(failure) = failure {
-                return log::error!("the voter cannot write: {failure}");
-            }
-            let membership = self.node.borrow().as_ref().map(|n| n.status().core.membership);
-            let is_voter = membership.is_some_and(|membership| membership.is_voter(own));
-            let is_known = self.client.voters().binary_search(&own.daemon).is_ok();
-            if is_voter && (is_known || self.following.silent_ms().is_none()) {
-                continue;
-            }
-            let request = Request::Join(own.clone());
-            match self.client.ask_leader(&request, JOIN_TIMEOUT_MS, JOIN_TIMEOUT_MS).await {
-                Ok(Reply::Joined(joined)) => log::info!("joining as {own}: {joined:?}"),
-                other => log::debug!("joining as {own}: no answer: {:?}", other.err()),
-            }
-        }
-    }
-
     /// Handles a request of `from`, which may be this daemon.
     pub(super) async fn answer(self: &Rc<Self>, from: &DaemonId, request: Request) -> Reply {
         let leader = self.leader.borrow().clone().filter(|leader| !leader.is_stopped());
@@ -493,40 +467,6 @@
         }
     }
 
-    /// Adds a voter to the group in the background.
-    fn join(self: &Rc<Self>, joining: &VoterId) -> JoinOutcome {
-        let Some(node) = self.node.borrow().clone() else { return JoinOutcome::Full };
-        if self.is_membership_changing.get() {
-            return JoinOutcome::Started;
-        }
-        let membership = node.status().core.membership;
-        // A new leader has no answers yet, so silence counts from the start of its leadership.
-        let led_ms = self.config.clock.now_ms().saturating_sub(self.led_since_ms.get());
-        let silent_ms = |id: &VoterId| node.silent_ms(id).map(|silent_ms| silent_ms.min(led_ms));
-        let step = members::decide_join(&membership, joining, self.config.max_voters, silent_ms);
-        let (voter, joining) = (Rc::clone(self), joining.clone());
-        match step {
-            members::JoinStep::Member => return JoinOutcome::Member,
-            members::JoinStep::Full => return JoinOutcome::Full,
-            members::JoinStep::Add | members::JoinStep::Replace(_) => {}
-        }
-        self.is_membership_changing.set(true);
-        tokio::task::spawn_local(async move {
-            let changed = match &step {
-                members::JoinStep::Replace(old) => node.replace(old.clone(), joining.clone()).await,
-                members::JoinStep::Add | members::JoinStep::Member | members::JoinStep::Full => {
-                    node.add(joining.clone()).await
-                }
-            };
-            voter.is_membership_changing.set(false);
-            match changed {
-                Ok(()) => log::info!("voter {joining} joined the group: {step:?}"),
-                Err(report) => log::warn!("voter {joining} could not join the group: {report}"),
-            }
-        });
-        JoinOutcome::Started
-    }
-
     /// Stops the voter. A leader transfers its leadership first, so that a planned shutdown leaves
     /// no time without a leader.
     pub(super) async fn shut_down(&self) {
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -1,6 +1,7 @@
 //! Log lines for people, or one JSON object a line. Lines go to standard error; those of a VM with one
 //! role go to standard output, over a [`ring`].
 
+mod fields;
 pub mod ring;
 
 use std::fmt;
@@ -97,7 +98,8 @@
         let now = humantime::format_rfc3339_millis(self.now);
         let level = self.record.level();
         let style = if self.is_coloured { colour(level).on_default() } else { Default::default() };
-        write!(f, "{now} {style}{level:<5}{style:#} {}: {}", part(self.record), self.message)
+        write!(f, "{now} {style}{level:<5}{style:#} {}: {}", part(self.record), self.message)?;
+        fields::of(self.record).iter().try_for_each(|(name, value)| write!(f, " {name}={value}"))
     }
 }
 
@@ -118,12 +120,16 @@
 }
 
 fn json(now: SystemTime, record: &log::Record<'_>, message: &fmt::Arguments<'_>) -> String {
-    let line = serde_json::json!({
+    let mut line = serde_json::json!({
         "time": humantime::format_rfc3339_millis(now).to_string(),
         "level": record.level().as_str().to_ascii_lowercase(),
         "module": part(record),
         "message": message.to_string(),
     });
+    let fields = fields::of(record);
+    if !fields.is_empty() {
+        line["fields"] = fields.into();
+    }
     line.to_string()
 }
 
@@ -155,6 +161,35 @@
         assert_eq!((&value["level"], &value["module"]), (&"info".into(), &"membership".into()));
     }
 
+    #[test]
+    fn fields_of_a_line_keep_their_names_and_types() {
+        let fields = [
+            ("voter", log::kv::Value::from("10.0.0.1")),
+            ("silent_ms", log::kv::Value::from(1_700_u64)),
+            ("is_member", log::kv::Value::from(false)),
+            ("time", log::kv::Value::from("not the time of the line")),
+        ];
+        let record = log::Record::builder()
+            .level(log::Level::Info)
+            .target("fescuebay::coordinator")
+            .key_values(&fields)
+            .build();
+        let line = json(SystemTime::UNIX_EPOCH, &record, &format_args!("asks to join"));
+        let value: serde_json::Value = serde_json::from_str(&line).unwrap();
+        assert_eq!(value["time"], "1970-01-01T00:00:00.000Z");
+        let (told, fields) = (
+            &value["fields"],
+            serde_json::json!({
+                "voter": "10.0.0.1", "silent_ms": 1_700, "is_member": false,
+                "time": "not the time of the line",
+            }),
+        );
+        assert_eq!(*told, fields);
+        let (now, message) = (SystemTime::UNIX_EPOCH, &format_args!("asks to join"));
+        let line = Line { now, record: &record, message, is_coloured: false }.to_string();
+        assert!(line.contains("asks to join") && line.contains(" silent_ms=1700"), "{line}");
+    }
+
     #[test]
     fn verbosity_raises_the_level_up_to_trace() {
         assert_eq!(level(log::LevelFilter::Info, 0), log::LevelFilter::Info);
