A replacement of a voter that its leader did not complete is completed by the next one

Callers would see: no leader, and so no change and no reading, after losses that the group should bear. Cause: a replacement adds the newcomer, then removes the old voter. Where its leader is lost in between, the newcomer is a voter, nobody asks any more, and the old voter stays: six voters, one of them gone, bear one loss instead of two. Evidence: read in the code while the first fault was traced; the decision before this change said 'Member' for that newcomer and was asked by nobody. Change: the leader looks at the whole group twice a second and at each request, and decides the next change (add, replace, remove) from the membership, who waits, and who is silent. It tells the losses that the group bears, as a line and as the gauge fescuebay_voter_losses_tolerated. Conclusion: a group of more voters than places shrinks once one of them is silent.

--- a/src/coordinator/members.rs
+++ b/src/coordinator/members.rs
@@ -1,4 +1,7 @@
-//! Admission of voters that want to join the group.
+//! Decides who has a place in the group of voters.
+//!
+//! Worst-case load: one VM with a disk after the other is replaced, planned or not, while others are silent
+//! for a few seconds, leaders change, and disks are lost right after that.
 
 use crate::consensus::entry::{Membership, VoterId};
 
@@ -6,44 +9,118 @@
 /// join, because that one was started after the loss of a voter. Longer than an election, and short
 /// enough that a leader that leads for only a few seconds completes the replacement.
 pub const SILENT_MS: u64 = 1_500;
+/// Time for which a voter that asked to join counts as waiting for a place. It asks every half a second.
+pub const CANDIDATE_MS: u64 = 1_700;
 
-/// The leader's decision about a voter that wants to join.
+/// The next change of the group.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum JoinStep {
-    /// Nothing to do: it is a voter already.
-    Member,
-    /// Add it to the group.
-    Add,
-    /// Add it and remove this voter.
-    Replace(VoterId),
-    /// Reject it: the group has the maximum number of voters, and all of them answer.
-    Full,
+pub enum MembershipStep {
+    /// Nothing to do.
+    Keep,
+    /// Add this voter to the group.
+    Add(VoterId),
+    /// Add `new`, then remove `old`.
+    Replace {
+        /// The voter that is removed.
+        old: VoterId,
+        /// The voter that takes its place.
+        new: VoterId,
+    },
+    /// Remove this voter, whose successor is a voter already.
+    Remove(VoterId),
 }
 
-/// Decides about `joining` in a group of at most `max_voters`. `silent_ms` returns for how long a
-/// voter has not answered the leader, or `None` for the leader itself.
-///
-/// A voter whose daemon has lost its folder can never return, so it is replaced at once. A voter
-/// that is only silent may return, so it is replaced only if the group is full.
-pub fn decide_join(
-    membership: &Membership,
-    joining: &VoterId,
-    max_voters: usize,
-    silent_ms: impl Fn(&VoterId) -> Option<u64>,
-) -> JoinStep {
-    if membership.is_voter(joining) {
-        return JoinStep::Member;
-    }
-    let earlier = membership.voters.iter().find(|id| id.daemon == joining.daemon);
-    if let Some(earlier) = earlier {
-        return JoinStep::Replace(earlier.clone());
-    }
-    if membership.voters.len() < max_voters {
-        return JoinStep::Add;
-    }
-    let silent = membership.voters.iter().filter_map(|id| Some((silent_ms(id)?, id)));
-    match silent.max() {
-        Some((silent_ms, id)) if silent_ms >= SILENT_MS => JoinStep::Replace(id.clone()),
-        _ => JoinStep::Full,
+/// The state that changes of the group are decided from.
+pub struct Group<'a, F> {
+    /// The voters and learners.
+    pub membership: &'a Membership,
+    /// Upper bound of voters.
+    pub max_voters: usize,
+    /// How long a voter has not answered the leader. `None` for the leader itself.
+    pub silent_ms: F,
+}
+
+impl<F: Fn(&VoterId) -> Option<u64>> Group<'_, F> {
+    /// The next change of the group, while `candidates` wait for a place, the first one for the longest.
+    ///
+    /// A voter whose daemon has lost its folder can never return, so it is replaced at once. A voter
+    /// that is only silent may return, so it is replaced only if the group is full.
+    pub fn next_step(&self, candidates: &[VoterId]) -> MembershipStep {
+        if let Some(old) = self.leftover() {
+            return MembershipStep::Remove(old.clone());
+        }
+        let is_candidate = |id: &&VoterId| !self.membership.is_voter(id);
+        for new in candidates.iter().filter(is_candidate) {
+            if let Some(old) = self.earlier_incarnation(new) {
+                return MembershipStep::Replace { old: old.clone(), new: new.clone() };
+            }
+        }
+        let Some(new) = candidates.iter().find(is_candidate) else { return MembershipStep::Keep };
+        if self.membership.voters.len() < self.max_voters {
+            return MembershipStep::Add(new.clone());
+        }
+        match self.most_absent() {
+            Some(old) => MembershipStep::Replace { old: old.clone(), new: new.clone() },
+            None => MembershipStep::Keep,
+        }
+    }
+
+    /// A voter that a replacement was meant to remove, if the leader of that time did not complete it.
+    fn leftover(&self) -> Option<&VoterId> {
+        let voters = &self.membership.voters;
+        let is_double = voters.windows(2).any(|pair| pair[0].daemon == pair[1].daemon);
+        self.most_absent().filter(|_| is_double || voters.len() > self.max_voters)
+    }
+
+    fn earlier_incarnation(&self, joining: &VoterId) -> Option<&VoterId> {
+        self.membership.voters.iter().find(|id| id.daemon == joining.daemon)
+    }
+
+    /// The voter that has been silent for longest, if it counts as lost.
+    fn most_absent(&self) -> Option<&VoterId> {
+        let voters = self.membership.voters.iter();
+        let silent = voters.filter_map(|id| Some(((self.silent_ms)(id)?, id)));
+        let (silent_ms, id) = silent.max()?;
+        (silent_ms >= SILENT_MS).then_some(id)
+    }
+
+    /// How many further losses of voters the group bears: those that answer, beyond a majority.
+    pub fn tolerated_losses(&self) -> usize {
+        let answers = |id: &&VoterId| (self.silent_ms)(id).is_none_or(|ms| ms < SILENT_MS);
+        let answering = self.membership.voters.iter().filter(answers).count();
+        answering.saturating_sub(self.membership.quorum())
+    }
+}
+
+/// Voters that asked for a place, and when. Kept by the leader alone.
+#[derive(Clone, Debug, Default)]
+pub struct Requests {
+    /// In the order in which they first asked.
+    candidates: Vec<(VoterId, u64)>,
+}
+
+impl Requests {
+    /// Records that a voter asks for a place.
+    pub fn record_candidate(&mut self, now_ms: u64, id: &VoterId) {
+        self.candidates.retain(|(known, _)| known.daemon != id.daemon || known == id);
+        record(&mut self.candidates, now_ms, id);
+    }
+
+    /// The voters that wait for a place, the first one for the longest.
+    pub fn candidates(&mut self, now_ms: u64) -> Vec<VoterId> {
+        self.candidates.retain(|(_, at_ms)| now_ms < at_ms + CANDIDATE_MS);
+        self.candidates.iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Forgets everything: another daemon leads.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
+fn record(known: &mut Vec<(VoterId, u64)>, now_ms: u64, id: &VoterId) {
+    match known.iter_mut().find(|(known, _)| known == id) {
+        Some((_, at_ms)) => *at_ms = now_ms,
+        None => known.push((id.clone(), now_ms)),
     }
 }
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -13,6 +13,7 @@
 
 use super::client::VoterClient;
 use super::leader::{self, Leader};
+use super::members;
 use super::message::{PutRoutesOutcome, Reply, Request, Status};
 use super::takeover::{self, LastOrder, TakeoverStep};
 use super::{EngineClient, Error, Result, follow};
@@ -87,6 +88,9 @@
     last_order_ms: Cell<Option<u64>>,
     unformed: RefCell<Option<VoterId>>,
     is_membership_changing: Cell<bool>,
+    membership_requests: RefCell<members::Requests>,
+    /// The losses of voters that the group bore when this voter last told so as the leader.
+    tolerated_losses: Cell<Option<usize>>,
 }
 
 /// Sends consensus messages to other voters.
@@ -118,6 +122,8 @@
             last_order_ms: Cell::new(None),
             unformed: RefCell::default(),
             is_membership_changing: Cell::new(false),
+            membership_requests: RefCell::default(),
+            tolerated_losses: Cell::new(None),
         })
     }
 
@@ -244,6 +250,8 @@
         let leader = Leader::start(now.term, context, &entries);
         leader.inherit_rate_limits(&self.following.rate_limits.borrow());
         self.led_since_ms.set(self.config.clock.now_ms());
+        self.membership_requests.borrow_mut().clear();
+        self.tolerated_losses.set(None);
         self.leader.replace(Some(Rc::clone(&leader)));
         self.publish_document();
         tokio::task::spawn_local(Rc::clone(self).allow_orders(leader));
--- a/src/coordinator/voter/membership.rs
+++ b/src/coordinator/voter/membership.rs
@@ -1,11 +1,12 @@
-//! Membership of the group: a voter joins it, and the leader admits voters.
+//! Membership of the group: a voter asks for a place, and the leader changes the group.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::Voter;
 use crate::consensus::entry::VoterId;
-use crate::coordinator::members;
+use crate::consensus::node;
+use crate::coordinator::members::{Group, MembershipStep};
 use crate::coordinator::message::{JoinOutcome, Reply, Request};
 
 /// Interval between two checks whether this voter is still a member of the group.
@@ -16,11 +17,14 @@
 impl Voter {
     /// Requests to join whenever this voter is not a member of the group. Returns when the log
     /// cannot be written.
-    pub(super) async fn maintain_membership(&self, own: &VoterId) {
+    pub(super) async fn maintain_membership(self: &Rc<Self>, own: &VoterId) {
         let mut believed = None;
         let mut last_answer = None;
         loop {
             tokio::time::sleep(JOIN_INTERVAL).await;
+            if self.leader.borrow().is_some() {
+                self.change_membership();
+            }
             let failure = self.node.borrow().as_ref().and_then(|n| n.status().failure);
             if let Some(failure) = failure {
                 return log::error!("the voter cannot write: {failure}");
@@ -50,43 +54,76 @@
         }
     }
 
-    /// Adds a voter to the group in the background.
+    /// Records that a voter asks for a place, and gives it one if there is one.
     pub(super) fn join(self: &Rc<Self>, joining: &VoterId) -> JoinOutcome {
         let Some(node) = self.node.borrow().clone() else { return JoinOutcome::Full };
+        if node.status().core.membership.is_voter(joining) {
+            return JoinOutcome::Member;
+        }
+        self.membership_requests.borrow_mut().record_candidate(self.config.clock.now_ms(), joining);
+        match self.change_membership() {
+            true => JoinOutcome::Started,
+            false => JoinOutcome::Full,
+        }
+    }
+
+    /// Starts the next change of the group, if one is due. Returns whether one is under way. Only a
+    /// leader may call this.
+    fn change_membership(self: &Rc<Self>) -> bool {
+        let Some(node) = self.node.borrow().clone() else { return false };
         if self.is_membership_changing.get() {
-            return JoinOutcome::Started;
+            return true;
         }
+        let now_ms = self.config.clock.now_ms();
         let membership = node.status().core.membership;
         // A new leader has no answers yet, so silence counts from the start of its leadership.
-        let led_ms = self.config.clock.now_ms().saturating_sub(self.led_since_ms.get());
+        let led_ms = now_ms.saturating_sub(self.led_since_ms.get());
         let silent_ms = |id: &VoterId| node.silent_ms(id).map(|silent_ms| silent_ms.min(led_ms));
-        let step = members::decide_join(&membership, joining, self.config.max_voters, silent_ms);
-        let (voter, joining) = (Rc::clone(self), joining.clone());
-        match step {
-            members::JoinStep::Member => return JoinOutcome::Member,
-            members::JoinStep::Full => return JoinOutcome::Full,
-            members::JoinStep::Add | members::JoinStep::Replace(_) => {}
+        let max_voters = self.config.max_voters;
+        let group = Group { membership: &membership, max_voters, silent_ms };
+        self.report_tolerated_losses(&group);
+        let candidates = self.membership_requests.borrow_mut().candidates(now_ms);
+        let step = group.next_step(&candidates);
+        if step == MembershipStep::Keep {
+            return false;
         }
         log::info!(
-            joining:% = joining, step:? = step, led_ms = led_ms,
-            silent_ms:? = membership.voters.iter().map(silent_ms).collect::<Vec<_>>(),
-            voters:? = membership.voters, max_voters = self.config.max_voters;
-            "a voter is admitted"
+            step:? = step, led_ms = led_ms, max_voters = max_voters,
+            candidates:? = candidates, voters:? = membership.voters,
+            silent_ms:? = membership.voters.iter().map(silent_ms).collect::<Vec<_>>();
+            "the group is changed"
         );
         self.is_membership_changing.set(true);
-        tokio::task::spawn_local(async move {
-            let changed = match &step {
-                members::JoinStep::Replace(old) => node.replace(old.clone(), joining.clone()).await,
-                members::JoinStep::Add | members::JoinStep::Member | members::JoinStep::Full => {
-                    node.add(joining.clone()).await
-                }
-            };
-            voter.is_membership_changing.set(false);
-            match changed {
-                Ok(()) => log::info!("voter {joining} joined the group: {step:?}"),
-                Err(report) => log::warn!("voter {joining} could not join the group: {report}"),
-            }
-        });
-        JoinOutcome::Started
+        tokio::task::spawn_local(Rc::clone(self).carry_out(node, step));
+        true
+    }
+
+    async fn carry_out(self: Rc<Self>, node: node::Handle, step: MembershipStep) {
+        let changed = match &step {
+            MembershipStep::Keep => Ok(()),
+            MembershipStep::Add(new) => node.add(new.clone()).await,
+            MembershipStep::Replace { old, new } => node.replace(old.clone(), new.clone()).await,
+            MembershipStep::Remove(old) => node.remove(old.clone()).await,
+        };
+        self.is_membership_changing.set(false);
+        match changed {
+            Ok(()) => log::info!(step:? = step; "the group has changed"),
+            Err(report) => log::warn!(step:? = step; "the group has not changed: {report}"),
+        }
+    }
+
+    /// Tells how many further losses the group bears, if that has changed.
+    fn report_tolerated_losses(&self, group: &Group<'_, impl Fn(&VoterId) -> Option<u64>>) {
+        let losses = group.tolerated_losses();
+        metrics::gauge!("fescuebay_voter_losses_tolerated").set(losses as f64);
+        if self.tolerated_losses.replace(Some(losses)) == Some(losses) {
+            return;
+        }
+        let most = (group.max_voters - 1) / 2;
+        let level = if losses < most { log::Level::Warn } else { log::Level::Info };
+        log::log!(
+            level, losses = losses, most = most, voters = group.membership.voters.len();
+            "losses of voters that the group bears now"
+        );
     }
 }
