--- a/tests/consensus_five.rs
+++ b/tests/consensus_five.rs
@@ -272,3 +272,43 @@
     }
     assert!(again * 4 >= SEEDS * 3, "{again} of {SEEDS}");
 }
+
+/// Three voters are replaced one after the other, and run on with the memberships that they knew, in which they are a
+/// majority. They lead no group of their own, also after a restart, and can join again with the logs that they have.
+#[test]
+fn replaced_voters_lead_no_old_group_and_may_come_back() {
+    for seed in 0..SEEDS {
+        let (mut world, leader) = settled(seed);
+        let replaced: Vec<usize> = (0..VOTERS).filter(|at| *at != leader).take(3).collect();
+        for at in &replaced {
+            for other in 0..VOTERS {
+                if !replaced.contains(&other) {
+                    world.cut.insert((other, *at));
+                    world.cut.insert((*at, other));
+                }
+            }
+            let old = world.members[*at].id.clone();
+            let removed = world.with(leader, |core, _| core.change(&MembershipChange::Remove(old)));
+            assert!(removed.unwrap().is_ok(), "seed {seed}");
+            world.run(200);
+        }
+        for at in &replaced {
+            world.crash(*at, 0);
+            world.restart(*at);
+        }
+        assert!(world.propose(leader));
+        world.run(5_000);
+        let leads = |at: &usize| world.is_leader(*at);
+        assert!(!replaced.iter().any(leads), "seed {seed}: a replaced voter leads");
+        world.cut.clear();
+        let back = world.members[replaced[0]].id.clone();
+        let add = MembershipChange::AddLearner(back.clone());
+        assert!(world.with(leader, |core, _| core.change(&add)).unwrap().is_ok());
+        world.run(500);
+        let promote = MembershipChange::Promote(back);
+        assert!(world.with(leader, |core, _| core.change(&promote)).unwrap().is_ok());
+        world.run(500);
+        let (own, of_leader) = (&world.members[replaced[0]], &world.members[leader]);
+        assert_eq!(own.commands, of_leader.commands, "seed {seed}");
+    }
+}
--- a/tests/consensus_group/mod.rs
+++ b/tests/consensus_group/mod.rs
@@ -149,6 +149,11 @@
         (0..self.members.len()).filter(|at| leads(&self.members[*at])).max_by_key(term)
     }
 
+    /// Whether a member takes itself for the leader.
+    pub fn is_leader(&self, at: usize) -> bool {
+        self.members[at].core.as_ref().is_some_and(Core::is_leader)
+    }
+
     pub fn status(&self, at: usize) -> Option<Status> {
         let member = &self.members[at];
         member.core.as_ref().map(|core| core.status(member.now_ms(self.now_ms)))
