The line of an admitted request tells a hash of its content

Change: field content, over method, host, path and body. No decision changed. Conclusion: repetitions can be counted in the lines.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -21,6 +21,8 @@
         service: &'a str,
         /// The requested model or adapter, if any.
         model: Option<String>,
+        /// A hash of what is asked for: the same in each repetition of the request.
+        content: String,
         /// Time until the deadline of the request.
         #[serde(rename = "left_ms")]
         remaining_ms: u64,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -18,6 +18,7 @@
 use super::state::RouterState;
 use super::{AttemptOptions, RequestInfo, ResponseClass, relay, slot, wait_limit};
 use crate::ids::{ServiceName, TargetId};
+use crate::poison::ContentHash;
 use crate::routes::{self, Route, index};
 use crate::web::client::Connection;
 use crate::web::server::Answer;
@@ -46,6 +47,8 @@
     pub uri: http::Uri,
     pub headers: HeaderMap,
     pub body: web::intake::Held,
+    /// The same for each repetition of the request.
+    pub content: ContentHash,
     pub arrived_ms: u64,
     pub deadline_ms: u64,
     /// Targets at which attempts failed.
@@ -137,7 +140,9 @@
     let Some(destination) = index::destination(route, draw) else {
         return refuse(RefusalReason::NoService);
     };
+    let content = ContentHash::of(&head.method, &request_host(&head), &head.uri, body.bytes());
     let routed = RoutedRequest {
+        content,
         service: destination.service.clone(),
         route: Rc::new(route.clone()),
         method: head.method,
@@ -177,6 +182,7 @@
             document_version: document.version.0,
             service: routed.service.as_str(),
             model: routed.info.model.as_ref().map(ToString::to_string),
+            content: routed.content.to_string(),
             remaining_ms: routed.remaining_ms(router),
         },
     );
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 #[path = "../platform/mod.rs"]
 pub mod platform;
+pub mod poison;
 pub mod rate_limit;
 pub mod report;
 pub mod routes;
