A request that was only beside the guilty one at targets that ended is not closed

Callers would see: sound requests refused for ten minutes, after they had been under way at the same targets as one that crashes them. A sound request that its caller repeats goes to the same few targets as the guilty one. Change: only trials close. A trial is at a target where nothing else is tried, and blames the one restricted subject of its request, or several half as much; four points close, eight where an answer came in the minute before.

--- a/src/coordinator/leader/suspects.rs
+++ b/src/coordinator/leader/suspects.rs
@@ -34,7 +34,12 @@
                 "what may crash targets is treated in another way"
             );
         }
-        let permission = self.suspects.borrow_mut().permit(now_ms, from, &report.wanted);
+        let mut suspects = self.suspects.borrow_mut();
+        let permission = report
+            .wanted
+            .as_ref()
+            .map_or(Permission::Free, |wanted| suspects.permit(now_ms, from, wanted));
+        drop(suspects);
         if is_changed {
             self.tell_suspects();
         }
--- a/src/gateway/poison.rs
+++ b/src/gateway/poison.rs
@@ -6,11 +6,12 @@
 use super::balancer::TargetChoice;
 use super::proxy::{RoutedRequest, SentAttempt};
 use super::refusal::RefusalReason;
+use super::reservation::SlotReservation;
 use super::state::RouterState;
-use super::wait_limit;
+use super::{slot, wait_limit};
 use crate::coordinator::client::VoterClient;
 use crate::coordinator::message::{Reply, Request};
-use crate::poison::message::{Permission, Report, Statement};
+use crate::poison::message::{Permission, Report, Statement, Wanted};
 use crate::poison::view::BrokenAttempt;
 use crate::poison::{Standing, Subject};
 
@@ -35,46 +36,28 @@
     }
 }
 
-/// Waits until a request may be sent, which is at once unless targets may have ended under it.
+/// Reserves a slot for a request that may be sent, which is at once unless targets may have ended under
+/// it. The wait for the slot is limited by the time from `since_ms`.
 ///
 /// # Errors
-/// Why it may not be sent.
-pub(super) async fn await_permission(
+/// Why there is no slot, or why it may not be sent.
+pub(super) async fn reserve_permitted(
     router: &Rc<RouterState>,
     routed: &RoutedRequest,
-) -> Result<(), RefusalReason> {
-    if routed.trial.borrow().is_some() {
-        return Ok(());
-    }
+    since_ms: u64,
+) -> Result<SlotReservation, RefusalReason> {
     let give_up_ms = give_up_ms(router, routed);
     loop {
-        let standing = router.poison.borrow().standing(router.now_ms(), &routed.subjects);
-        match standing {
-            Standing::Clear if !routed.is_suspect.get() => return Ok(()),
-            Standing::Closed { until_ms } => {
-                let for_ms = until_ms.saturating_sub(router.now_ms());
-                return Err(RefusalReason::CrashesTargets { for_ms });
-            }
-            Standing::Clear | Standing::Restricted => {}
-        }
+        check_closed(router, routed)?;
+        let reservation = slot::reserve_slot(router, routed, since_ms).await?;
+        check_closed(router, routed)?;
         let changed = router.standings_changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        match ask(router, &routed.subjects).await {
-            Some(Permission::Free) => return Ok(()),
-            Some(Permission::Trial) => {
-                let subjects = routed.subjects.clone();
-                let trial = Trial { router: Rc::downgrade(router), subjects };
-                routed.trial.replace(Some(trial));
-                return Ok(());
-            }
-            Some(Permission::Closed { for_ms }) => {
-                return Err(RefusalReason::CrashesTargets { for_ms });
-            }
-            // Without a leader, what this router alone saw is too little to refuse a request.
-            None if standing == Standing::Clear => return Ok(()),
-            Some(Permission::Wait) | None => {}
+        if is_permitted(router, routed, &reservation).await? {
+            return Ok(reservation);
         }
+        drop(reservation);
         if router.now_ms() >= give_up_ms {
             return Err(RefusalReason::AwaitsTrial);
         }
@@ -85,6 +68,45 @@
     }
 }
 
+fn check_closed(router: &RouterState, routed: &RoutedRequest) -> Result<(), RefusalReason> {
+    let now_ms = router.now_ms();
+    match router.poison.borrow().standing(now_ms, &routed.subjects) {
+        Standing::Closed { until_ms } => {
+            Err(RefusalReason::CrashesTargets { for_ms: until_ms.saturating_sub(now_ms) })
+        }
+        Standing::Clear | Standing::Restricted => Ok(()),
+    }
+}
+
+/// Whether a request may be sent to the target of its reservation now. Asks the leader if targets may
+/// have ended under it.
+async fn is_permitted(
+    router: &Rc<RouterState>,
+    routed: &RoutedRequest,
+    reservation: &SlotReservation,
+) -> Result<bool, RefusalReason> {
+    let standing = router.poison.borrow().standing(router.now_ms(), &routed.subjects);
+    if standing == Standing::Clear && !routed.is_suspect.get() {
+        return Ok(true);
+    }
+    // A trial that was permitted before, and did not run at its target, is over.
+    routed.trial.take();
+    let subjects = routed.subjects.clone();
+    let wanted = Wanted { subjects, target: reservation.life() };
+    match ask(router, Some(wanted)).await {
+        Some(Permission::Free) => Ok(true),
+        Some(Permission::Trial) => {
+            let subjects = routed.subjects.clone();
+            routed.trial.replace(Some(Trial { router: Rc::downgrade(router), subjects }));
+            Ok(true)
+        }
+        Some(Permission::Wait) => Ok(false),
+        Some(Permission::Closed { for_ms }) => Err(RefusalReason::CrashesTargets { for_ms }),
+        // Without a leader, what this router alone saw is too little to refuse a request.
+        None => Ok(standing == Standing::Clear),
+    }
+}
+
 /// When a request that waits for a trial is refused.
 fn give_up_ms(router: &RouterState, routed: &RoutedRequest) -> u64 {
     let limit_ms = wait_limit::max_wait_ms(&wait_limit::UnplacedRequest {
@@ -97,12 +119,11 @@
     routed.arrived_ms + limit_ms
 }
 
-/// Reports to the leader and asks whether a request with these subjects may be sent. `None` if no leader
-/// answers.
-async fn ask(router: &Rc<RouterState>, wanted: &[Subject]) -> Option<Permission> {
+/// Reports to the leader and asks whether a request may be sent. `None` if no leader answers.
+async fn ask(router: &Rc<RouterState>, wanted: Option<Wanted>) -> Option<Permission> {
     let client = router.voters.borrow().clone()?;
     let taken_ms = router.now_ms();
-    let report = router.poison.borrow_mut().take_report(taken_ms, wanted.to_vec());
+    let report = router.poison.borrow_mut().take_report(taken_ms, wanted);
     report_to(&client, router, taken_ms, report).await
 }
 
@@ -131,7 +152,7 @@
     loop {
         router.poison_observed.notified().await;
         while router.poison.borrow().has_report() {
-            if ask(&router, &[]).await.is_none() {
+            if ask(&router, None).await.is_none() {
                 tokio::time::sleep(REPORT_RETRY_PAUSE).await;
             }
         }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -16,7 +16,7 @@
 use super::reservation::SlotReservation;
 use super::retry::{self, AttemptFailure, FailedAttempt, RequestFailure, RetryDecision};
 use super::state::RouterState;
-use super::{AttemptOptions, RequestInfo, ResponseClass, poison, relay, slot, wait_limit};
+use super::{AttemptOptions, RequestInfo, ResponseClass, poison, relay, wait_limit};
 use crate::ids::{ServiceName, TargetId};
 use crate::poison::{Content, ContentHash, Subject};
 use crate::rate_limit::TargetLife;
@@ -79,9 +79,7 @@
 impl SentAttempt {
     /// An attempt that begins now.
     pub fn begin(router: &RouterState, reservation: &SlotReservation) -> Self {
-        let SlotReservation { target, incarnation, .. } = reservation;
-        let life = TargetLife { target: target.clone(), incarnation: *incarnation };
-        Self { life, sent_ms: router.now_ms(), has_answered: false }
+        Self { life: reservation.life(), sent_ms: router.now_ms(), has_answered: false }
     }
 }
 
@@ -225,7 +223,8 @@
     routed: Rc<RoutedRequest>,
 ) -> http::Response<Body> {
     loop {
-        let reservation = match reserve_permitted(&router, &routed, routed.arrived_ms).await {
+        let reservation = match poison::reserve_permitted(&router, &routed, routed.arrived_ms).await
+        {
             Ok(reservation) => reservation,
             Err(reason) => {
                 let failure = retry::request_failure(
@@ -255,17 +254,6 @@
     }
 }
 
-/// Reserves a slot for a request that may be sent. The wait for the slot is limited by the time from
-/// `since_ms`.
-pub(super) async fn reserve_permitted(
-    router: &Rc<RouterState>,
-    routed: &RoutedRequest,
-    since_ms: u64,
-) -> Result<SlotReservation, RefusalReason> {
-    poison::await_permission(router, routed).await?;
-    slot::reserve_slot(router, routed, since_ms).await
-}
-
 /// Records a failed attempt and decides whether the request is retried.
 pub(super) fn handle_failure(
     router: &RouterState,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,11 +12,12 @@
 
 use super::balancer::TargetQuery;
 use super::events::{self, RequestEvent};
+use super::poison;
 use super::proxy::{self, RoutedRequest, SentAttempt, TargetResponse};
 use super::retry::AttemptFailure;
 use super::state::RouterState;
 use crate::ids::TargetId;
-use crate::poison;
+use crate::poison::ANSWER_BEGUN_MS;
 use crate::routes::Kind;
 use crate::web::{self, Body};
 
@@ -290,7 +291,7 @@
     /// Records the answer as begun once its target has gone on for long enough.
     fn record_progress(&mut self) {
         let began_ms = *self.began_ms.get_or_insert(self.last_data_ms);
-        if self.last_data_ms >= began_ms + poison::ANSWER_BEGUN_MS {
+        if self.last_data_ms >= began_ms + ANSWER_BEGUN_MS {
             self.record_answer();
         }
     }
@@ -427,7 +428,7 @@
                 return false;
             }
             let since_ms = router.now_ms();
-            let reserved = proxy::reserve_permitted(router, routed, since_ms).await;
+            let reserved = poison::reserve_permitted(router, routed, since_ms).await;
             let Ok(reservation) = reserved else { return false };
             attempt = SentAttempt::begin(router, &reservation);
             match proxy::send_attempt(router, routed, reservation, self.last_event_id.as_deref())
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -5,6 +5,7 @@
 use super::state::RouterState;
 use crate::ids::{Incarnation, ModelRef, TargetId};
 use crate::membership::feed;
+use crate::rate_limit::TargetLife;
 use crate::rate_limit::permits::PermitId;
 
 /// A request's slot at a target. Dropping it releases the slot to the next waiting request.
@@ -26,6 +27,11 @@
 }
 
 impl SlotReservation {
+    /// The incarnation of the target.
+    pub(super) fn life(&self) -> TargetLife {
+        TargetLife { target: self.target.clone(), incarnation: self.incarnation }
+    }
+
     /// Whether the request may still be sent. Its permit is used up.
     pub(super) fn begin_send(&mut self) -> bool {
         let Some(router) = self.router.upgrade() else { return false };
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -45,6 +45,16 @@
     pub closed_for_ms: Option<u64>,
 }
 
+/// A request that a router wants to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Wanted {
+    /// What of it may crash targets.
+    pub subjects: Vec<Subject>,
+    /// The target that would run it.
+    pub target: TargetLife,
+}
+
 /// A router's report to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -53,8 +63,8 @@
     pub observations: Vec<Observation>,
     /// What an earlier leader told it.
     pub statements: Vec<Statement>,
-    /// The subjects of a request that it wants to send.
-    pub wanted: Vec<Subject>,
+    /// A request that it wants to send.
+    pub wanted: Option<Wanted>,
 }
 
 /// The leader's answer to what a router wants to send.
@@ -65,7 +75,7 @@
     Free,
     /// It is a trial: no other request with its restricted subjects is sent meanwhile.
     Trial,
-    /// A trial is under way elsewhere.
+    /// A trial of the same, or another one at the same target, is under way.
     Wait,
     /// One of the subjects is closed.
     Closed {
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! A router sees only that a connection broke before an answer had begun, and that happens for many reasons.
 //! The leader collects this evidence of all routers. What was under way at two targets that ended, and was not
-//! answered since, is restricted: it is tried once at a time, over all routers. What ends a third target, one after
-//! the other, is closed: routers refuse it at once. An answer clears it.
+//! answered since, is restricted: it is tried once at a time, over all routers, and at a target where nothing else is
+//! tried. What ends targets in its trials is closed: routers refuse it at once. An answer clears it.
 //!
 //! Worst-case load: one request, repeated at all routers, crashes one target after the other, and takes
 //! down the sound requests beside it, while some targets end for other reasons.
--- a/src/poison/registry.rs
+++ b/src/poison/registry.rs
@@ -1,14 +1,20 @@
 //! The leader's evidence on what crashes targets, and its decisions.
 
-use super::message::{Death, Observation, Permission, Statement};
+use super::message::{Death, Observation, Permission, Statement, Wanted};
 use super::{Standing, Subject};
 use crate::ids::DaemonId;
 use crate::rate_limit::TargetLife;
 
 /// Targets that ended under a subject before it is restricted.
 const RESTRICTED_AFTER: usize = 2;
-/// Targets that ended under it one after the other before it is closed.
-const CLOSED_AFTER: usize = 3;
+/// What a target that ends in a trial says against the only restricted subject of the request.
+const SOLE_BLAME: u32 = 2;
+/// The same against each of several restricted subjects.
+const SHARED_BLAME: u32 = 1;
+/// Blame at which a subject is closed.
+const CLOSED_AT_BLAME: u32 = 4;
+/// The same for one that was answered shortly before: other requests with it are sound.
+const CLOSED_AT_BLAME_TRUSTED: u32 = 8;
 /// Time for which a subject is closed.
 pub const CLOSED_MS: u64 = 10 * 60_000;
 /// Time for which a death counts.
@@ -33,6 +39,9 @@
 #[derive(Clone, Debug)]
 struct Trial {
     router: DaemonId,
+    target: TargetLife,
+    /// What the end of the target would say against the subject.
+    blame: u32,
     until_ms: u64,
 }
 
@@ -45,6 +54,8 @@
     answered_ms: Option<u64>,
     closed_until_ms: Option<u64>,
     trial: Option<Trial>,
+    /// From trials, since the last answer.
+    blame: u32,
     changed_ms: u64,
 }
 
@@ -56,6 +67,7 @@
             answered_ms: None,
             closed_until_ms: None,
             trial: None,
+            blame: 0,
             changed_ms: 0,
         }
     }
@@ -107,12 +119,18 @@
         true
     }
 
-    fn record_death(&mut self, now_ms: u64, death: KnownDeath) {
+    fn record_death(&mut self, now_ms: u64, from: &DaemonId, death: KnownDeath) {
+        let is_of_trial = |trial: &mut Trial| trial.router == *from && trial.target == death.life;
+        let blame = self.trial.take_if(is_of_trial).map_or(0, |trial| trial.blame);
         if !self.add_death(death) {
             return;
         }
-        self.trial = None;
-        if self.successive_deaths() >= CLOSED_AFTER {
+        self.blame += blame;
+        let limit = match self.is_trusted() {
+            true => CLOSED_AT_BLAME_TRUSTED,
+            false => CLOSED_AT_BLAME,
+        };
+        if blame > 0 && self.blame >= limit {
             self.closed_until_ms = Some(now_ms + CLOSED_MS);
         }
     }
@@ -124,6 +142,7 @@
         self.deaths.retain(|death| death.sent_ms > began_ms);
         if self.deaths.len() < before {
             self.trial = None;
+            self.blame = 0;
         }
         if self.deaths.is_empty() {
             self.closed_until_ms = None;
@@ -159,7 +178,7 @@
             entry.record_answer(now_ms.saturating_sub(*age_ms));
         }
         if let Some(death) = death {
-            entry.record_death(now_ms, known(now_ms, death));
+            entry.record_death(now_ms, from, known(now_ms, death));
         }
         let is_own = |trial: &Trial| trial.router == *from;
         if *is_trial_over && entry.trial.as_ref().is_some_and(is_own) {
@@ -189,34 +208,43 @@
         is_changed
     }
 
-    /// Decides whether a router may send a request with these subjects now.
-    pub fn permit(&mut self, now_ms: u64, from: &DaemonId, wanted: &[Subject]) -> Permission {
-        let standings: Vec<Standing> =
-            wanted.iter().map(|subject| self.standing(now_ms, subject)).collect();
-        let closed_ms = standings.iter().filter_map(|standing| match standing {
-            Standing::Closed { until_ms } => Some(until_ms - now_ms),
-            Standing::Clear | Standing::Restricted => None,
-        });
-        if let Some(for_ms) = closed_ms.max() {
-            return Permission::Closed { for_ms };
+    /// Decides whether a router may send a request now.
+    pub fn permit(&mut self, now_ms: u64, from: &DaemonId, wanted: &Wanted) -> Permission {
+        let Wanted { subjects, target } = wanted;
+        let mut restricted = Vec::new();
+        for subject in subjects {
+            match self.standing(now_ms, subject) {
+                Standing::Clear => {}
+                Standing::Restricted => restricted.push(subject),
+                Standing::Closed { until_ms } => {
+                    return Permission::Closed { for_ms: until_ms - now_ms };
+                }
+            }
         }
-        let is_restricted =
-            |subject: &&Subject| self.standing(now_ms, subject) == Standing::Restricted;
-        let restricted: Vec<&Subject> = wanted.iter().filter(is_restricted).collect();
         if restricted.is_empty() {
             return Permission::Free;
         }
         let is_tried = |subject: &&Subject| self.find(subject).is_some_and(|e| e.is_tried(now_ms));
-        if restricted.iter().any(is_tried) {
+        if restricted.iter().any(is_tried) || self.has_trial_at(now_ms, target) {
             return Permission::Wait;
         }
+        let blame = if restricted.len() == 1 { SOLE_BLAME } else { SHARED_BLAME };
         for subject in restricted {
-            let trial = Trial { router: from.clone(), until_ms: now_ms + TRIAL_MS };
-            self.entry(subject).trial = Some(trial);
+            self.entry(subject).trial = Some(Trial {
+                router: from.clone(),
+                target: target.clone(),
+                blame,
+                until_ms: now_ms + TRIAL_MS,
+            });
         }
         Permission::Trial
     }
 
+    fn has_trial_at(&self, now_ms: u64, target: &TargetLife) -> bool {
+        let mut tried = self.entries.iter().filter(|entry| entry.is_tried(now_ms));
+        tried.any(|entry| entry.trial.as_ref().is_some_and(|trial| trial.target == *target))
+    }
+
     /// How requests with a subject are treated.
     pub fn standing(&self, now_ms: u64, subject: &Subject) -> Standing {
         self.find(subject).map_or(Standing::Clear, |entry| entry.standing(now_ms))
--- a/src/poison/view.rs
+++ b/src/poison/view.rs
@@ -1,6 +1,6 @@
 //! What one router knows of requests that may crash targets, and what it has to report.
 
-use super::message::{Death, Observation, Report, Statement};
+use super::message::{Death, Observation, Report, Statement, Wanted};
 use super::{Standing, Subject};
 use crate::rate_limit::TargetLife;
 
@@ -136,7 +136,7 @@
     }
 
     /// Takes all that is to be reported.
-    pub fn take_report(&mut self, now_ms: u64, wanted: Vec<Subject>) -> Report {
+    pub fn take_report(&mut self, now_ms: u64, wanted: Option<Wanted>) -> Report {
         let observations = self.unreported.drain(..).map(|one| one.to_message(now_ms)).collect();
         let statements = match self.is_leader_new {
             true => self.told.iter().map(|told| told.to_message(now_ms)).collect(),
