--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -23,6 +23,9 @@
         model: Option<String>,
         /// A hash of what is asked for: the same in each repetition of the request.
         content: String,
+        /// The ids of the parts of its prompt that other requests may share.
+        #[serde(rename = "parts", skip_serializing_if = "Vec::is_empty")]
+        shared_parts: Vec<String>,
         /// Time until the deadline of the request.
         #[serde(rename = "left_ms")]
         remaining_ms: u64,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -70,6 +70,14 @@
     pub last_event_id: Option<String>,
 }
 
+impl RequestInfo {
+    /// The ids of all parts of the prompt but the last, which is specific to the request.
+    pub fn shared_parts(&self) -> impl DoubleEndedIterator<Item = u64> + '_ {
+        let shared = self.prompt_parts.len().saturating_sub(1);
+        self.prompt_parts[..shared].iter().map(|(id, _)| *id)
+    }
+}
+
 /// The parts of an attempt that differ from the request of the caller.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptOptions<'a> {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -87,9 +87,7 @@
     /// Id of the prompt prefix: all parts of the prompt but the last, which is specific to this
     /// request.
     pub fn prompt_prefix(&self) -> Option<u64> {
-        let parts = &self.info.prompt_parts;
-        let last_shared = parts.len().checked_sub(2)?;
-        Some(parts[last_shared].0)
+        self.info.shared_parts().last()
     }
 
     /// Number of prompt tokens.
@@ -212,6 +210,7 @@
             service: routed.service.as_str(),
             model: routed.info.model.as_ref().map(ToString::to_string),
             content: routed.content.to_string(),
+            shared_parts: routed.info.shared_parts().map(|id| format!("{id:x}")).collect(),
             remaining_ms: routed.remaining_ms(router),
         },
     );
