A part of prompts that crashes targets is told from the parts beside it, and requests with it are refused

Cause: contents were compared as a whole, so each new request with the part was a new case. The class: what is known of a failure is kept under a key that its next occurrence doesn't have. Change: each part of a prompt but the last is a subject of its own beside the content. Routers remember when requests with a part were last answered, and tell it with a break and when the leader restricts a part: a part that was answered in the minute before is not restricted by targets that end together. Where several parts of a trial are suspect, all are closed together, and a request without one of them is a new case. Ruled out: closing each part of such a trial by itself.

--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -18,7 +18,7 @@
 use super::state::RouterState;
 use super::{AttemptOptions, RequestInfo, ResponseClass, poison, relay, wait_limit};
 use crate::ids::{ServiceName, TargetId};
-use crate::poison::{Content, ContentHash, Subject};
+use crate::poison::{ContentHash, Subject};
 use crate::rate_limit::TargetLife;
 use crate::routes::{self, Route, index};
 use crate::web::client::Connection;
@@ -164,10 +164,10 @@
     };
     let content = ContentHash::of(&head.method, &request_host(&head), &head.uri, body.bytes());
     let service = destination.service.clone();
-    let subject = Subject { service: service.clone(), content: Content::Request(content) };
+    let subjects = Subject::of_request(&service, content, info.shared_parts());
     let routed = RoutedRequest {
         content,
-        subjects: vec![subject],
+        subjects,
         is_suspect: std::cell::Cell::new(false),
         trial: std::cell::RefCell::default(),
         service,
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -43,6 +43,8 @@
     pub answer_age_ms: Option<u64>,
     /// Time for which it is still closed, if it is.
     pub closed_for_ms: Option<u64>,
+    /// The other suspects of the trial that closed it. A request without one of them is a new case.
+    pub closed_with: Vec<Subject>,
 }
 
 /// A request that a router wants to send.
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,12 +1,13 @@
-//! Requests that crash the targets that run them.
+//! Requests, and parts of their prompts, that crash the targets that run them.
 //!
 //! A router sees only that a connection broke before an answer had begun, and that happens for many reasons.
 //! The leader collects this evidence of all routers. What was under way at two targets that ended, and was not
 //! answered since, is restricted: it is tried once at a time, over all routers, and at a target where nothing else is
 //! tried. What ends targets in its trials is closed: routers refuse it at once. An answer clears it.
 //!
-//! Worst-case load: one request, repeated at all routers, crashes one target after the other, and takes
-//! down the sound requests beside it, while some targets end for other reasons.
+//! Worst-case load: one request, repeated at all routers, or requests that have nothing but one part of their
+//! prompts in common, crash one target after the other, and take down the sound requests beside them, which share
+//! the other parts, while some targets end for other reasons.
 //!
 //! [`registry`] decides at the leader, [`view`] keeps what one router knows. None of them performs I/O.
 
@@ -65,12 +66,34 @@
 pub enum Content {
     /// A request and its repetitions.
     Request(ContentHash),
+    /// A part of prompts, by its id, whatever else the request holds.
+    PromptPart(u64),
+}
+
+impl Subject {
+    /// What of a request may crash the targets of a service: its content as a whole, and the parts of its
+    /// prompt that other requests may share.
+    pub fn of_request(
+        service: &ServiceName,
+        content: ContentHash,
+        shared_parts: impl Iterator<Item = u64>,
+    ) -> Vec<Self> {
+        let contents = shared_parts.map(Content::PromptPart);
+        let all = std::iter::once(Content::Request(content)).chain(contents);
+        all.map(|content| Self { service: service.clone(), content }).collect()
+    }
+
+    /// Whether other requests may have it too, so that their answers tell something of it.
+    pub fn is_shared(&self) -> bool {
+        matches!(self.content, Content::PromptPart(_))
+    }
 }
 
 impl fmt::Display for Subject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.content {
             Content::Request(hash) => write!(f, "request {hash} to {}", self.service),
+            Content::PromptPart(id) => write!(f, "prompt part {id:x} to {}", self.service),
         }
     }
 }
--- a/src/poison/registry.rs
+++ b/src/poison/registry.rs
@@ -40,11 +40,18 @@
 struct Trial {
     router: DaemonId,
     target: TargetLife,
-    /// What the end of the target would say against the subject.
-    blame: u32,
+    /// The other restricted subjects of the request, which may be to blame as well.
+    with: Vec<Subject>,
     until_ms: u64,
 }
 
+impl Trial {
+    /// What the end of the target says against the subject.
+    fn blame(&self) -> u32 {
+        if self.with.is_empty() { SOLE_BLAME } else { SHARED_BLAME }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     subject: Subject,
@@ -53,6 +60,8 @@
     /// When the last answer began.
     answered_ms: Option<u64>,
     closed_until_ms: Option<u64>,
+    /// The other suspects of the trial that closed it.
+    closed_with: Vec<Subject>,
     trial: Option<Trial>,
     /// From trials, since the last answer.
     blame: u32,
@@ -66,6 +75,7 @@
             deaths: Vec::new(),
             answered_ms: None,
             closed_until_ms: None,
+            closed_with: Vec::new(),
             trial: None,
             blame: 0,
             changed_ms: 0,
@@ -121,17 +131,17 @@
 
     fn record_death(&mut self, now_ms: u64, from: &DaemonId, death: KnownDeath) {
         let is_of_trial = |trial: &mut Trial| trial.router == *from && trial.target == death.life;
-        let blame = self.trial.take_if(is_of_trial).map_or(0, |trial| trial.blame);
-        if !self.add_death(death) {
-            return;
-        }
-        self.blame += blame;
+        let trial = self.trial.take_if(is_of_trial);
+        let is_new = self.add_death(death);
+        let Some(trial) = trial.filter(|_| is_new) else { return };
+        self.blame += trial.blame();
         let limit = match self.is_trusted() {
             true => CLOSED_AT_BLAME_TRUSTED,
             false => CLOSED_AT_BLAME,
         };
-        if blame > 0 && self.blame >= limit {
+        if self.blame >= limit {
             self.closed_until_ms = Some(now_ms + CLOSED_MS);
+            self.closed_with = trial.with;
         }
     }
 
@@ -201,7 +211,10 @@
             entry.answered_ms = entry.answered_ms.max(Some(now_ms.saturating_sub(age_ms)));
         }
         let closed_until_ms = statement.closed_for_ms.map(|for_ms| now_ms + for_ms);
-        entry.closed_until_ms = entry.closed_until_ms.max(closed_until_ms);
+        if closed_until_ms > entry.closed_until_ms {
+            entry.closed_until_ms = closed_until_ms;
+            entry.closed_with.clone_from(&statement.closed_with);
+        }
         entry.changed_ms = now_ms;
         let is_changed = entry.standing(now_ms) != before;
         self.forget(now_ms);
@@ -215,10 +228,10 @@
         for subject in subjects {
             match self.standing(now_ms, subject) {
                 Standing::Clear => {}
-                Standing::Restricted => restricted.push(subject),
-                Standing::Closed { until_ms } => {
+                Standing::Closed { until_ms } if self.is_same_case(subject, subjects) => {
                     return Permission::Closed { for_ms: until_ms - now_ms };
                 }
+                Standing::Restricted | Standing::Closed { .. } => restricted.push(subject),
             }
         }
         if restricted.is_empty() {
@@ -228,18 +241,27 @@
         if restricted.iter().any(is_tried) || self.has_trial_at(now_ms, target) {
             return Permission::Wait;
         }
-        let blame = if restricted.len() == 1 { SOLE_BLAME } else { SHARED_BLAME };
-        for subject in restricted {
+        for subject in &restricted {
+            let others = restricted.iter().copied().filter(|other| other != subject);
+            let with = others.cloned().collect();
             self.entry(subject).trial = Some(Trial {
                 router: from.clone(),
                 target: target.clone(),
-                blame,
+                with,
                 until_ms: now_ms + TRIAL_MS,
             });
         }
         Permission::Trial
     }
 
+    /// Whether a request has all suspects of the trial that closed `subject`, but for those that an answer has
+    /// cleared since.
+    fn is_same_case(&self, subject: &Subject, subjects: &[Subject]) -> bool {
+        let Some(entry) = self.find(subject) else { return false };
+        let mut suspects = entry.closed_with.iter().filter(|other| self.find(other).is_some());
+        suspects.all(|other| subjects.contains(other))
+    }
+
     fn has_trial_at(&self, now_ms: u64, target: &TargetLife) -> bool {
         let mut tried = self.entries.iter().filter(|entry| entry.is_tried(now_ms));
         tried.any(|entry| entry.trial.as_ref().is_some_and(|trial| trial.target == *target))
@@ -334,5 +356,6 @@
             .closed_until_ms
             .and_then(|until_ms| until_ms.checked_sub(now_ms))
             .filter(|for_ms| *for_ms > 0),
+        closed_with: entry.closed_with.clone(),
     }
 }
--- a/src/poison/view.rs
+++ b/src/poison/view.rs
@@ -40,11 +40,17 @@
 /// Upper bound of observations that wait for a leader. Later ones are dropped.
 const MAX_UNREPORTED: usize = 1_024;
 
+/// Upper bound of subjects whose last answers are remembered. Beyond it, the quarter that was answered
+/// the longest ago is dropped.
+const MAX_ANSWERED: usize = 2_048;
+
 /// The knowledge of one router.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// What the leader told last, sorted by subject.
     told: Vec<Told>,
+    /// When the last answers to requests with shared subjects began, sorted by subject.
+    answered: Vec<(Subject, u64)>,
     unreported: Vec<Unreported>,
     /// Whether the current leader has not been told yet what an earlier one said.
     is_leader_new: bool,
@@ -55,7 +61,13 @@
     pub fn standing(&self, now_ms: u64, subjects: &[Subject]) -> Standing {
         let mut strictest = Standing::Clear;
         for told in subjects.iter().filter_map(|subject| self.find(subject)) {
-            match (strictest, told.standing(now_ms)) {
+            let standing = match told.standing(now_ms) {
+                Standing::Closed { .. } if !self.is_same_case(told, subjects) => {
+                    Standing::Restricted
+                }
+                standing => standing,
+            };
+            match (strictest, standing) {
                 (Standing::Closed { until_ms: known_ms }, Standing::Closed { until_ms }) => {
                     strictest = Standing::Closed { until_ms: until_ms.max(known_ms) };
                 }
@@ -66,6 +78,13 @@
         strictest
     }
 
+    /// Whether a request has all suspects of the trial that closed one of its subjects, but for those
+    /// that the leader does not name any more.
+    fn is_same_case(&self, told: &Told, subjects: &[Subject]) -> bool {
+        let mut suspects = told.statement.closed_with.iter().filter(|other| self.is_told(other));
+        suspects.all(|other| subjects.contains(other))
+    }
+
     /// Whether the leader restricts or closes a subject.
     pub fn is_told(&self, subject: &Subject) -> bool {
         self.find(subject).is_some()
@@ -83,7 +102,44 @@
             next.extend(self.told.drain(..).filter(is_kept));
         }
         next.sort_unstable_by(|a, b| a.statement.subject.cmp(&b.statement.subject));
-        self.told = next;
+        let before = std::mem::replace(&mut self.told, next);
+        self.report_known_answers(&before);
+    }
+
+    /// Reports the answers that this router remembers of subjects that were not told before.
+    fn report_known_answers(&mut self, before: &[Told]) {
+        let is_new =
+            |told: &&Told| !before.iter().any(|b| b.statement.subject == told.statement.subject);
+        let new: Vec<Subject> =
+            self.told.iter().filter(is_new).map(|told| told.statement.subject.clone()).collect();
+        for subject in new {
+            if let Some(began_ms) = self.answered_ms(&subject) {
+                self.push(Unreported {
+                    subject,
+                    broken: None,
+                    answered_ms: Some(began_ms),
+                    is_trial_over: false,
+                });
+            }
+        }
+    }
+
+    fn answered_ms(&self, subject: &Subject) -> Option<u64> {
+        let at = self.answered.binary_search_by(|(known, _)| known.cmp(subject)).ok()?;
+        Some(self.answered[at].1)
+    }
+
+    fn remember_answer(&mut self, began_ms: u64, subject: &Subject) {
+        match self.answered.binary_search_by(|(known, _)| known.cmp(subject)) {
+            Ok(at) => self.answered[at].1 = self.answered[at].1.max(began_ms),
+            Err(at) => self.answered.insert(at, (subject.clone(), began_ms)),
+        }
+        if self.answered.len() > MAX_ANSWERED {
+            let mut times_ms: Vec<u64> = self.answered.iter().map(|(_, at_ms)| *at_ms).collect();
+            let (_, oldest_quarter_ms, _) = times_ms.select_nth_unstable(MAX_ANSWERED / 4);
+            let limit_ms = *oldest_quarter_ms;
+            self.answered.retain(|(_, at_ms)| *at_ms > limit_ms);
+        }
     }
 
     /// Another daemon leads: it is told what the one before said.
@@ -97,7 +153,7 @@
             self.push(Unreported {
                 subject: subject.clone(),
                 broken: Some((attempt.clone(), now_ms)),
-                answered_ms: None,
+                answered_ms: self.answered_ms(subject),
                 is_trial_over: false,
             });
         }
@@ -107,6 +163,9 @@
     /// those that it restricts, and of all if the request `was_suspect`.
     pub fn record_answer(&mut self, began_ms: u64, subjects: &[Subject], was_suspect: bool) {
         for subject in subjects {
+            if subject.is_shared() {
+                self.remember_answer(began_ms, subject);
+            }
             if was_suspect || self.is_told(subject) {
                 self.push(Unreported {
                     subject: subject.clone(),
--- a/tests/poison_parts.rs
+++ b/tests/poison_parts.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
+use common::process::until;
 use gateway_support::on_one_thread;
-use poison_support::{CONTACT, Crash, Fleet, MAX_LATE, World};
+use poison_support::{CONTACT, Crash, Fleet, MAX_LATE, World, send};
 
 /// Crashes after which a part must be known.
 const KNOWN_AFTER: usize = 5;
@@ -57,20 +58,45 @@
 }
 
 #[test]
-#[ignore = "known red: issue 34, BUDGET of the second matter"]
 fn a_part_that_crashes_targets_before_they_answer_is_soon_sent_to_none() {
     press_with_part("part-before-head", Crash::BeforeHead, guilty_second);
 }
 
 /// A stream is resumed after its target has crashed, and takes the next one down.
 #[test]
-#[ignore = "known red: issue 34, BUDGET of the second matter"]
 fn a_part_that_crashes_targets_as_they_answer_is_soon_sent_to_none() {
     press_with_part("part-first-event", Crash::AfterFirstEvent, guilty_second);
 }
 
 #[test]
-#[ignore = "known red: issue 34, BUDGET of the second matter"]
 fn a_first_part_that_crashes_targets_is_soon_sent_to_none() {
     press_with_part("part-first", Crash::AfterFirstEvent, guilty_first);
 }
+
+/// The load: the same, while all voters are killed at once and a router starts again.
+#[test]
+fn a_part_stays_refused_after_all_voters_and_a_router_have_started_again() {
+    on_one_thread(async {
+        let world = World::new(GUILTY, Crash::AfterFirstEvent);
+        let mut fleet = Fleet::start("part-restart", 6, 9, world).await;
+        let press = Duration::from_secs(4);
+        fleet.press("/draft/x", Duration::from_millis(400), press, guilty_second).await;
+        let before = fleet.world.arrivals.borrow().len();
+        assert!(before > 1, "nothing crashed");
+        for vm in fleet.voters.iter_mut().chain([&mut fleet.routers[0]]) {
+            vm.signal("KILL");
+            vm.exit_code().await;
+            vm.start();
+        }
+        for router in &fleet.routers {
+            let serves = async || {
+                let (headers, body) = sound(1);
+                send(router.callers(), "/draft/x", &headers, &body).await == 200
+            };
+            until("a router serves again", serves).await;
+        }
+        fleet.press("/draft/x", Duration::from_millis(400), press, guilty_second).await;
+        let after = fleet.world.arrivals.borrow().len() - before;
+        assert!(after <= MAX_LATE, "{after} arrivals after the restarts, {before} before");
+    });
+}
--- a/tests/poison_registry.rs
+++ b/tests/poison_registry.rs
@@ -10,6 +10,10 @@
     Subject { service: "llm".parse().unwrap(), content: Content::Request(ContentHash(number)) }
 }
 
+fn part(id: u64) -> Subject {
+    Subject { service: "llm".parse().unwrap(), content: Content::PromptPart(id) }
+}
+
 fn router(number: u64) -> DaemonId {
     format!("10.1.0.{number}").parse().unwrap()
 }
@@ -196,3 +200,73 @@
     assert_eq!(registry.len(), MAX_SUBJECTS);
     assert_ne!(registry.standing(9_000, &one), Standing::Clear);
 }
+
+/// The load: half of the targets are reclaimed at the same moment under a part that nearly all requests have.
+#[test]
+fn a_part_that_was_just_answered_is_not_restricted_by_targets_that_end_together() {
+    let (mut registry, shared) = (Registry::default(), part(1));
+    for number in 0..5 {
+        let death = Death { life: life(number), sent_age_ms: 100, broke_age_ms: 0 };
+        let answer_age_ms = Some(2_000);
+        let observation = Observation { death: Some(death), answer_age_ms, ..nothing(&shared) };
+        registry.record(10_000, &router(1), &observation);
+    }
+    assert_eq!(
+        (registry.deaths(&shared), registry.standing(10_000, &shared)),
+        (5, Standing::Clear)
+    );
+}
+
+/// The load: the first requests of the day have a guilty part beside one that all share, and nothing was answered
+/// yet that would tell them apart.
+#[test]
+fn a_shared_part_is_told_from_the_guilty_one_by_the_trial_of_a_sound_request() {
+    let (mut registry, shared, guilty) = (Registry::default(), part(1), part(2));
+    for number in 1..=2 {
+        for subject in [&shared, &guilty] {
+            end_target(&mut registry, subject, number, number * 200, number * 200 + 100);
+        }
+    }
+    for number in 3..=5 {
+        let sent_ms = number * 200;
+        let both = [&shared, &guilty];
+        assert_eq!(permit(&mut registry, sent_ms, 1, &both, number), Permission::Trial);
+        for subject in both {
+            end_target(&mut registry, subject, number, sent_ms, sent_ms + 100);
+        }
+    }
+    assert_eq!(registry.standing(1_100, &shared), Standing::Restricted, "not closed");
+    assert_eq!(permit(&mut registry, 1_200, 2, &[&shared], 6), Permission::Trial);
+    assert!(answer(&mut registry, &shared, 1_250, 1_700));
+    assert_eq!(registry.standing(1_700, &shared), Standing::Clear);
+    assert_eq!(permit(&mut registry, 1_700, 1, &[&shared, &guilty], 7), Permission::Trial);
+    end_target(&mut registry, &guilty, 7, 1_700, 1_800);
+    assert!(matches!(registry.standing(1_800, &guilty), Standing::Closed { .. }));
+    assert_eq!(permit(&mut registry, 1_900, 2, &[&shared], 8), Permission::Free);
+}
+
+/// The load: at night all requests of a route have the guilty part, beside the one that all share by day.
+#[test]
+fn a_shared_part_that_was_closed_with_the_guilty_one_is_tried_without_it() {
+    let (mut registry, shared, guilty) = (Registry::default(), part(1), part(2));
+    let both = [&shared, &guilty];
+    for number in 1..=6 {
+        let sent_ms = number * 200;
+        let expected = if number <= 2 { Permission::Free } else { Permission::Trial };
+        assert_eq!(permit(&mut registry, sent_ms, 1, &both, number), expected);
+        for subject in both {
+            end_target(&mut registry, subject, number, sent_ms, sent_ms + 100);
+        }
+    }
+    let closed = Permission::Closed { for_ms: CLOSED_MS };
+    assert_eq!(permit(&mut registry, 1_300, 1, &both, 7), closed);
+    // By day the first sound request is a trial, also at a leader that took over.
+    for mut registry in [Registry::from_statements(1_300, &registry.statements(1_300)), registry] {
+        assert_eq!(permit(&mut registry, 1_400, 2, &[&shared], 7), Permission::Trial);
+        assert!(answer(&mut registry, &shared, 1_450, 1_900));
+        assert_eq!(permit(&mut registry, 1_900, 2, &[&shared], 8), Permission::Free);
+        let for_ms = CLOSED_MS - 600;
+        assert_eq!(permit(&mut registry, 1_900, 1, &both, 8), Permission::Closed { for_ms });
+        assert_eq!(permit(&mut registry, 1_900, 1, &[&guilty], 8), Permission::Closed { for_ms });
+    }
+}
