A refusal that may be a repeated earlier one does not say that a request has not run

Callers would see: 'not run, try again' for a request that a target runs, or such a request run at a second target (a report of other operators). Cause: a refusal without an id was taken for the refusal of the request that waits, also on a connection that had carried others, where a faulty target may write an earlier one once more. One with the id of another request was told apart before. Change: without an id a refusal counts only on a connection's first request. After a refusal the connection is closed, as before, so a repeated one with the same id can't meet a retry of the same request.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -107,6 +107,15 @@
     Invalid,
 }
 
+/// Whether a connection carried other requests before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// The request is the first one on it.
+    First,
+    /// It carried others, whose responses a faulty target may repeat.
+    Repeated,
+}
+
 /// What a target announces about itself in the head of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetNotice {
@@ -128,8 +137,13 @@
     fn target_headers(&self, headers: &HeaderMap, options: &AttemptOptions<'_>) -> HeaderMap;
 
     /// Classifies the head of a response to the request `id`.
-    fn classify_response(&self, status: StatusCode, headers: &HeaderMap, id: &str)
-    -> ResponseClass;
+    fn classify_response(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        id: &str,
+        connection: ConnectionUse,
+    ) -> ResponseClass;
 
     /// Reads what the target announces about itself. The notice is empty if this is not a response
     /// to the request `id`.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -16,7 +16,7 @@
 use super::reservation::SlotReservation;
 use super::retry::{self, AttemptFailure, FailedAttempt, RequestFailure, RetryDecision};
 use super::state::RouterState;
-use super::{AttemptOptions, RequestInfo, ResponseClass, poison, relay, wait_limit};
+use super::{AttemptOptions, ConnectionUse, RequestInfo, ResponseClass, poison, relay, wait_limit};
 use crate::ids::{ServiceName, TargetId};
 use crate::poison::{ContentHash, Subject};
 use crate::rate_limit::TargetLife;
@@ -349,7 +349,7 @@
     mut reservation: SlotReservation,
     last_event_id: Option<&str>,
 ) -> Result<TargetResponse, AttemptFailure> {
-    let mut connection = connect(router, routed, &reservation).await?;
+    let (mut connection, connection_use) = connect(router, routed, &reservation).await?;
     if !reservation.begin_send() {
         return Err(AttemptFailure::Withdrawn);
     }
@@ -389,7 +389,8 @@
     };
     let notice = router.protocol.read_notice(head.status, &head.headers, &routed.info.id);
     router.apply_notice(&reservation.target, reservation.incarnation, sent_ms, notice);
-    match router.protocol.classify_response(head.status, &head.headers, &routed.info.id) {
+    let (status, id) = (head.status, &routed.info.id);
+    match router.protocol.classify_response(status, &head.headers, id, connection_use) {
         ResponseClass::Answer => Ok(TargetResponse {
             reservation: note_response(reservation, head.status),
             connection,
@@ -416,7 +417,7 @@
     router: &RouterState,
     routed: &RoutedRequest,
     reservation: &SlotReservation,
-) -> Result<Connection, AttemptFailure> {
+) -> Result<(Connection, ConnectionUse), AttemptFailure> {
     let max_idle_ms =
         if routed.route.kind.is_repeatable() { u64::MAX / 2 } else { MAX_IDLE_NON_IDEMPOTENT_MS };
     let now_ms = router.now_ms();
@@ -428,11 +429,12 @@
         max_idle_ms,
     );
     if let Some(connection) = kept {
-        return Ok(connection);
+        return Ok((connection, ConnectionUse::Repeated));
     }
     metrics::counter!("fescuebay_target_connections_total").increment(1);
     let opened = Connection::open(router.own_ip, reservation.address, CONNECT_TIMEOUT_MS).await;
-    opened.map_err(|_| AttemptFailure::NotSent)
+    let connection = opened.map_err(|_| AttemptFailure::NotSent)?;
+    Ok((connection, ConnectionUse::First))
 }
 
 fn build_request(
--- /dev/null
+++ b/tests/gateway_reports.rs
@@ -0,0 +1,53 @@
+//! Faults that other operators reported of systems like this one: refusals that are written twice, and
+//! streams that are continued by an error or end inside an event.
+
+mod gateway_support;
+
+use gateway_support::{
+    Action, END, Router, ScriptedTarget, answer, endless_head, on_one_thread, status,
+};
+
+const MODEL: &str = "Model: m1\r\nDeadline-Ms: 3000\r\n";
+
+fn ok(body: &str) -> Action {
+    Action::Write(answer("200 OK", body))
+}
+
+/// A stream without a length or chunks that ends with its connection, after its last event.
+#[test]
+fn a_stream_that_ends_with_its_connection_is_complete() {
+    for path in ["/draft/x", "/contract/x"] {
+        on_one_thread(async move {
+            let whole: String = (1..=3).map(|n| format!("id: {n}\ndata: e{n}\n\n")).collect();
+            let text = format!("{}{whole}", endless_head());
+            let target = ScriptedTarget::start("a", vec![Action::WriteAndClose(text)]).await;
+            let router = Router::start(vec![target.entry("llm", &["m1"])]).await;
+            let answer = router.request("POST", path, MODEL, "b").await;
+            assert!(answer.contains("data: e3\n") && answer.ends_with(END), "{path}: {answer}");
+        });
+    }
+}
+
+/// A faulty target writes an earlier refusal once more on a kept connection, with the id of the earlier
+/// request or without one. It runs the request that it seems to refuse.
+#[test]
+fn a_refusal_that_may_be_an_earlier_one_does_not_say_that_a_request_has_not_run() {
+    let refused = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    let misdirected = "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n";
+    let earlier = refused.replace("Not-Executed", "Attempt-Id: earlier\r\nNot-Executed");
+    for text in [refused, misdirected, earlier.as_str()] {
+        let text = text.to_owned();
+        on_one_thread(async move {
+            let script = vec![ok("first"), Action::Write(text.clone())];
+            let faulty = ScriptedTarget::start("a", script).await;
+            let other = ScriptedTarget::start("b", vec![ok("second run")]).await;
+            let entries = vec![faulty.entry("app", &[]), other.suspect_entry("app", &[])];
+            let router = Router::start(entries).await;
+            let send = async || router.request("POST", "/unsafe/x", "Deadline-Ms: 1000\r\n", "b");
+            assert_eq!(status(&send().await.await), 200);
+            let answer = send().await.await;
+            assert_eq!(status(&answer), 502, "{text}: {answer}");
+            assert_eq!((faulty.requests(), other.requests()), (2, 0), "{text}");
+        });
+    }
+}
