A stream that ends inside an event is not passed off as complete

Callers saw, or would see: the cut last event of a stream, and after it the end of a complete answer. Cause: streams that can't be resumed are relayed as they come, and only the end of the body was looked at. Change: the last bytes are kept, and an end that is not at the end of an event cuts the caller's stream off. Before: the new test found the end marker behind 'data: e' on /draft/ for a last chunk and for a closed connection; after: cut off. Streams that may be resumed were right before. Conclusion: mended on the platform's interface; our own has an end marker of its own.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -165,6 +165,8 @@
     response: Option<TargetResponse>,
     /// The received bytes of an incomplete event.
     partial_event: BytesMut,
+    /// The last bytes that were received of a stream that is relayed as it comes.
+    last_bytes: BytesMut,
     /// The id of the last event that was relayed to the caller.
     last_event_id: Option<String>,
     has_sent_data: bool,
@@ -243,6 +245,7 @@
             sent_ms: response.sent_ms,
             response: Some(response),
             partial_event: BytesMut::new(),
+            last_bytes: BytesMut::new(),
             last_event_id: routed.info.last_event_id.clone(),
             has_sent_data: false,
             has_answered: false,
@@ -326,6 +329,7 @@
             match data {
                 Some(Ok(data)) => {
                     if !self.is_resumable() {
+                        self.keep_last_bytes(&data);
                         return NextData::Bytes(data);
                     }
                     if let Some(events) = self.take_complete_events(&data) {
@@ -339,7 +343,7 @@
                     return NextData::Failed(AttemptFailure::TooLarge);
                 }
                 Some(Err(_)) => return NextData::Failed(AttemptFailure::ConnectionClosed),
-                None if !self.partial_event.is_empty() => {
+                None if self.is_inside_event() => {
                     return NextData::Failed(AttemptFailure::ConnectionClosed);
                 }
                 None => {
@@ -379,6 +383,23 @@
         )
     }
 
+    fn keep_last_bytes(&mut self, data: &[u8]) {
+        let skipped = data.len().saturating_sub(MAX_EVENT_END_BYTES);
+        self.last_bytes.extend_from_slice(&data[skipped..]);
+        let surplus = self.last_bytes.len().saturating_sub(MAX_EVENT_END_BYTES);
+        let _ = self.last_bytes.split_to(surplus);
+    }
+
+    /// Whether a stream that ends here has been broken off in the middle of an event.
+    fn is_inside_event(&self) -> bool {
+        if !self.routed.route.kind.is_stream() {
+            return false;
+        }
+        let last = &self.last_bytes;
+        let is_at_end = last.is_empty() || last_event_end(last) == Some(last.len());
+        !self.partial_event.is_empty() || !is_at_end
+    }
+
     /// Appends `data` to the incomplete event, and returns all complete events. Remembers the id of
     /// the last one.
     fn take_complete_events(&mut self, data: &[u8]) -> Option<Bytes> {
--- a/tests/gateway_reports.rs
+++ b/tests/gateway_reports.rs
@@ -4,7 +4,7 @@
 mod gateway_support;
 
 use gateway_support::{
-    Action, END, Router, ScriptedTarget, answer, endless_head, on_one_thread, status,
+    Action, END, Router, ScriptedTarget, answer, endless_head, events, on_one_thread, status,
 };
 
 const MODEL: &str = "Model: m1\r\nDeadline-Ms: 3000\r\n";
@@ -13,6 +13,27 @@
     Action::Write(answer("200 OK", body))
 }
 
+/// The last event is cut, and the stream ends with its last chunk or with its connection.
+#[test]
+fn a_stream_that_ends_inside_an_event_is_not_passed_off_as_complete() {
+    let part = "id: 4\ndata: e";
+    let chunked = format!("{}{:x}\r\n{part}\r\n{END}", events(1, 3), part.len());
+    let whole: String = (1..=3).map(|n| format!("id: {n}\ndata: e{n}\n\n")).collect();
+    let until_close = format!("{}{whole}{part}", endless_head());
+    for path in ["/draft/x", "/contract/x"] {
+        for text in [&chunked, &until_close] {
+            let (text, path) = (text.clone(), path.to_owned());
+            on_one_thread(async move {
+                let target = ScriptedTarget::start("a", vec![Action::WriteAndClose(text)]).await;
+                let router = Router::start(vec![target.entry("llm", &["m1"])]).await;
+                let answer = router.request("POST", &path, MODEL, "b").await;
+                assert!(answer.contains("data: e3\n"), "{path}: {answer}");
+                assert!(!answer.ends_with(END), "{path}: it ends as if it were complete: {answer}");
+            });
+        }
+    }
+}
+
 /// A stream without a length or chunks that ends with its connection, after its last event.
 #[test]
 fn a_stream_that_ends_with_its_connection_is_complete() {
