A broken stream is not continued by a response of another type

Callers would see: the text of an error in the middle of their stream, and then its end as if it were complete (a report of other operators). Cause: any success was taken for the rest of a stream, also one that is no stream of events. Change: the response that continues a stream has the type of the first one. Errors, also as streams or with a head as text, were kept out before. Before: the new test found '{"error": ...}' behind the third event and the end marker; after: the stream is cut off, for all four errors. Conclusion: shown to happen here for a success of another type, and mended; not for errors.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -429,6 +429,16 @@
         );
     }
 
+    /// Whether a response can be the rest of the stream: it is a success, and of the same type as the
+    /// first response.
+    fn can_go_on_with(&self, head: &http::response::Parts) -> bool {
+        let content_type = |head: &http::response::Parts| {
+            let value = head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+            Some(value.split(';').next().unwrap_or(value).trim().to_ascii_lowercase())
+        };
+        head.status.is_success() && content_type(head) == content_type(&self.head)
+    }
+
     /// Resumes the stream at another target. Returns whether it could be resumed.
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         // The old connection is closed first, so that two targets do not generate the same stream
@@ -455,7 +465,7 @@
             match proxy::send_attempt(router, routed, reservation, self.last_event_id.as_deref())
                 .await
             {
-                Ok(response) if response.head.status.is_success() => {
+                Ok(response) if self.can_go_on_with(&response.head) => {
                     let last_event_id = self.last_event_id.as_deref();
                     let target = attempt.life.target.as_str();
                     let event = RequestEvent::Resumed { target, last_event_id };
--- a/tests/gateway_reports.rs
+++ b/tests/gateway_reports.rs
@@ -13,6 +13,41 @@
     Action::Write(answer("200 OK", body))
 }
 
+/// The head and text of an error of a target, in ways in which a router may take them for a stream.
+fn errors() -> Vec<(&'static str, String)> {
+    let plain = answer("500 Oops", "the engine is broken\n\n");
+    let event = "event: error\ndata: the engine is broken\n\n";
+    let chunked = events(1, 0).replace("200 OK", "500 Oops");
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    let head_as_text = answer("502 Bad Gateway", "HTTP/1.1 500 the engine is broken\r\n\r\n");
+    let json = answer("200 OK", "{\"error\": \"the engine is broken\"}\n\n")
+        .replace("Content-Length", "Content-Type: application/json\r\nContent-Length");
+    vec![
+        ("an error", plain),
+        ("an error as a stream", format!("{chunked}{chunk}{END}")),
+        ("a head as text", head_as_text),
+        ("an error with the status of a success", json),
+    ]
+}
+
+/// The next target answers with an error after a stream has begun and broken off.
+#[test]
+fn a_stream_is_not_continued_by_the_error_of_the_next_target() {
+    for (name, error) in errors() {
+        on_one_thread(async move {
+            let cut = ScriptedTarget::start("a", vec![Action::WriteAndReset(events(1, 3))]).await;
+            let other = ScriptedTarget::start("b", vec![Action::Write(error)]).await;
+            let entries = vec![cut.entry("llm", &["m1"]), other.suspect_entry("llm", &["m1"])];
+            let router = Router::start(entries).await;
+            let answer = router.request("POST", "/contract/x", MODEL, "b").await;
+            assert!(answer.contains("data: e3\n"), "{name}: {answer}");
+            assert!(!answer.contains("broken") && !answer.contains("500"), "{name}: {answer}");
+            assert!(!answer.ends_with(END), "{name}: it ends as if it were complete: {answer}");
+            assert_eq!(other.requests(), 1, "{name}");
+        });
+    }
+}
+
 /// The last event is cut, and the stream ends with its last chunk or with its connection.
 #[test]
 fn a_stream_that_ends_inside_an_event_is_not_passed_off_as_complete() {
