Lines that change what a process believes carry their inputs as fields

Targets that are shown, leave, pause, name limits; leaders, documents, orders: the inputs with their age or version stand in 'fields' beside the text, which stays as it was. OPERATIONS matches no text that changed.

--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -136,13 +136,20 @@
 ) {
     let known = *state.term.borrow();
     if response.term < known {
-        log::warn!("dropping updates of term {}: term {known} is known", response.term);
+        log::warn!(
+            term = response.term.0, known_term = known.0;
+            "dropping updates of term {}: term {known} is known", response.term
+        );
         return;
     }
     if response.term > known {
         state.term.replace(response.term);
         let leader = client.leader().map(|leader: DaemonId| leader.to_string());
-        log::info!("following the leader {leader:?} of term {}", response.term);
+        log::info!(
+            leader:? = leader, term = response.term.0, term_before = known.0,
+            leader_silent_ms:? = state.silent_ms();
+            "following the leader {leader:?} of term {}", response.term
+        );
         follower.handle_leader_change();
     }
     state.heard_ms.replace(Some(state.clock.now_ms()));
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -132,7 +132,10 @@
         let planning = tokio::task::spawn_local(run_planners(Rc::clone(&leader)));
         leader.tasks.borrow_mut().extend([checking, planning]);
         let targets = leader.feed.borrow().table().entries().len();
-        log::info!("leading in term {term}, from {targets} known targets");
+        log::info!(
+            term = term.0, known_targets = targets;
+            "leading in term {term}, from {targets} known targets"
+        );
         leader
     }
 
@@ -190,7 +193,10 @@
         self.apply_services(&document);
         let told = message::encode(&document.without_models());
         let (bytes, told_bytes) = (text.len(), told.len());
-        log::info!("document {version} is in force: {bytes} bytes, {told_bytes} for routers");
+        log::info!(
+            document = version.0, term = self.term.0, bytes = bytes, told_bytes = told_bytes;
+            "document {version} is in force: {bytes} bytes, {told_bytes} for routers"
+        );
         self.document.replace(Some((version, told.into())));
         self.notify_followers();
     }
--- a/src/coordinator/leader/orders.rs
+++ b/src/coordinator/leader/orders.rs
@@ -43,14 +43,20 @@
             });
             return;
         }
-        self.last_order_ms.set(Some(self.context.clock.now_ms()));
+        let clock = self.context.clock;
+        let sent_ms = clock.now_ms();
+        self.last_order_ms.set(Some(sent_ms));
         let own = self.context.own_id.clone();
         let (target, ticket) = (order.target.clone(), order.ticket);
         let line = format!("{:?} {} at {target}", order.operation, order.model);
         let answered = self.context.engines.send_order(own, order);
         self.spawn(async move {
             let reply = answered.await;
-            log::info!("order {ticket}: {line}: {reply:?}");
+            log::info!(
+                target_id:% = target, order:% = ticket, answered_after_ms = clock.now_ms() - sent_ms,
+                reply:? = reply;
+                "order {ticket}: {line}: {reply:?}"
+            );
             swap::Event::OrderAnswered { target, ticket, reply }
         });
     }
--- a/src/coordinator/leader/permits.rs
+++ b/src/coordinator/leader/permits.rs
@@ -14,6 +14,10 @@
         for statement in statements.to_messages(now_ms) {
             permits.record(now_ms, &statement);
             log::info!(
+                target_id:% = statement.life.target, life = statement.life.incarnation.0,
+                limit_per_s:? = statement.limit.map(|limit| limit.0),
+                sent_age_ms = statement.sent_age_ms, read_age_ms = statement.read_age_ms,
+                term = self.term.0;
                 "term {} inherits of target {} of incarnation {}, {} ms old: rate limit {:?}",
                 self.term,
                 statement.life.target,
@@ -42,6 +46,10 @@
             if permits.record(now_ms, statement) {
                 is_changed = true;
                 log::info!(
+                    target_id:% = statement.life.target, life = statement.life.incarnation.0,
+                    limit_per_s:? = statement.limit.map(|limit| limit.0),
+                    sent_age_ms = statement.sent_age_ms, read_age_ms = statement.read_age_ms,
+                    router:% = from;
                     "target {} of incarnation {} named to router {from} {} ms ago: rate limit {:?}",
                     statement.life.target,
                     statement.life.incarnation,
--- a/src/coordinator/leader/targets.rs
+++ b/src/coordinator/leader/targets.rs
@@ -75,6 +75,7 @@
         };
         if taken == AnnouncementOutcome::Stale {
             log::info!(
+                target_id:% = target, life = life.0, sequence = sequence, recorded:? = known;
                 "announcement {sequence} of target {target}, life {life}, changes nothing; on \
                  record: {known:?}"
             );
@@ -92,7 +93,10 @@
         let incarnation = incarnation.or(known).unwrap_or_else(|| {
             Incarnation(self.context.wall_clock.now_ms().saturating_sub(UNKNOWN_INCARNATION_AGE_MS))
         });
-        log::info!("target {target} of life {incarnation} left; shown until now: {known:?}");
+        log::info!(
+            target_id:% = target, life = incarnation.0, shown_life:? = known.map(|life| life.0);
+            "target {target} of life {incarnation} left; shown until now: {known:?}"
+        );
         self.handle_event(targets::TargetEvent::Left(target.clone(), incarnation), Cause::Left);
         // A target that announced itself only to an earlier leader is in the table but not in the
         // registry.
@@ -148,7 +152,10 @@
                 }
                 DirectoryEffect::Table(change) => {
                     if let TableChange::Remove(target) = &change {
-                        log::info!("target {target} is gone, by {cause}");
+                        log::info!(
+                            target_id:% = target, cause:% = cause, term = self.term.0;
+                            "target {target} is gone, by {cause}"
+                        );
                     }
                     changes.push(change);
                 }
@@ -172,6 +179,9 @@
         let was = known.map(|known| known.standing);
         if was != Some(entry.standing) {
             log::info!(
+                target_id:% = entry.target, life = entry.incarnation.0,
+                standing:? = entry.standing, standing_before:? = was, cause:% = cause,
+                term = self.term.0;
                 "target {} of {:?} is {:?} in {}, life {}, by {cause}; it was {was:?}",
                 entry.target,
                 entry.services.first().map(ServiceName::as_str),
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -268,7 +268,10 @@
                 let last = self.last_order_of(giver.as_ref(), leader.term()).await;
                 let VoterConfig { takeover_ms, checks_fencing, .. } = self.config;
                 let wait_ms = takeover::takeover_wait_ms(takeover_ms, checks_fencing, last);
-                log::info!("orders in {wait_ms} ms: the last ones of {giver:?}: {last:?}");
+                log::info!(
+                    term = leader.term().0, wait_ms = wait_ms, giver:? = giver, last_order:? = last;
+                    "orders in {wait_ms} ms: the last ones of {giver:?}: {last:?}"
+                );
                 tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -311,6 +311,9 @@
         drop(balancer);
         if is_changed {
             log::info!(
+                target_id:% = target, life = incarnation.0,
+                sent_age_ms = at.read_ms.saturating_sub(sent_ms),
+                rate_limit:? = notice.rate_limit;
                 "target {target} of incarnation {incarnation} says in an answer to a request of {} ms \
                  ago: rate limit {:?}",
                 at.read_ms.saturating_sub(sent_ms),
@@ -322,6 +325,9 @@
         }
         if notice.is_leaving && self.balancer.borrow_mut().record_leaving(target, incarnation) {
             log::info!(
+                target_id:% = target, life = incarnation.0,
+                sent_age_ms = at.read_ms.saturating_sub(sent_ms),
+                table_age_ms:? = self.table_age_ms();
                 "target {target} of incarnation {incarnation} says in an answer that it leaves"
             );
             metrics::counter!("fescuebay_targets_leaving_total").increment(1);
@@ -335,6 +341,8 @@
         let (now_ms, salt) = (self.now_ms(), self.next_salt());
         if self.balancer.borrow_mut().record_pause(now_ms, target, incarnation, pause_ms, salt) {
             log::info!(
+                target_id:% = target, life = incarnation.0, pause_ms = pause_ms,
+                sent_age_ms = at.read_ms.saturating_sub(sent_ms);
                 "target {target} of incarnation {incarnation} asks to be left alone for {pause_ms} ms"
             );
             metrics::counter!("fescuebay_target_pauses_total").increment(1);
@@ -392,7 +400,10 @@
     }
 
     fn apply_document(&self, document: routes::Document) {
-        log::info!("document {} is in force", document.version);
+        log::info!(
+            document = document.version.0, table_age_ms:? = self.table_age_ms();
+            "document {} is in force", document.version
+        );
         self.index.send_replace(Some(Rc::new(index::Index::new(document))));
     }
 
@@ -409,6 +420,9 @@
             let mut balancer = self.balancer.borrow_mut();
             if balancer.permits_mut().record_told(now_ms, statement) {
                 log::info!(
+                    target_id:% = statement.life.target, life = statement.life.incarnation.0,
+                    limit_per_s:? = statement.limit.map(|limit| limit.0),
+                    sent_age_ms = statement.sent_age_ms, read_age_ms = statement.read_age_ms;
                     "target {} of incarnation {} named to another router {} ms ago: rate limit {:?}",
                     statement.life.target,
                     statement.life.incarnation,
