--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -50,7 +50,7 @@
     peers: Vec<Proxy>,
     /// The paths from callers to routers.
     pub callers: Vec<Proxy>,
-    pub targets: Rc<Vec<Target>>,
+    pub targets: Rc<Vec<Rc<Target>>>,
     pub operator: Operator,
     record: Shared,
     /// Faults at voters read it. Losing a folder writes it: more voters than may be lost at once
@@ -84,7 +84,7 @@
         routers.iter_mut().for_each(Vm::start);
         let mut targets = Vec::new();
         for number in 0..size.targets {
-            targets.push(Target::start(number, Rc::clone(&record), broken).await);
+            targets.push(Rc::new(Target::start(number, Rc::clone(&record), broken).await));
         }
         let targets = Rc::new(targets);
         let controls = voters.iter().map(Vm::control).collect();
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -30,6 +30,8 @@
     Pausing(u32),
     /// Says that it leaves.
     Leaving,
+    /// The same, while what it announces to voters is held up on the way.
+    LeavingUnheard,
     /// Names a limit of requests a second.
     Limited(f64),
     /// Breaks answers off in their middle.
@@ -47,8 +49,8 @@
 impl Manner {
     /// Whether requests to it get whole answers, or are turned away properly.
     pub fn is_sound(self) -> bool {
-        use Manner::{Leaving, Limited, Pausing, Slow, Well};
-        matches!(self, Well | Slow(_) | Pausing(_) | Leaving | Limited(_))
+        use Manner::{Leaving, LeavingUnheard, Limited, Pausing, Slow, Well};
+        matches!(self, Well | Slow(_) | Pausing(_) | Leaving | LeavingUnheard | Limited(_))
     }
 }
 
@@ -189,7 +191,8 @@
     match rng.random_range(0..14) {
         0 => Manner::Slow(rng.random_range(50..900)),
         1 | 2 => Manner::Pausing(rng.random_range(1..4)),
-        3..=5 => Manner::Leaving,
+        3 => Manner::Leaving,
+        4 | 5 => Manner::LeavingUnheard,
         6..=8 => Manner::Limited(f64::from(rng.random_range(5..40)) / 10.0),
         9 => Manner::BreakingOff,
         10 => Manner::AnsweringTwice,
--- a/tests/soak/targets.rs
+++ b/tests/soak/targets.rs
@@ -38,7 +38,7 @@
     /// Held for as long as it keeps a manner: one after the other.
     pub turn: Mutex<()>,
     /// Whether what it says of itself is held up on its way to the voters.
-    pub is_late: Rc<Cell<bool>>,
+    pub is_late: Cell<bool>,
     /// Whether it announces nothing of its leaving.
     is_silent: bool,
 }
@@ -76,15 +76,22 @@
             manner,
             life,
             turn: Mutex::default(),
-            is_late: Rc::default(),
+            is_late: Cell::new(false),
             is_silent,
         }
     }
 
+    /// Whether nothing that it says of itself reaches voters now.
+    fn is_unheard(&self) -> bool {
+        self.is_late.get() || self.manner.get() == Manner::LeavingUnheard
+    }
+
     /// Where and what it says of itself.
     fn announcement(&self, sequence: u64) -> (String, String) {
         let life = self.life.get();
-        let is_leaving = self.manner.get() == Manner::Leaving && !self.is_silent;
+        let manner = self.manner.get();
+        let is_leaving = matches!(manner, Manner::Leaving | Manner::LeavingUnheard);
+        let is_leaving = is_leaving && !self.is_silent;
         let state = if is_leaving { "draining" } else { "ready" };
         let word = format!(
             r#"{{"service":"app","address":"{}","zone":"z","slots":16,"state":"{state}",
@@ -163,7 +170,9 @@
     fn say(&self, router: IpAddr, manner: Manner) -> String {
         let (text, says) = match manner {
             Manner::Limited(limit) => (format!("Server-Limit: {limit}\r\n"), Says::Limit(limit)),
-            Manner::Leaving => ("Server-Leaving: 1\r\n".to_owned(), Says::Leaving),
+            Manner::Leaving | Manner::LeavingUnheard => {
+                ("Server-Leaving: 1\r\n".to_owned(), Says::Leaving)
+            }
             Manner::Pausing(s) => (format!("Retry-After: {s}\r\n"), Says::PauseS(s)),
             _ => return String::new(),
         };
@@ -271,19 +280,19 @@
 }
 
 /// Announces all targets to any voter, until it is aborted. What is late is sent as it was written.
-pub async fn announce(voters: Vec<SocketAddr>, targets: Rc<Vec<Target>>) {
-    let mut held: Vec<(Rc<Cell<bool>>, String, String)> = Vec::new();
+pub async fn announce(voters: Vec<SocketAddr>, targets: Rc<Vec<Rc<Target>>>) {
+    let mut held: Vec<(Rc<Target>, String, String)> = Vec::new();
     for sequence in 1_u64.. {
         for target in targets.iter() {
             let (path, word) = target.announcement(sequence);
-            if target.is_late.get() {
-                held.push((Rc::clone(&target.is_late), path, word));
+            if target.is_unheard() {
+                held.push((Rc::clone(target), path, word));
                 continue;
             }
             say(&voters, &path, &word).await;
         }
         // The newest first: what is older than the last one changes nothing.
-        while let Some(at) = held.iter().rposition(|(is_late, ..)| !is_late.get()) {
+        while let Some(at) = held.iter().rposition(|(target, ..)| !target.is_unheard()) {
             let (_, path, word) = held.remove(at);
             say(&voters, &path, &word).await;
         }
