Names: ProposalOutcome, RunStatus, BodyStart, LiftRecord, BodyPart

They were Fate, Ran, Begun, Lift and Part. Type names alone; names in stored data, on the wire and in JSON are as before (the enums are stored by number or under renamed variants). No behaviour changed. Left: records::Begun, which is also a variant's name.

--- a/src/control/jobs/command.rs
+++ b/src/control/jobs/command.rs
@@ -1,7 +1,7 @@
 //! Commands on durable jobs, and their outcomes.
 
 use crate::control::answer::Answer;
-use crate::control::jobs::job::{End, Ran, Submission};
+use crate::control::jobs::job::{End, RunStatus, Submission};
 use crate::control::owner;
 use crate::ids::{JobId, TenantId};
 
@@ -69,7 +69,7 @@
         /// The reason, as text for the caller.
         reason: String,
         /// Whether the job may have run under this lease.
-        ran: Ran,
+        ran: RunStatus,
     },
 }
 
@@ -154,7 +154,7 @@
     /// The job is cancelled, now or by an earlier command.
     Done {
         /// Whether the job may have run.
-        ran: Ran,
+        ran: RunStatus,
     },
     /// The job had already ended in another way.
     AlreadyEnded,
--- a/src/control/jobs/job.rs
+++ b/src/control/jobs/job.rs
@@ -69,7 +69,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Ran {
+pub enum RunStatus {
     /// The job was not run.
     No,
     /// The job may have run.
@@ -128,12 +128,12 @@
         /// The reason.
         reason: Reason,
         /// Whether the job may have run.
-        ran: Ran,
+        ran: RunStatus,
     },
     /// The caller or an operator cancelled the job.
     Cancelled {
         /// Whether the job may have run.
-        ran: Ran,
+        ran: RunStatus,
     },
 }
 
@@ -181,8 +181,8 @@
         matches!(self.phase, Phase::Ended(_))
     }
 
-    pub(super) fn ran(&self) -> Ran {
-        if self.runs == 0 { Ran::No } else { Ran::Maybe }
+    pub(super) fn ran(&self) -> RunStatus {
+        if self.runs == 0 { RunStatus::No } else { RunStatus::Maybe }
     }
 
     /// Returns the latest time at which a run may start.
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -14,7 +14,7 @@
 mod state;
 
 pub use command::{Cancelled, Command, Completed, Failure, Grant, Outcome, Renewal, Submitted};
-pub use job::{End, Ran, Reason, Submission, Work, id_of_key};
+pub use job::{End, Reason, RunStatus, Submission, Work, id_of_key};
 pub use limits::Limits;
 pub use query::{Query, Row, Status, View, answer};
 pub use state::State;
--- a/src/control/jobs/shell.rs
+++ b/src/control/jobs/shell.rs
@@ -10,7 +10,7 @@
 
 use crate::control::answer::Answer;
 use crate::control::jobs::command::{Command, Failure, Grant, Outcome, Renewal};
-use crate::control::jobs::job::Ran;
+use crate::control::jobs::job::RunStatus;
 use crate::control::jobs::query::{Query, View};
 use crate::control::jobs::runner;
 use crate::control::records::{Begun, Nonce};
@@ -41,7 +41,7 @@
         /// The reason, as text for the caller.
         reason: String,
         /// Whether the job may have run.
-        ran: Ran,
+        ran: RunStatus,
     },
 }
 
@@ -211,7 +211,7 @@
         let (refused, refusal) = oneshot::channel();
         let dispatch = move || async move {
             let run = execute.execute(grant).await;
-            if let Run::Refused { ran: Ran::No, .. } = &run {
+            if let Run::Refused { ran: RunStatus::No, .. } = &run {
                 // The receiver is alive until this call has ended.
                 let _ = refused.send(run.clone());
             }
@@ -264,14 +264,14 @@
 fn call_result(run: Run) -> Result<Answer, Written> {
     match run {
         Run::Answered(answer) => Ok(answer),
-        Run::NotRun | Run::Refused { ran: Ran::No, .. } => Err(Written::No),
-        Run::TargetDied | Run::Refused { ran: Ran::Maybe, .. } => Err(Written::Maybe),
+        Run::NotRun | Run::Refused { ran: RunStatus::No, .. } => Err(Written::No),
+        Run::TargetDied | Run::Refused { ran: RunStatus::Maybe, .. } => Err(Written::Maybe),
     }
 }
 
 /// Converts the end of a call that runs at most once into the end of its run.
 fn run_from_ended(ended: once::Ended) -> Run {
-    let refused = |reason: &str| Run::Refused { reason: reason.to_owned(), ran: Ran::Maybe };
+    let refused = |reason: &str| Run::Refused { reason: reason.to_owned(), ran: RunStatus::Maybe };
     match ended {
         once::Ended::Answered(answer) | once::Ended::Known(Begun::Answered(answer)) => {
             Run::Answered(answer)
--- a/src/control/jobs/state.rs
+++ b/src/control/jobs/state.rs
@@ -9,7 +9,7 @@
     Cancelled, Command, Completed, Failure, Grant, Outcome, Renewal, Submitted,
 };
 use crate::control::jobs::index::Index;
-use crate::control::jobs::job::{self, End, Job, Lease, Phase, Ran, Reason, Submission};
+use crate::control::jobs::job::{self, End, Job, Lease, Phase, Reason, RunStatus, Submission};
 use crate::control::jobs::limits::Limits;
 use crate::control::machine::Context;
 use crate::control::{owner, shards};
@@ -273,7 +273,7 @@
             }
             Failure::Lost => self.end_lost_lease(context, job),
             Failure::Refused { reason, ran } => {
-                job.runs -= u32::from(ran == Ran::No);
+                job.runs -= u32::from(ran == RunStatus::No);
                 let ran = job.ran();
                 self.end(context, job, End::Refused { reason: Reason::Refused(reason), ran });
             }
@@ -291,7 +291,7 @@
         } else {
             return self.requeue(context, job);
         };
-        self.end(context, job, End::Refused { reason, ran: Ran::Maybe });
+        self.end(context, job, End::Refused { reason, ran: RunStatus::Maybe });
     }
 
     fn requeue(&mut self, context: &Context<'_>, mut job: Job) {
--- a/src/control/once.rs
+++ b/src/control/once.rs
@@ -142,7 +142,10 @@
                     return call.begun(begun);
                 }
                 Ok(_) => is_uncertain = true,
-                Err(report) => is_uncertain |= report.current_context().fate == port::Fate::Unknown,
+                Err(report) => {
+                    is_uncertain |=
+                        report.current_context().outcome == port::ProposalOutcome::Unknown;
+                }
             }
             if !is_uncertain {
                 return Begin::Refused(Refusal::NoCommit);
--- a/src/control/poison/feed.rs
+++ b/src/control/poison/feed.rs
@@ -1,7 +1,7 @@
 //! Queries on the poison list, and the copy of the list that a router keeps.
 
 use crate::control::poison::command::Flight;
-use crate::control::poison::state::{Death, Entry, Lift, State};
+use crate::control::poison::state::{Death, Entry, LiftRecord, State};
 use crate::ids::Digest;
 
 /// How requests with a digest are treated.
@@ -70,7 +70,7 @@
         /// The digests on the list.
         rows: Vec<Row>,
         /// The last digests that operators removed from the list, oldest first.
-        lifts: Vec<Lift>,
+        lifts: Vec<LiftRecord>,
     },
 }
 
--- a/src/control/poison/mod.rs
+++ b/src/control/poison/mod.rs
@@ -12,4 +12,4 @@
 pub use command::{Command, Flight, Lifted, Outcome, Trial};
 pub use feed::{Answer, Feed, Mirror, Query, Row, Standing, answer};
 pub use limits::Limits;
-pub use state::{Death, Lift, State};
+pub use state::{Death, LiftRecord, State};
--- a/src/control/poison/state.rs
+++ b/src/control/poison/state.rs
@@ -30,7 +30,7 @@
 /// A digest that an operator removed from the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct Lift {
+pub struct LiftRecord {
     /// The digest.
     pub digest: Digest,
     /// The operator.
@@ -81,7 +81,7 @@
     pub(super) revision: u64,
     pub(super) entries: Vec<Entry>,
     /// The last digests that operators removed from the list, oldest first.
-    pub(super) lifts: Vec<Lift>,
+    pub(super) lifts: Vec<LiftRecord>,
     /// The last digests that left the list and the revisions of their removal, oldest first.
     pub(super) removals: Vec<(u64, Digest)>,
     /// The last revision whose removal is no longer kept.
@@ -142,7 +142,7 @@
                 Outcome::Done
             }
             Command::Lift { digest, by, reason } => {
-                let lift = Lift { digest, by, reason, at_ms: context.now_ms };
+                let lift = LiftRecord { digest, by, reason, at_ms: context.now_ms };
                 Outcome::Lifted(self.lift(lift))
             }
         }
@@ -279,7 +279,7 @@
         }
     }
 
-    fn lift(&mut self, lift: Lift) -> Lifted {
+    fn lift(&mut self, lift: LiftRecord) -> Lifted {
         if lift.reason.trim().is_empty() {
             return Lifted::NoReason;
         }
--- a/src/control/port.rs
+++ b/src/control/port.rs
@@ -11,7 +11,7 @@
 /// Whether a command without a received outcome may take effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub enum Fate {
+pub enum ProposalOutcome {
     /// The command was not proposed and never takes effect.
     NotProposed,
     /// The command may have taken effect, or may still do so.
@@ -26,7 +26,7 @@
     /// The peer at which the step failed, if one was involved.
     pub peer: Option<DaemonId>,
     /// Whether the command may take effect.
-    pub fate: Fate,
+    pub outcome: ProposalOutcome,
 }
 
 impl fmt::Display for Error {
@@ -35,9 +35,9 @@
         if let Some(peer) = &self.peer {
             write!(f, " at {peer}")?;
         }
-        match self.fate {
-            Fate::NotProposed => write!(f, ", nothing was proposed"),
-            Fate::Unknown => write!(f, ", the command may yet take effect"),
+        match self.outcome {
+            ProposalOutcome::NotProposed => write!(f, ", nothing was proposed"),
+            ProposalOutcome::Unknown => write!(f, ", the command may yet take effect"),
         }
     }
 }
--- a/src/daemon/core.rs
+++ b/src/daemon/core.rs
@@ -208,7 +208,10 @@
     async fn take_word(self: &Rc<Self>, event: targets::TargetEvent) -> Reply {
         match self.heard(event).await {
             Some(taken) => Reply::Taken(taken),
-            None => Reply::Failed(port::Fate::Unknown, "record that a target leaves".to_owned()),
+            None => Reply::Failed(
+                port::ProposalOutcome::Unknown,
+                "record that a target leaves".to_owned(),
+            ),
         }
     }
 
@@ -226,7 +229,9 @@
                     }
                     Reply::Outcome(Box::new(outcome))
                 }
-                Err(_) => Reply::Failed(port::Fate::Unknown, "decode the outcome".to_owned()),
+                Err(_) => {
+                    Reply::Failed(port::ProposalOutcome::Unknown, "decode the outcome".to_owned())
+                }
             },
             Err(report) => self.node_failure(report.current_context()),
         }
@@ -246,9 +251,11 @@
     fn node_failure(&self, error: &node::Error) -> Reply {
         match error {
             node::Error::NotLeader(leader) => Reply::NotLeader(leader.clone()),
-            node::Error::Unknown => Reply::Failed(port::Fate::Unknown, error.to_string()),
+            node::Error::Unknown => {
+                Reply::Failed(port::ProposalOutcome::Unknown, error.to_string())
+            }
             node::Error::Unavailable(_) | node::Error::Start(_) => {
-                Reply::Failed(port::Fate::NotProposed, error.to_string())
+                Reply::Failed(port::ProposalOutcome::NotProposed, error.to_string())
             }
         }
     }
@@ -320,8 +327,8 @@
                         continue;
                     }
                 }
-                Ok(Reply::Failed(port::Fate::Unknown, _)) => failure = Failure::Unknown,
-                Ok(Reply::Failed(port::Fate::NotProposed, _)) => {}
+                Ok(Reply::Failed(port::ProposalOutcome::Unknown, _)) => failure = Failure::Unknown,
+                Ok(Reply::Failed(port::ProposalOutcome::NotProposed, _)) => {}
                 Ok(reply) => {
                     self.known_leader.replace(Some(to));
                     return Ok(reply);
@@ -358,13 +365,13 @@
     pub async fn propose(
         self: &Rc<Self>,
         command: commands::Command,
-    ) -> Result<commands::Outcome, port::Fate> {
+    ) -> Result<commands::Outcome, port::ProposalOutcome> {
         let request = Request::Propose(Box::new(command));
         match self.ask_leader(request, ASK_LIMIT).await {
             Ok(Reply::Outcome(outcome)) => Ok(*outcome),
-            Ok(Reply::Failed(fate, _)) => Err(fate),
-            Ok(_) | Err(Failure::Unknown) => Err(port::Fate::Unknown),
-            Err(Failure::NotSent) => Err(port::Fate::NotProposed),
+            Ok(Reply::Failed(outcome, _)) => Err(outcome),
+            Ok(_) | Err(Failure::Unknown) => Err(port::ProposalOutcome::Unknown),
+            Err(Failure::NotSent) => Err(port::ProposalOutcome::NotProposed),
         }
     }
 
@@ -372,10 +379,10 @@
     pub async fn query(
         self: &Rc<Self>,
         query: queries::Query,
-    ) -> Result<queries::Answer, port::Fate> {
+    ) -> Result<queries::Answer, port::ProposalOutcome> {
         match self.ask_leader(Request::Query(query), ASK_LIMIT).await {
             Ok(Reply::Answer(answer)) => Ok(*answer),
-            _ => Err(port::Fate::NotProposed),
+            _ => Err(port::ProposalOutcome::NotProposed),
         }
     }
 
--- a/src/daemon/group.rs
+++ b/src/daemon/group.rs
@@ -182,7 +182,8 @@
         let Some(node) = self.node().filter(|_| self.leader.borrow().is_some()) else {
             return self.not_leader();
         };
-        let failed = |step: String| Reply::Failed(control::port::Fate::NotProposed, step);
+        let failed =
+            |step: String| Reply::Failed(control::port::ProposalOutcome::NotProposed, step);
         let membership = node.status().core.membership;
         let Some(old) = membership.voters.iter().find(|id| id.daemon == *old).cloned() else {
             return failed(format!("{old} is no voter"));
--- a/src/daemon/homes.rs
+++ b/src/daemon/homes.rs
@@ -78,8 +78,8 @@
         if self.recorded.borrow().has(&command) {
             return Some(taken);
         }
-        if let Err(fate) = self.propose(commands::Command::Departures(command.clone())).await {
-            log::warn!("not recorded: {command:?}: {fate:?}");
+        if let Err(outcome) = self.propose(commands::Command::Departures(command.clone())).await {
+            log::warn!("not recorded: {command:?}: {outcome:?}");
             return None;
         }
         self.recorded.borrow_mut().apply(command);
--- a/src/daemon/message.rs
+++ b/src/daemon/message.rs
@@ -124,7 +124,7 @@
     /// The outcome of a command.
     Outcome(Box<commands::Outcome>),
     /// The request failed, with its step.
-    Failed(port::Fate, String),
+    Failed(port::ProposalOutcome, String),
     /// The answer to a query.
     Answer(Box<queries::Answer>),
     /// What operators are shown, as JSON of the view that was asked for.
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -146,8 +146,11 @@
 }
 
 impl Log {
-    fn error(step: &'static str, fate: port::Fate) -> error_stack::Report<port::Error> {
-        error_stack::Report::new(port::Error { step, peer: None, fate })
+    fn error(
+        step: &'static str,
+        outcome: port::ProposalOutcome,
+    ) -> error_stack::Report<port::Error> {
+        error_stack::Report::new(port::Error { step, peer: None, outcome })
     }
 }
 
@@ -161,8 +164,10 @@
                 self.bridge.run(|core| Box::pin(async move { core.propose(command).await })).await;
             match sent {
                 Some(Ok(outcome)) => Ok(outcome),
-                Some(Err(fate)) => Err(Self::error("propose", fate)),
-                None => Err(Self::error("reach the control thread", port::Fate::Unknown)),
+                Some(Err(outcome)) => Err(Self::error("propose", outcome)),
+                None => {
+                    Err(Self::error("reach the control thread", port::ProposalOutcome::Unknown))
+                }
             }
         })
     }
@@ -176,8 +181,10 @@
                 self.bridge.run(|core| Box::pin(async move { core.query(query).await })).await;
             match sent {
                 Some(Ok(answer)) => Ok(answer),
-                Some(Err(fate)) => Err(Self::error("query", fate)),
-                None => Err(Self::error("reach the control thread", port::Fate::NotProposed)),
+                Some(Err(outcome)) => Err(Self::error("query", outcome)),
+                None => {
+                    Err(Self::error("reach the control thread", port::ProposalOutcome::NotProposed))
+                }
             }
         })
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -53,8 +53,8 @@
     let TargetResponse { reservation, connection, head, body, sent_ms } = response;
     let limit = Duration::from_millis(routed.remaining_ms(router));
     let bytes = match tokio::time::timeout(limit, web::begin(body, MAX_BUFFERED_BYTES)).await {
-        Ok(Ok(web::Begun::Whole(bytes))) => bytes,
-        Ok(Ok(web::Begun::More(first, body))) => {
+        Ok(Ok(web::BodyStart::Whole(bytes))) => bytes,
+        Ok(Ok(web::BodyStart::More(first, body))) => {
             let response = TargetResponse { reservation, connection, head, body, sent_ms };
             return Ok(stream_to_caller(StreamRelay::new(router, routed, response), first));
         }
--- a/src/target/call.rs
+++ b/src/target/call.rs
@@ -51,9 +51,9 @@
     pub load: Option<super::order::Load>,
     /// What the target says of its rate limit in the response headers.
     pub rate_limit: rate_limit::Statement,
-    /// The body. The stream ends after [`Part::End`] or an error; an end without either is a bug of
+    /// The body. The stream ends after [`BodyPart::End`] or an error; an end without either is a bug of
     /// the adapter.
-    pub body: BoxStream<'static, Result<Part>>,
+    pub body: BoxStream<'static, Result<BodyPart>>,
 }
 
 impl fmt::Debug for Answer {
@@ -64,7 +64,7 @@
 
 /// A part of a response body.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Part {
+pub enum BodyPart {
     /// One event of a stream. Offsets increase by one from 0; an older attempt may repeat some.
     Event {
         /// The position of the event in the stream.
--- a/src/target/http.rs
+++ b/src/target/http.rs
@@ -269,16 +269,16 @@
     target: TargetId,
     body: hyper::body::Incoming,
     first_offset: u64,
-) -> BoxStream<'static, call::Result<call::Part>> {
+) -> BoxStream<'static, call::Result<call::BodyPart>> {
     let mut next_offset = first_offset;
     let source = limit_event_size(body).eventsource();
     let end = stream::once(async { None });
     let parts = source.map(Some).chain(end).map(move |event| match event {
-        Some(Ok(event)) if event.data == END_OF_STREAM => Ok(call::Part::End),
+        Some(Ok(event)) if event.data == END_OF_STREAM => Ok(call::BodyPart::End),
         Some(Ok(event)) => {
             let offset = event.id.parse().unwrap_or(next_offset);
             next_offset = offset + 1;
-            Ok(call::Part::Event { offset, data: event.data.into() })
+            Ok(call::BodyPart::Event { offset, data: event.data.into() })
         }
         Some(Err(_)) => Err(call_failed(&target, call::Cause::Broken)),
         None => Err(call_failed(&target, call::Cause::Truncated)),
@@ -289,12 +289,12 @@
 /// Ends a stream after its first end marker or error; anything that a target sends after that is
 /// not read.
 fn until_end_or_error(
-    parts: impl Stream<Item = call::Result<call::Part>> + Send + 'static,
-) -> BoxStream<'static, call::Result<call::Part>> {
+    parts: impl Stream<Item = call::Result<call::BodyPart>> + Send + 'static,
+) -> BoxStream<'static, call::Result<call::BodyPart>> {
     let parts = stream::unfold(Some(parts.boxed()), |parts| async move {
         let mut parts = parts?;
         let part = parts.next().await?;
-        let has_more = matches!(part, Ok(call::Part::Event { .. } | call::Part::Bytes(_)));
+        let has_more = matches!(part, Ok(call::BodyPart::Event { .. } | call::BodyPart::Bytes(_)));
         Some((part, has_more.then_some(parts)))
     });
     parts.boxed()
@@ -323,21 +323,21 @@
     })
 }
 
-/// Streams a plain body. [`call::Part::End`] follows only if the body is delimited.
+/// Streams a plain body. [`call::BodyPart::End`] follows only if the body is delimited.
 fn stream_plain_body(
     target: TargetId,
     body: hyper::body::Incoming,
     is_delimited: bool,
-) -> BoxStream<'static, call::Result<call::Part>> {
+) -> BoxStream<'static, call::Result<call::BodyPart>> {
     let truncated_target = target.clone();
     let end = stream::once(async move {
         match is_delimited {
-            true => Ok(call::Part::End),
+            true => Ok(call::BodyPart::End),
             false => Err(call_failed(&truncated_target, call::Cause::Truncated)),
         }
     });
     let bytes = body.into_data_stream().map(move |data| match data {
-        Ok(data) => Ok(call::Part::Bytes(data)),
+        Ok(data) => Ok(call::BodyPart::Bytes(data)),
         Err(_) => Err(call_failed(&target, call::Cause::Broken)),
     });
     // `until_end_or_error` stops at an error, so `End` is only reported after a complete body.
--- a/src/traffic/jobs/executor.rs
+++ b/src/traffic/jobs/executor.rs
@@ -67,7 +67,7 @@
         Ok(TargetResponse::Complete(response)) => shell::Run::Answered(answer_to_keep(response)),
         Ok(TargetResponse::Oversized(_)) => shell::Run::Refused {
             reason: "its answer is larger than a daemon holds".to_owned(),
-            ran: jobs::Ran::Maybe,
+            ran: jobs::RunStatus::Maybe,
         },
         Err(refusal) => refused_run(&refusal),
     }
@@ -83,11 +83,11 @@
 /// waits for another run.
 fn refused_run(refusal: &Refusal) -> shell::Run {
     let ran = match refusal.ran {
-        RunStatus::No => jobs::Ran::No,
-        RunStatus::Maybe | RunStatus::Yes => jobs::Ran::Maybe,
+        RunStatus::No => jobs::RunStatus::No,
+        RunStatus::Maybe | RunStatus::Yes => jobs::RunStatus::Maybe,
     };
     match refusal.code {
-        RefusalCode::TargetFailed | RefusalCode::TargetSilent if ran == jobs::Ran::Maybe => {
+        RefusalCode::TargetFailed | RefusalCode::TargetSilent if ran == jobs::RunStatus::Maybe => {
             shell::Run::TargetDied
         }
         RefusalCode::TooManyWaiting
@@ -98,7 +98,7 @@
         | RefusalCode::TargetSilent
         | RefusalCode::NotInTime
         | RefusalCode::ConfigurationStale
-            if ran == jobs::Ran::No =>
+            if ran == jobs::RunStatus::No =>
         {
             shell::Run::NotRun
         }
--- a/src/traffic/jobs/submit.rs
+++ b/src/traffic/jobs/submit.rs
@@ -141,7 +141,7 @@
                 return Ok(submitted);
             }
             Ok(_) => ran = RunStatus::Maybe,
-            Err(report) if report.current_context().fate == port::Fate::Unknown => {
+            Err(report) if report.current_context().outcome == port::ProposalOutcome::Unknown => {
                 ran = RunStatus::Maybe;
             }
             Err(_) => {}
--- a/src/traffic/jobs/view.rs
+++ b/src/traffic/jobs/view.rs
@@ -44,7 +44,7 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     deadline_ms: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    ran: Option<jobs::Ran>,
+    ran: Option<jobs::RunStatus>,
     #[serde(skip_serializing_if = "Option::is_none")]
     code: Option<&'static str>,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/src/traffic/relay.rs
+++ b/src/traffic/relay.rs
@@ -25,7 +25,7 @@
 use crate::routing::retry;
 use crate::routing::stream::{EventAction, StreamAssembler, StreamRecovery};
 use crate::target::Target;
-use crate::target::call::{self, Cause, Part, Resume, Written};
+use crate::target::call::{self, BodyPart, Cause, Resume, Written};
 use crate::traffic::call::{Call, StartedResponse, is_for_other_request};
 use crate::traffic::request_guard::RequestGuard;
 use crate::traffic::response::OversizedResponse;
@@ -154,7 +154,7 @@
     attempt: u32,
     life: TargetLife,
     target: Arc<dyn Target>,
-    body: BoxStream<'static, call::Result<Part>>,
+    body: BoxStream<'static, call::Result<BodyPart>>,
     stream: StreamAssembler,
     caller: CallerChannel,
     _active: ActiveWork,
@@ -197,7 +197,7 @@
         call: Call,
         started: StartedResponse,
         began_ms: u64,
-        first: Part,
+        first: BodyPart,
     ) -> Response {
         let StartedResponse { guard, request, attempt, life, target, answer } = started;
         let now_ms = shared.now_ms();
@@ -228,7 +228,7 @@
         response
     }
 
-    async fn run(mut self, first: Part) {
+    async fn run(mut self, first: BodyPart) {
         match self.relay_parts(first).await {
             Ok(()) => {
                 measure::record_answer(&self.call, self.began_ms, self.shared.now_ms());
@@ -246,16 +246,16 @@
     }
 
     /// Relays each event once and in order, until the end marker.
-    async fn relay_parts(&mut self, first: Part) -> Result<(), RelayError> {
+    async fn relay_parts(&mut self, first: BodyPart) -> Result<(), RelayError> {
         let mut part = first;
         loop {
             match part {
-                Part::End => {
+                BodyPart::End => {
                     return self.caller.send(frame_event(END_MARKER)).await;
                 }
-                Part::Event { offset, data } => self.relay_event(offset, data).await?,
+                BodyPart::Event { offset, data } => self.relay_event(offset, data).await?,
                 // Plain bytes are not valid in an event stream.
-                Part::Bytes(_) => self.resume().await?,
+                BodyPart::Bytes(_) => self.resume().await?,
             }
             part = self.next_part().await?;
         }
@@ -274,7 +274,7 @@
     }
 
     /// Reads the next part, and resumes the stream if the connection broke or was idle too long.
-    async fn next_part(&mut self) -> Result<Part, RelayError> {
+    async fn next_part(&mut self) -> Result<BodyPart, RelayError> {
         loop {
             let idle_timeout = Duration::from_millis(self.stream.silence_timeout_ms());
             let next = tokio::select! {
@@ -359,10 +359,10 @@
             caller.send(beginning).await?;
             loop {
                 match timeout(idle_timeout, rest.next()).await {
-                    Ok(Some(Ok(Part::Bytes(bytes) | Part::Event { data: bytes, .. }))) => {
+                    Ok(Some(Ok(BodyPart::Bytes(bytes) | BodyPart::Event { data: bytes, .. }))) => {
                         caller.send(bytes).await?;
                     }
-                    Ok(Some(Ok(Part::End))) => return Ok(()),
+                    Ok(Some(Ok(BodyPart::End))) => return Ok(()),
                     _ => {
                         let code = RefusalCode::TargetFailed;
                         return Err(RelayError::Incomplete(retry::build_refusal(
--- a/src/traffic/response.rs
+++ b/src/traffic/response.rs
@@ -11,7 +11,7 @@
 
 use crate::routing::engine::AttemptFailure;
 use crate::routing::refusal::Refusal;
-use crate::target::call::{self, Cause, Part, Written};
+use crate::target::call::{self, BodyPart, Cause, Written};
 use crate::traffic::call::{Call, StartedResponse};
 use crate::traffic::request_guard::RequestGuard;
 use crate::traffic::state::TrafficState;
@@ -53,7 +53,7 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) beginning: Bytes,
-    pub(super) rest: BoxStream<'static, call::Result<Part>>,
+    pub(super) rest: BoxStream<'static, call::Result<BodyPart>>,
 }
 
 /// Reads the body of a response, and retries a failure at another target while that is allowed.
@@ -91,25 +91,25 @@
 
 enum Collected {
     Complete(Bytes),
-    Oversized(Bytes, BoxStream<'static, call::Result<Part>>),
+    Oversized(Bytes, BoxStream<'static, call::Result<BodyPart>>),
 }
 
 async fn collect_body(
-    mut body: BoxStream<'static, call::Result<Part>>,
+    mut body: BoxStream<'static, call::Result<BodyPart>>,
     max_buffered_bytes: usize,
 ) -> Result<Collected, AttemptFailure> {
     let mut first: Option<Bytes> = None;
     let mut all = BytesMut::new();
     while let Some(part) = body.next().await {
         match part {
-            Ok(Part::Bytes(bytes)) if first.is_none() && all.is_empty() => first = Some(bytes),
-            Ok(Part::Bytes(bytes) | Part::Event { data: bytes, .. }) => {
+            Ok(BodyPart::Bytes(bytes)) if first.is_none() && all.is_empty() => first = Some(bytes),
+            Ok(BodyPart::Bytes(bytes) | BodyPart::Event { data: bytes, .. }) => {
                 if let Some(first) = first.take() {
                     all.extend_from_slice(&first);
                 }
                 all.extend_from_slice(&bytes);
             }
-            Ok(Part::End) => {
+            Ok(BodyPart::End) => {
                 return Ok(Collected::Complete(first.unwrap_or_else(|| all.freeze())));
             }
             Err(report) => {
--- a/src/web/mod.rs
+++ b/src/web/mod.rs
@@ -87,7 +87,7 @@
 }
 
 /// A body whose first bytes have been read.
-pub enum Begun {
+pub enum BodyStart {
     /// The complete body.
     Whole(Bytes),
     /// The first bytes, and the body that yields the remaining ones.
@@ -101,15 +101,15 @@
 pub async fn begin(
     mut body: hyper::body::Incoming,
     held_bytes: usize,
-) -> std::result::Result<Begun, Error> {
+) -> std::result::Result<BodyStart, Error> {
     let mut first = BytesMut::new();
     while let Some(data) = next_data(&mut body).await {
         first.extend_from_slice(&data?);
         if first.len() > held_bytes {
-            return Ok(Begun::More(first.freeze(), body));
+            return Ok(BodyStart::More(first.freeze(), body));
         }
     }
-    Ok(Begun::Whole(first.freeze()))
+    Ok(BodyStart::Whole(first.freeze()))
 }
 
 /// Reads a complete body of at most `limit_bytes`.
--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -135,8 +135,8 @@
     }
 }
 
-fn error(fate: port::Fate) -> Report<port::Error> {
-    Report::new(port::Error { step: "commit", peer: None, fate })
+fn error(outcome: port::ProposalOutcome) -> Report<port::Error> {
+    Report::new(port::Error { step: "commit", peer: None, outcome })
 }
 
 impl port::Log for Group {
@@ -147,15 +147,15 @@
             let fault = inner.faults.pop_front().unwrap_or(Fault::None);
             match fault {
                 Fault::None => Ok(inner.commit(command)),
-                Fault::NotProposed => Err(error(port::Fate::NotProposed)),
-                Fault::LostBefore => Err(error(port::Fate::Unknown)),
+                Fault::NotProposed => Err(error(port::ProposalOutcome::NotProposed)),
+                Fault::LostBefore => Err(error(port::ProposalOutcome::Unknown)),
                 Fault::LostAfter => {
                     inner.commit(command);
-                    Err(error(port::Fate::Unknown))
+                    Err(error(port::ProposalOutcome::Unknown))
                 }
                 Fault::Late => {
                     inner.late.push(command);
-                    Err(error(port::Fate::Unknown))
+                    Err(error(port::ProposalOutcome::Unknown))
                 }
             }
         })
--- a/tests/jobs_failures.rs
+++ b/tests/jobs_failures.rs
@@ -9,7 +9,8 @@
 use fescuebay::control::answer::Body;
 use fescuebay::control::commands::{Command, Limits, Outcome};
 use fescuebay::control::jobs::{
-    self, Cancelled, Completed, End, Failure, Grant, Ran, Reason, Renewal, Submission, Submitted,
+    self, Cancelled, Completed, End, Failure, Grant, Reason, Renewal, RunStatus, Submission,
+    Submitted,
 };
 use fescuebay::control::{outcomes, queries};
 use fescuebay::ids::{Digest, JobId};
@@ -87,7 +88,7 @@
     }
 }
 
-fn refused(reason: Reason, ran: Ran) -> jobs::Status {
+fn refused(reason: Reason, ran: RunStatus) -> jobs::Status {
     jobs::Status::Ended(End::Refused { reason, ran })
 }
 
@@ -193,15 +194,15 @@
 
 #[test]
 fn a_job_whose_runs_fail_ends_with_its_reason() {
-    let refusal = Failure::Refused { reason: "no such service".to_owned(), ran: Ran::No };
+    let refusal = Failure::Refused { reason: "no such service".to_owned(), ran: RunStatus::No };
     let refused_as = Reason::Refused("no such service".to_owned());
     let cases = [
-        (vec![Failure::TargetDied; 2], refused(Reason::TargetsDied, Ran::Maybe)),
-        (vec![Failure::Lost; 4], refused(Reason::LeasesLost, Ran::Maybe)),
+        (vec![Failure::TargetDied; 2], refused(Reason::TargetsDied, RunStatus::Maybe)),
+        (vec![Failure::Lost; 4], refused(Reason::LeasesLost, RunStatus::Maybe)),
         (vec![Failure::Lost, Failure::TargetDied], jobs::Status::Waiting),
         (vec![Failure::NotRun; 20], jobs::Status::Waiting),
-        (vec![refusal.clone()], refused(refused_as.clone(), Ran::No)),
-        (vec![Failure::Lost, refusal], refused(refused_as, Ran::Maybe)),
+        (vec![refusal.clone()], refused(refused_as.clone(), RunStatus::No)),
+        (vec![Failure::Lost, refusal], refused(refused_as, RunStatus::Maybe)),
     ];
     for (failures, expected) in cases {
         let group = Group::new();
@@ -225,10 +226,10 @@
     submit(&group, submission("runs", 0, now_ms + 20_000));
     assert_eq!(lease(&group, 1, 1, 1)[0].submission.id, job_id("runs"));
     group.pass(16_000);
-    assert_eq!(status(&group, "waits"), refused(Reason::NotInTime, Ran::No));
+    assert_eq!(status(&group, "waits"), refused(Reason::NotInTime, RunStatus::No));
     assert_eq!(status(&group, "runs"), jobs::Status::Leased);
     group.pass(4_000);
-    assert_eq!(status(&group, "runs"), refused(Reason::DeadlinePassed, Ran::Maybe));
+    assert_eq!(status(&group, "runs"), refused(Reason::DeadlinePassed, RunStatus::Maybe));
     let query = outcomes::Query::Hours { from_ms: 0, to_ms: u64::MAX };
     let queries::Answer::Outcomes(hours) = group.ask(queries::Query::Outcomes(query)) else {
         panic!("not the ledger");
@@ -306,7 +307,7 @@
 
 #[test]
 fn a_cancelled_job_stays_cancelled() {
-    for (is_leased, ran) in [(false, Ran::No), (true, Ran::Maybe)] {
+    for (is_leased, ran) in [(false, RunStatus::No), (true, RunStatus::Maybe)] {
         let group = Group::new();
         submit(&group, submission("tower", 0, group.now_ms() + 10 * LEASE_MS));
         if is_leased {
--- a/tests/jobs_http.rs
+++ b/tests/jobs_http.rs
@@ -50,7 +50,7 @@
         async move {
             tokio::time::sleep(Duration::from_millis(300)).await;
             let body = Bytes::from(json!({ "draft": attempt.path }).to_string());
-            let parts = vec![Ok(call::Part::Bytes(body)), Ok(call::Part::End)];
+            let parts = vec![Ok(call::BodyPart::Bytes(body)), Ok(call::BodyPart::End)];
             let mut headers = http::HeaderMap::new();
             headers.insert("content-type", "application/json".parse().unwrap());
             let body = futures::stream::iter(parts).boxed();
--- a/tests/jobs_properties.rs
+++ b/tests/jobs_properties.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use control_fakes::{Group, answer, owner};
 use fescuebay::control::commands::{Command, Outcome};
-use fescuebay::control::jobs::{self, End, Failure, Ran, Status, Submission, Submitted};
+use fescuebay::control::jobs::{self, End, Failure, RunStatus, Status, Submission, Submitted};
 use fescuebay::ids::{Digest, JobId};
 use proptest::prelude::{Strategy, any, prop_oneof};
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -198,7 +198,9 @@
                 assert!(!self.ends.contains_key(id), "{id} has come back to life");
                 continue;
             };
-            if let End::Refused { ran: Ran::No, .. } | End::Cancelled { ran: Ran::No } = end {
+            if let End::Refused { ran: RunStatus::No, .. } | End::Cancelled { ran: RunStatus::No } =
+                end
+            {
                 assert_eq!(self.executions.get(id), None, "{id} says that it was not run");
             }
             let first = self.ends.entry(id.clone()).or_insert_with(|| end.clone());
--- a/tests/jobs_shell.rs
+++ b/tests/jobs_shell.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use control_fakes::{Fault, Group, answer, client, owner};
 use fescuebay::control::commands::Command;
-use fescuebay::control::jobs::{self, End, Grant, Ran, Reason, Status, Submission, shell};
+use fescuebay::control::jobs::{self, End, Grant, Reason, RunStatus, Status, Submission, shell};
 use fescuebay::control::port;
 use fescuebay::ids::Digest;
 use futures::future::BoxFuture;
@@ -147,7 +147,7 @@
 }
 
 fn refused(reason: Reason) -> Status {
-    Status::Ended(End::Refused { reason, ran: Ran::Maybe })
+    Status::Ended(End::Refused { reason, ran: RunStatus::Maybe })
 }
 
 #[tokio::test(start_paused = true)]
--- a/tests/target_http.rs
+++ b/tests/target_http.rs
@@ -61,10 +61,10 @@
 
 /// Describes each part of a response in a few words.
 async fn describe_parts(answer: call::Answer) -> Vec<String> {
-    let name = |part: call::Result<call::Part>| match part {
-        Ok(call::Part::Event { offset, .. }) => format!("event {offset}"),
-        Ok(call::Part::Bytes(bytes)) => format!("{} bytes", bytes.len()),
-        Ok(call::Part::End) => "end".to_owned(),
+    let name = |part: call::Result<call::BodyPart>| match part {
+        Ok(call::BodyPart::Event { offset, .. }) => format!("event {offset}"),
+        Ok(call::BodyPart::Bytes(bytes)) => format!("{} bytes", bytes.len()),
+        Ok(call::BodyPart::End) => "end".to_owned(),
         Err(report) => format!("{:?}", report.current_context().cause),
     };
     answer.body.map(name).collect().await
--- a/tests/traffic_support/mod.rs
+++ b/tests/traffic_support/mod.rs
@@ -13,7 +13,7 @@
 use error_stack::Report;
 use fescuebay::ids::{Incarnation, ModelRef, RequestId, Sequence, ServiceName, TenantId};
 use fescuebay::membership::table::{Replica, RouteTable, Standing, TargetEntry};
-use fescuebay::target::call::{self, Answer, Attempt, Cause, Part, Resume, Written};
+use fescuebay::target::call::{self, Answer, Attempt, BodyPart, Cause, Resume, Written};
 use fescuebay::target::{Target, order};
 use fescuebay::traffic::policy::{EffectivePolicy, Policy, PolicyQuery, RequestPurpose};
 use fescuebay::traffic::{TrafficState, server, state};
@@ -259,7 +259,7 @@
     broken: Report<call::Error>,
     seen: Arc<Mutex<Seen>>,
     open: Open,
-) -> BoxStream<'static, call::Result<Part>> {
+) -> BoxStream<'static, call::Result<BodyPart>> {
     let gap = Duration::from_millis(script.gap_ms);
     let parts = stream::iter(script.offsets).then(move |offset| {
         let seen = seen.clone();
@@ -267,11 +267,11 @@
             tokio::time::sleep(gap).await;
             seen.lock().unwrap().produced += 1;
             let data = Bytes::from(token(offset));
-            Ok(if is_stream { Part::Event { offset, data } } else { Part::Bytes(data) })
+            Ok(if is_stream { BodyPart::Event { offset, data } } else { BodyPart::Bytes(data) })
         }
     });
-    let end: BoxStream<'static, call::Result<Part>> = match script.end {
-        End::Marker => stream::iter([Ok(Part::End)]).boxed(),
+    let end: BoxStream<'static, call::Result<BodyPart>> = match script.end {
+        End::Marker => stream::iter([Ok(BodyPart::End)]).boxed(),
         End::Missing => stream::empty().boxed(),
         End::Broken => stream::iter([Err(broken)]).boxed(),
         End::Silent => stream::pending().boxed(),
