--- /dev/null
+++ b/src/gateway/follower.rs
@@ -0,0 +1,77 @@
+//! Applies the leader's updates to a router.
+
+use std::rc::Rc;
+
+use super::state::RouterState;
+use crate::coordinator::{follow, loads};
+use crate::membership::{feed, table};
+use crate::placement::swap::demand;
+use crate::poison::message::Statement;
+use crate::rate_limit::message;
+use crate::routes::{self, index};
+
+impl follow::Follower for RouterState {
+    fn usage(&self) -> demand::RouterDemand {
+        self.take_usage()
+    }
+
+    fn apply_document(&self, document: routes::Document) {
+        log::info!(
+            document = document.version.0, table_age_ms:? = self.table_age_ms();
+            "document {} is in force", document.version
+        );
+        self.index.send_replace(Some(Rc::new(index::Index::new(document))));
+    }
+
+    fn handle_table_change(&self, feed: &feed::TableFeed) {
+        let entries: &[table::TargetEntry] = feed.table().entries();
+        self.balancer.borrow_mut().set_entries(entries);
+        self.table_version.set(feed.cursor());
+        self.dispatch_waiting();
+    }
+
+    fn apply_rate_limits(&self, told: &[message::TargetStatement]) {
+        let now_ms = self.now_ms();
+        for statement in told {
+            let mut balancer = self.balancer.borrow_mut();
+            if balancer.permits_mut().record_told(now_ms, statement) {
+                log::info!(
+                    target_id:% = statement.life.target, life = statement.life.incarnation.0,
+                    limit_per_s:? = statement.limit.map(|limit| limit.0),
+                    sent_age_ms = statement.sent_age_ms, read_age_ms = statement.read_age_ms;
+                    "target {} of incarnation {} named to another router {} ms ago: rate limit {:?}",
+                    statement.life.target,
+                    statement.life.incarnation,
+                    statement.read_age_ms,
+                    statement.limit
+                );
+            }
+        }
+        self.dispatch_waiting();
+    }
+
+    fn handle_leader_change(&self) {
+        self.discovery_since_ms.set(Some(self.now_ms()));
+        self.balancer.borrow_mut().permits_mut().forget_told();
+        self.poison.borrow_mut().begin_leader();
+        self.poison_observed.notify_one();
+    }
+
+    fn apply_suspects(&self, told: &[Statement]) {
+        self.apply_standings(told);
+    }
+
+    fn apply_loads(&self, routers: u32, changes: &loads::LoadChanges) {
+        self.last_update_ms.set(Some(self.now_ms()));
+        self.budget.borrow_mut().set_routers(routers);
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.apply_load_totals(changes);
+        balancer.permits_mut().set_routers(routers);
+        let has_untold = balancer.permits().has_untold();
+        drop(balancer);
+        if has_untold {
+            self.permits_wanted.notify_one();
+        }
+        self.dispatch_waiting();
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,9 @@
 pub mod availability;
 pub mod balancer;
 pub mod choice;
+mod event_buffer;
 pub mod events;
+mod follower;
 mod permits;
 mod poison;
 mod pool;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::stream;
 use http::{HeaderMap, header};
 use http_body::Frame;
 use http_body_util::StreamBody;
 
 use super::balancer::TargetQuery;
+use super::event_buffer::EventBuffer;
 use super::events::{self, RequestEvent};
 use super::poison;
 use super::proxy::{self, RoutedRequest, SentAttempt, TargetResponse};
@@ -23,10 +24,6 @@
 
 /// Time without data after which a resumable stream is continued at another target.
 const STALL_TIMEOUT_MS: u64 = 1_500;
-/// Upper bound of the buffered part of an incomplete event.
-const MAX_PARTIAL_EVENT_BYTES: usize = 64 << 10;
-/// Length of the longest separator between events, `\r\n\r\n`.
-const MAX_EVENT_END_BYTES: usize = 4;
 /// Responses up to this size are buffered until they are complete. Larger ones are streamed to the
 /// caller.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -163,12 +160,8 @@
     head: http::response::Parts,
     sent_ms: u64,
     response: Option<TargetResponse>,
-    /// The received bytes of an incomplete event.
-    partial_event: BytesMut,
-    /// The last bytes that were received of a stream that is relayed as it comes.
-    last_bytes: BytesMut,
-    /// The id of the last event that was relayed to the caller.
-    last_event_id: Option<String>,
+    /// Where the received bytes end within an event.
+    events: EventBuffer,
     has_sent_data: bool,
     /// Whether the target went on after it had begun to answer.
     has_answered: bool,
@@ -244,9 +237,7 @@
             head: response.head.clone(),
             sent_ms: response.sent_ms,
             response: Some(response),
-            partial_event: BytesMut::new(),
-            last_bytes: BytesMut::new(),
-            last_event_id: routed.info.last_event_id.clone(),
+            events: EventBuffer::after(routed.info.last_event_id.clone()),
             has_sent_data: false,
             has_answered: false,
             began_ms: None,
@@ -329,13 +320,13 @@
             match data {
                 Some(Ok(data)) => {
                     if !self.is_resumable() {
-                        self.keep_last_bytes(&data);
+                        self.events.pass_on(&data);
                         return NextData::Bytes(data);
                     }
-                    if let Some(events) = self.take_complete_events(&data) {
+                    if let Some(events) = self.events.take_complete(&data) {
                         return NextData::Bytes(events);
                     }
-                    if self.partial_event.len() > MAX_PARTIAL_EVENT_BYTES {
+                    if self.events.is_too_large() {
                         return NextData::Failed(AttemptFailure::TooLarge);
                     }
                 }
@@ -343,7 +334,7 @@
                     return NextData::Failed(AttemptFailure::TooLarge);
                 }
                 Some(Err(_)) => return NextData::Failed(AttemptFailure::ConnectionClosed),
-                None if self.is_inside_event() => {
+                None if self.routed.route.kind.is_stream() && self.events.is_inside_event() => {
                     return NextData::Failed(AttemptFailure::ConnectionClosed);
                 }
                 None => {
@@ -383,37 +374,6 @@
         )
     }
 
-    fn keep_last_bytes(&mut self, data: &[u8]) {
-        let skipped = data.len().saturating_sub(MAX_EVENT_END_BYTES);
-        self.last_bytes.extend_from_slice(&data[skipped..]);
-        let surplus = self.last_bytes.len().saturating_sub(MAX_EVENT_END_BYTES);
-        let _ = self.last_bytes.split_to(surplus);
-    }
-
-    /// Whether a stream that ends here has been broken off in the middle of an event.
-    fn is_inside_event(&self) -> bool {
-        if !self.routed.route.kind.is_stream() {
-            return false;
-        }
-        let last = &self.last_bytes;
-        let is_at_end = last.is_empty() || last_event_end(last) == Some(last.len());
-        !self.partial_event.is_empty() || !is_at_end
-    }
-
-    /// Appends `data` to the incomplete event, and returns all complete events. Remembers the id of
-    /// the last one.
-    fn take_complete_events(&mut self, data: &[u8]) -> Option<Bytes> {
-        // A separator may begin in the data that was buffered before, which itself contains none.
-        let searched = self.partial_event.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
-        self.partial_event.extend_from_slice(data);
-        let end = searched + last_event_end(&self.partial_event[searched..])?;
-        let events = self.partial_event.split_to(end).freeze();
-        if let Some(id) = last_event_id_in(&events) {
-            self.last_event_id = Some(id);
-        }
-        Some(events)
-    }
-
     /// Returns the connection to the pool after a complete response.
     fn return_connection(&mut self) {
         let Some(response) = self.response.take() else { return };
@@ -450,7 +410,7 @@
             ..SentAttempt::begin(&self.router, &old.reservation)
         };
         drop(old);
-        self.partial_event.clear();
+        self.events.drop_incomplete();
         let mut failure = failure;
         loop {
             let (router, routed) = (&self.router, &self.routed);
@@ -462,11 +422,9 @@
             let reserved = poison::reserve_permitted(router, routed, since_ms).await;
             let Ok(reservation) = reserved else { return false };
             attempt = SentAttempt::begin(router, &reservation);
-            match proxy::send_attempt(router, routed, reservation, self.last_event_id.as_deref())
-                .await
-            {
+            match proxy::send_attempt(router, routed, reservation, self.events.last_id()).await {
                 Ok(response) if self.can_go_on_with(&response.head) => {
-                    let last_event_id = self.last_event_id.as_deref();
+                    let last_event_id = self.events.last_id();
                     let target = attempt.life.target.as_str();
                     let event = RequestEvent::Resumed { target, last_event_id };
                     events::emit(&routed.info.id, &event);
@@ -482,19 +440,3 @@
         }
     }
 }
-
-/// The end of the last complete event in `bytes`. Events are separated by an empty line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let plain = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    plain.max(returns)
-}
-
-/// The id of the last event in `events` that has an id.
-fn last_event_id_in(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    lines.into_iter().find_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        Some(String::from_utf8_lossy(value).trim().to_owned())
-    })
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,16 +16,14 @@
 use super::{RequestProtocol, TargetNotice, events};
 use crate::clock::BootClock;
 use crate::coordinator::client::VoterClient;
-use crate::coordinator::{follow, loads};
 use crate::ids::{Incarnation, ModelRef, TargetId, Zone};
-use crate::membership::{feed, table};
+use crate::membership::feed;
 use crate::placement::swap::demand;
-use crate::poison::message::Statement;
 use crate::poison::view::View;
+use crate::rate_limit::TargetLife;
 use crate::rate_limit::permits::PermitPool;
 use crate::rate_limit::statements::StatedAt;
-use crate::rate_limit::{TargetLife, message};
-use crate::routes::{self, index};
+use crate::routes::index;
 use crate::web;
 
 /// Upper bound of the memory for request bodies: the VM of a router has little memory.
@@ -41,7 +39,7 @@
     pub(super) own_ip: IpAddr,
     pub(super) clock: BootClock,
     pub(super) protocol: &'static dyn RequestProtocol,
-    index: watch::Sender<Option<Rc<index::Index>>>,
+    pub(super) index: watch::Sender<Option<Rc<index::Index>>>,
     pub(super) balancer: RefCell<Balancer>,
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) pool: RefCell<ConnectionPool>,
@@ -50,11 +48,11 @@
     pub(super) queue: RefCell<RequestQueue>,
     senders: RefCell<Vec<(WaiterId, ReservationSender)>>,
     arrivals: RefCell<Vec<(ModelRef, u32)>>,
-    last_update_ms: Cell<Option<u64>>,
+    pub(super) last_update_ms: Cell<Option<u64>>,
     /// The version of the target table that targets are chosen from.
-    table_version: Cell<feed::FeedCursor>,
+    pub(super) table_version: Cell<feed::FeedCursor>,
     /// When this router began to learn of the targets from its current leader.
-    discovery_since_ms: Cell<Option<u64>>,
+    pub(super) discovery_since_ms: Cell<Option<u64>>,
     /// Notified when demand should be reported to the leader at once.
     pub(super) demand_changed: Notify,
     /// Notified when the leader should be asked for permits, or told of a rate limit.
@@ -394,72 +392,6 @@
     }
 }
 
-impl follow::Follower for RouterState {
-    fn usage(&self) -> demand::RouterDemand {
-        self.take_usage()
-    }
-
-    fn apply_document(&self, document: routes::Document) {
-        log::info!(
-            document = document.version.0, table_age_ms:? = self.table_age_ms();
-            "document {} is in force", document.version
-        );
-        self.index.send_replace(Some(Rc::new(index::Index::new(document))));
-    }
-
-    fn handle_table_change(&self, feed: &feed::TableFeed) {
-        let entries: &[table::TargetEntry] = feed.table().entries();
-        self.balancer.borrow_mut().set_entries(entries);
-        self.table_version.set(feed.cursor());
-        self.dispatch_waiting();
-    }
-
-    fn apply_rate_limits(&self, told: &[message::TargetStatement]) {
-        let now_ms = self.now_ms();
-        for statement in told {
-            let mut balancer = self.balancer.borrow_mut();
-            if balancer.permits_mut().record_told(now_ms, statement) {
-                log::info!(
-                    target_id:% = statement.life.target, life = statement.life.incarnation.0,
-                    limit_per_s:? = statement.limit.map(|limit| limit.0),
-                    sent_age_ms = statement.sent_age_ms, read_age_ms = statement.read_age_ms;
-                    "target {} of incarnation {} named to another router {} ms ago: rate limit {:?}",
-                    statement.life.target,
-                    statement.life.incarnation,
-                    statement.read_age_ms,
-                    statement.limit
-                );
-            }
-        }
-        self.dispatch_waiting();
-    }
-
-    fn handle_leader_change(&self) {
-        self.discovery_since_ms.set(Some(self.now_ms()));
-        self.balancer.borrow_mut().permits_mut().forget_told();
-        self.poison.borrow_mut().begin_leader();
-        self.poison_observed.notify_one();
-    }
-
-    fn apply_suspects(&self, told: &[Statement]) {
-        self.apply_standings(told);
-    }
-
-    fn apply_loads(&self, routers: u32, changes: &loads::LoadChanges) {
-        self.last_update_ms.set(Some(self.now_ms()));
-        self.budget.borrow_mut().set_routers(routers);
-        let mut balancer = self.balancer.borrow_mut();
-        balancer.apply_load_totals(changes);
-        balancer.permits_mut().set_routers(routers);
-        let has_untold = balancer.permits().has_untold();
-        drop(balancer);
-        if has_untold {
-            self.permits_wanted.notify_one();
-        }
-        self.dispatch_waiting();
-    }
-}
-
 impl RouterStateBuilder {
     /// Sets the clock.
     pub fn clock(mut self, clock: BootClock) -> Self {
