The leftover of a replacement at the same daemon is removed, not another voter that is silent

Callers would see: a group that is one voter poorer for some seconds after an interrupted replacement of a lost folder. A leader that finds two incarnations of one daemon removed whichever voter had been silent for longest, which may be another one that returns. Before: the new assertion got Remove(10.0.0.1); after: the old incarnation of 10.0.0.4.

--- a/src/coordinator/members.rs
+++ b/src/coordinator/members.rs
@@ -71,7 +71,7 @@
         if self.membership.voters.len() < self.max_voters {
             return MembershipStep::Add(new.clone());
         }
-        match self.most_absent() {
+        match self.most_absent(|_| true) {
             Some(old) => MembershipStep::Replace { old: old.clone(), new: new.clone() },
             None => MembershipStep::Keep,
         }
@@ -80,17 +80,23 @@
     /// A voter that a replacement was meant to remove, if the leader of that time did not complete it.
     fn leftover(&self) -> Option<&VoterId> {
         let voters = &self.membership.voters;
-        let is_double = voters.windows(2).any(|pair| pair[0].daemon == pair[1].daemon);
-        self.most_absent().filter(|_| is_double || voters.len() > self.max_voters)
+        let is_double = |id: &&VoterId| {
+            let same = voters.iter().filter(|voter| voter.daemon == id.daemon);
+            same.count() > 1
+        };
+        let is_over = voters.len() > self.max_voters;
+        self.most_absent(is_double).or_else(|| self.most_absent(|_| is_over))
     }
 
     fn earlier_incarnation(&self, joining: &VoterId) -> Option<&VoterId> {
         self.membership.voters.iter().find(|id| id.daemon == joining.daemon)
     }
 
-    /// The voter that is missed least: one that stops, else the one that has been silent for longest.
-    fn most_absent(&self) -> Option<&VoterId> {
-        let absent = self.membership.voters.iter().filter_map(|id| {
+    /// The voter that is missed least, of some: one that stops, else the one that has been silent for
+    /// longest.
+    fn most_absent(&self, is_meant: impl Fn(&&VoterId) -> bool) -> Option<&VoterId> {
+        let meant = self.membership.voters.iter().filter(is_meant);
+        let absent = meant.filter_map(|id| {
             let VoterHealth { silent_ms, is_leaving } = (self.health)(id);
             let silent_ms = silent_ms?;
             (is_leaving || silent_ms >= SILENT_MS).then_some(((is_leaving, silent_ms), id))
--- a/tests/coordinator_members.rs
+++ b/tests/coordinator_members.rs
@@ -122,6 +122,12 @@
         assert_eq!(keep, MembershipStep::Keep, "a new leader has heard nobody yet");
         let step = next_step(&both, &[], silent(voter(4), 1_600));
         assert_eq!(step, MembershipStep::Remove(voter(4)));
+        // Another voter that has been silent for longer may return, and keeps its place.
+        let health = |id: &VoterId| match *id == voter(1) {
+            true => Some(5_000),
+            false => silent(voter(4), 1_600)(id),
+        };
+        assert_eq!(next_step(&both, &[], health), MembershipStep::Remove(voter(4)));
     }
 }
 
