Routers know the software version of a target, and lines name it

Announcements name the version (one without it is another writer's, and refused as any that lacks a field), the route table carries it, sent and resumed show it, admitted shows the attempt that began a stream that is taken up.

Tables name the right versions: nobody compares them.

--- a/benches/measures_routing/mod.rs
+++ b/benches/measures_routing/mod.rs
@@ -131,6 +131,7 @@
 
 fn table(scenario: &Scenario) -> Arc<RouteTable> {
     let entry = |number: usize| TargetEntry {
+        software: None,
         target: format!("runner-{number:04}").parse().unwrap(),
         incarnation: Incarnation(1),
         kind: Kind::Assistant,
--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -85,6 +85,7 @@
 
 fn entry(number: usize, replicas: Vec<Replica>, address: SocketAddr) -> TargetEntry {
     TargetEntry {
+        software: None,
         target: format!("runner-{number:05}").parse().unwrap(),
         incarnation: Incarnation(1),
         kind: order::Kind::Assistant,
--- a/src/coordinator/leader/targets.rs
+++ b/src/coordinator/leader/targets.rs
@@ -5,7 +5,7 @@
 
 use super::Leader;
 use crate::control::departures::{Command, Departure};
-use crate::ids::{Incarnation, ServiceName, TargetId};
+use crate::ids::{Incarnation, ServiceName, SoftwareVersion, TargetId};
 use crate::membership::directory::{self, DirectoryEffect};
 use crate::membership::table::{Replica, TableChange, TargetEntry};
 use crate::membership::targets::{self, AnnouncementOutcome};
@@ -180,6 +180,7 @@
         if was != Some(entry.standing) {
             log::info!(
                 target_id:% = entry.target, life = entry.incarnation.0,
+                software:? = entry.software.as_ref().map(SoftwareVersion::as_str),
                 standing:? = entry.standing, standing_before:? = was, cause:% = cause,
                 term = self.term.0;
                 "target {} of {:?} is {:?} in {}, life {}, by {cause}; it was {was:?}",
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -26,6 +26,9 @@
         /// The ids of the parts of its prompt that other requests may share.
         #[serde(rename = "parts", skip_serializing_if = "Vec::is_empty")]
         shared_parts: Vec<String>,
+        /// The attempt that brought the first event of a stream that the caller takes up again.
+        #[serde(rename = "resumes", skip_serializing_if = "Option::is_none")]
+        began_with: Option<&'a str>,
         /// Time until the deadline of the request.
         #[serde(rename = "left_ms")]
         remaining_ms: u64,
@@ -49,6 +52,9 @@
         /// The incarnation of the target.
         #[serde(rename = "life")]
         incarnation: u64,
+        /// The version of its software.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        software: Option<&'a str>,
         /// The number of the attempt, from 1.
         attempt: u32,
         /// Known requests in flight at the target.
@@ -82,6 +88,9 @@
     Resumed {
         /// The target.
         target: &'a str,
+        /// The version of its software.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        software: Option<&'a str>,
         /// The id of the last event that was delivered to the caller.
         #[serde(rename = "last_event")]
         last_event_id: Option<&'a str>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -71,6 +71,8 @@
     pub caller_timeout_ms: Option<u64>,
     /// The id of the last event that the caller received of an interrupted stream.
     pub last_event_id: Option<String>,
+    /// The id of the caller's request that brought the first event of that stream.
+    pub began_with: Option<String>,
 }
 
 impl RequestInfo {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -18,7 +18,7 @@
 use super::retry::{self, AttemptFailure, FailedAttempt, RequestFailure, RetryDecision};
 use super::state::RouterState;
 use super::{AttemptOptions, ConnectionUse, ResponseClass, poison, relay, wait_limit};
-use crate::ids::TargetId;
+use crate::ids::{self, TargetId};
 use crate::poison::{ContentHash, Subject};
 use crate::routes::{self, index};
 use crate::web::client::Connection;
@@ -122,6 +122,7 @@
             model: routed.info.model.as_ref().map(ToString::to_string),
             content: routed.content.to_string(),
             shared_parts: routed.info.shared_parts().map(|id| format!("{id:x}")).collect(),
+            began_with: routed.info.began_with.as_deref(),
             remaining_ms: routed.remaining_ms(router),
         },
     );
@@ -276,6 +277,7 @@
         &RequestEvent::Sent {
             target: reservation.target.as_str(),
             incarnation: reservation.incarnation.0,
+            software: reservation.software.as_ref().map(ids::SoftwareVersion::as_str),
             attempt: routed.attempts.get(),
             in_flight: reservation.in_flight,
             unavailable_targets: router
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use super::proxy;
 use super::retry::AttemptFailure;
 use super::state::RouterState;
-use crate::ids::TargetId;
+use crate::ids::{self, TargetId};
 use crate::poison::ANSWER_BEGUN_MS;
 use crate::routes::Kind;
 use crate::web::{self, Body};
@@ -427,7 +427,9 @@
                 Ok(response) if self.can_go_on_with(&response.head) => {
                     let last_event_id = self.events.last_id();
                     let target = attempt.life.target.as_str();
-                    let event = RequestEvent::Resumed { target, last_event_id };
+                    let software = response.reservation.software.as_ref();
+                    let software = software.map(ids::SoftwareVersion::as_str);
+                    let event = RequestEvent::Resumed { target, software, last_event_id };
                     events::emit(&routed.info.id, &event);
                     metrics::counter!("fescuebay_streams_resumed_total").increment(1);
                     self.response = Some(response);
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -3,7 +3,7 @@
 use std::rc::Weak;
 
 use super::state::RouterState;
-use crate::ids::{Incarnation, ModelRef, TargetId};
+use crate::ids::{Incarnation, ModelRef, SoftwareVersion, TargetId};
 use crate::membership::feed;
 use crate::rate_limit::TargetLife;
 use crate::rate_limit::permits::PermitId;
@@ -14,6 +14,8 @@
     pub target: TargetId,
     pub incarnation: Incarnation,
     pub address: std::net::SocketAddr,
+    /// The version of the target's software, if it is known.
+    pub software: Option<SoftwareVersion>,
     /// Requests in flight at the target, including this one.
     pub in_flight: u32,
     /// The version of the target table that the target was chosen from.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -185,6 +185,7 @@
             target: target.entry.target.clone(),
             incarnation: target.entry.incarnation,
             address: target.entry.address,
+            software: target.entry.software.clone(),
             in_flight: target.in_flight(),
             table_version: self.table_version.get(),
             permit,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -41,8 +41,20 @@
     Ok(())
 }
 
+/// Checks a text that another system chose and that is only compared.
+fn check_label(what: &'static str, text: &str) -> Result<()> {
+    ensure!(!text.is_empty(), Error { what, reason: "it is empty" });
+    ensure!(text.len() <= MAX_NAME_BYTES, Error { what, reason: "it is over 128 bytes" });
+    let is_allowed = |c: char| !c.is_control();
+    ensure!(text.chars().all(is_allowed), Error { what, reason: "it has control characters" });
+    Ok(())
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        name_type!($(#[$doc])* $name, $what, check_name);
+    };
+    ($(#[$doc:meta])* $name:ident, $what:literal, $check:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
         #[derive(serde::Serialize, serde::Deserialize)]
@@ -66,7 +78,7 @@
             type Err = Report<Error>;
 
             fn from_str(text: &str) -> Result<Self> {
-                check_name($what, text)?;
+                $check($what, text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -114,6 +126,9 @@
 name_type!(
     /// A version of the weights of a model or adapter.
     Version, "version");
+name_type!(
+    /// A version of the software of targets, which says nothing of their weights.
+    SoftwareVersion, "software version", check_label);
 name_type!(
     /// An operator's id for one change, the same when the change is sent again.
     ChangeId, "change id");
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -271,6 +271,7 @@
     TargetEntry {
         target: state.target.clone(),
         incarnation: state.incarnation,
+        software: state.software.clone(),
         kind: state.kind,
         availability_zone: state.availability_zone.clone(),
         address: state.address,
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use crate::ids::{Incarnation, ModelRef, Sequence, ServiceName, TargetId, Version, Zone};
+use crate::ids::{
+    Incarnation, ModelRef, Sequence, ServiceName, SoftwareVersion, TargetId, Version, Zone,
+};
 use crate::target::order::Kind;
 
 /// Whether a target may receive new requests.
@@ -35,6 +37,8 @@
     pub target: TargetId,
     /// The incarnation of the target.
     pub incarnation: Incarnation,
+    /// The version of its software, if it names one.
+    pub software: Option<SoftwareVersion>,
     /// The kind of target.
     pub kind: Kind,
     /// The availability zone in which it runs.
--- a/src/placement/ledger.rs
+++ b/src/placement/ledger.rs
@@ -360,6 +360,7 @@
             next_read_ms: 0,
         };
         let state = order::State {
+            software: None,
             target: "t".parse().unwrap(),
             incarnation: Incarnation(1),
             sequence: 0,
--- a/src/stand_in/engine.rs
+++ b/src/stand_in/engine.rs
@@ -112,6 +112,7 @@
         load: order::Load,
     ) -> order::State {
         order::State {
+            software: None,
             target: settings.target.clone(),
             incarnation: settings.incarnation,
             sequence: self.sequence,
--- a/src/target/order.rs
+++ b/src/target/order.rs
@@ -4,7 +4,9 @@
 
 use error_stack::Report;
 
-use crate::ids::{Incarnation, ModelRef, OrderId, ServiceName, TargetId, Term, Version, Zone};
+use crate::ids::{
+    Incarnation, ModelRef, OrderId, ServiceName, SoftwareVersion, TargetId, Term, Version, Zone,
+};
 use crate::units::Bytes;
 
 /// Fencing number of an order. A target that checks fencing refuses an order whose number is lower
@@ -158,6 +160,10 @@
     /// Increases with each announcement of one incarnation, which lets a receiver detect late
     /// announcements.
     pub sequence: u64,
+    /// The version of the target's software, if it names one. A stream can be continued only by a target
+    /// of the version that began it.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
     /// The kind of target.
     pub kind: Kind,
     /// The availability zone that the target runs in.
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -76,6 +76,7 @@
 /// An engine that holds m0 and has m1 on its disk.
 fn state(target: &str, sequence: u64) -> State {
     State {
+        software: None,
         target: target.parse().unwrap(),
         incarnation: Incarnation(7),
         sequence,
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -50,7 +50,8 @@
     /// What the target says of itself.
     fn word(&self, state: &str, sequence: u64) -> String {
         format!(
-            r#"{{"service":"app","address":"{}","zone":"z","slots":64,"state":"{state}",
+            r#"{{"service":"app","address":"{}","zone":"z","version":"v1",
+        "slots":64,"state":"{state}",
             "sequence":{sequence},"born":7}}"#,
             self.target.address
         )
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -21,6 +21,7 @@
 
 fn entry(name: &str, zone: &str, slots: u32) -> TargetEntry {
     TargetEntry {
+        software: None,
         target: name.parse().unwrap(),
         incarnation: Incarnation(1),
         kind: order::Kind::Application,
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -82,6 +82,7 @@
         let mut replicas: Vec<Replica> = models.iter().map(replica).collect();
         replicas.sort();
         TargetEntry {
+            software: None,
             target: self.id.parse().unwrap(),
             incarnation: Incarnation(1),
             kind: Kind::Application,
--- a/tests/jobs_http.rs
+++ b/tests/jobs_http.rs
@@ -111,6 +111,7 @@
 
 fn table() -> RouteTable {
     let entry = TargetEntry {
+        software: None,
         target: "runner-1".parse().unwrap(),
         incarnation: fescuebay::ids::Incarnation(1),
         kind: order::Kind::Assistant,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -14,6 +14,7 @@
 
 fn state(target: &str, life: u64, sequence: u64) -> order::State {
     order::State {
+        software: None,
         target: target.parse().unwrap(),
         incarnation: Incarnation(life),
         sequence,
--- a/tests/placement_fake/mod.rs
+++ b/tests/placement_fake/mod.rs
@@ -116,6 +116,7 @@
 
     pub fn state(&self) -> order::State {
         order::State {
+            software: None,
             target: self.target.clone(),
             incarnation: Incarnation(self.incarnation),
             sequence: self.sequence,
--- a/tests/platform_calls.rs
+++ b/tests/platform_calls.rs
@@ -34,6 +34,7 @@
     let copies = |tier| state.cached.iter().filter(|copy| copy.tier == tier).count();
     assert_eq!((copies(Tier::Memory), copies(Tier::Disk)), (1, 2));
     assert!(!state.leaving);
+    assert_eq!(state.software, Some("v1".parse().unwrap()));
     let leaving = VALID.replace(r#""ready""#, r#""draining","remainingMs":900"#);
     let Ok(ApiRequest::Announce(state)) = parse("PUT", "/api/instances/i-1", &leaving) else {
         panic!()
@@ -59,6 +60,9 @@
         (r#""sequence":4,"#, ""),
         (r#""born":1793091903381"#, r#""born":"today""#),
         (r#""zone":"z-1""#, r#""zone":null"#),
+        (r#""version":"v1","#, ""),
+        (r#""version":"v1""#, r#""version":1"#),
+        (r#""version":"v1""#, r#""version":"""#),
         (r#""name":"m1""#, r#""name":""#),
         (r#""models":["#, r#""models":[7,"#),
         (r#""more":[{}]}"#, r#""more":[{}]"#),
--- a/tests/poison_support/mod.rs
+++ b/tests/poison_support/mod.rs
@@ -342,7 +342,8 @@
         for target in targets.iter().filter(|target| target.is_up.get()) {
             let path = format!("/api/instances/{}", target.id.borrow());
             let word = format!(
-                r#"{{"service":"app","address":"{}","zone":"z","slots":64,"state":"ready",
+                r#"{{"service":"app","address":"{}","zone":"z","version":"v1",
+        "slots":64,"state":"ready",
                 "sequence":{sequence},"born":{}}}"#,
                 target.address,
                 target.born.get()
--- a/tests/rate_limit_support/mod.rs
+++ b/tests/rate_limit_support/mod.rs
@@ -269,7 +269,8 @@
 
 fn word(address: SocketAddr, sequence: u64) -> String {
     format!(
-        r#"{{"service":"app","address":"{address}","zone":"z","slots":64,"state":"ready",
+        r#"{{"service":"app","address":"{address}","zone":"z","version":"v1",
+        "slots":64,"state":"ready",
         "sequence":{sequence},"born":7}}"#
     )
 }
--- a/tests/roles.rs
+++ b/tests/roles.rs
@@ -24,7 +24,8 @@
 /// What a target says of itself.
 fn announcement(service: &str, address: SocketAddr, state: &str, sequence: u64) -> String {
     format!(
-        r#"{{"service":"{service}","address":"{address}","zone":"z","slots":64,"state":"{state}",
+        r#"{{"service":"{service}","address":"{address}","zone":"z","version":"v1",
+        "slots":64,"state":"{state}",
         "sequence":{sequence},"born":7}}"#
     )
 }
--- a/tests/routing_engine.rs
+++ b/tests/routing_engine.rs
@@ -18,6 +18,7 @@
 
 fn entry(name: &str, slots: u32) -> TargetEntry {
     TargetEntry {
+        software: None,
         target: name.parse().unwrap(),
         incarnation: Incarnation(1),
         kind: Kind::Assistant,
--- a/tests/routing_limits.rs
+++ b/tests/routing_limits.rs
@@ -21,6 +21,7 @@
 
 fn entry(name: &str) -> TargetEntry {
     TargetEntry {
+        software: None,
         target: name.parse().unwrap(),
         incarnation: Incarnation(1),
         kind: Kind::Assistant,
--- a/tests/soak/targets.rs
+++ b/tests/soak/targets.rs
@@ -94,7 +94,8 @@
         let is_leaving = is_leaving && !self.is_silent;
         let state = if is_leaving { "draining" } else { "ready" };
         let word = format!(
-            r#"{{"service":"app","address":"{}","zone":"z","slots":16,"state":"{state}",
+            r#"{{"service":"app","address":"{}","zone":"z","version":"v1",
+        "slots":16,"state":"{state}",
             "sequence":{sequence},"born":{life}}}"#,
             self.path.address
         );
--- a/tests/swap_simulation/mod.rs
+++ b/tests/swap_simulation/mod.rs
@@ -125,6 +125,7 @@
             tier: Tier::Disk,
         });
         State {
+            software: None,
             target: self.target.clone(),
             incarnation: Incarnation(1),
             sequence: self.sequence,
--- a/tests/traffic_support/mod.rs
+++ b/tests/traffic_support/mod.rs
@@ -152,6 +152,7 @@
         let replica =
             |model: &&str| Replica { model: model.parse().unwrap(), version: "1".parse().unwrap() };
         let entry = TargetEntry {
+            software: None,
             target: name.parse().unwrap(),
             incarnation: Incarnation(1),
             kind: order::Kind::Assistant,
