A router resumes a stream only at targets of the software version that began it

Cause: whoever resumed a stream chose by load and model alone. The request now holds which targets may continue it from its first event on; an incarnation whose connection broke is no longer one, since it may be back under its id with another version before it is heard of. Where none is left the answer ends broken, at once, and stream_ended says why.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,12 +5,14 @@
 use http::{HeaderMap, Method};
 use hyper::body::Incoming;
 
+use super::balancer::TargetQuery;
+use super::continuation::Continuation;
 use super::refusal::{self, RefusalReason};
 use super::reservation::SlotReservation;
 use super::retry::RequestFailure;
 use super::state::RouterState;
 use super::{RequestInfo, poison};
-use crate::ids::{ServiceName, TargetId};
+use crate::ids::{ServiceName, SoftwareVersion, TargetId};
 use crate::poison::{ContentHash, Subject};
 use crate::rate_limit::TargetLife;
 use crate::routes::Route;
@@ -32,6 +34,8 @@
     pub deadline_ms: u64,
     /// Targets at which attempts failed.
     pub avoided_targets: std::cell::RefCell<Vec<TargetId>>,
+    /// Which targets may write the next events of the stream.
+    pub continuation: std::cell::RefCell<Continuation>,
     /// Number of attempts that a target may have run.
     pub possible_runs: std::cell::Cell<u32>,
     /// Number of attempts that were sent.
@@ -91,6 +95,38 @@
         refusal::refuse_failed(&self.info.id, failure, reason, self.elapsed_ms(router))
     }
 
+    /// Describes the request to the balancer.
+    pub fn query<'a>(
+        &'a self,
+        avoided_targets: &'a [TargetId],
+        continuation: &'a Continuation,
+    ) -> TargetQuery<'a> {
+        TargetQuery {
+            service: &self.service,
+            model: self.info.model.as_ref(),
+            prompt_prefix: None,
+            avoided_targets,
+            continuation,
+            salt: 0,
+        }
+    }
+
+    /// Whether a target other than `target` could take the request now.
+    pub fn has_other_target(&self, router: &RouterState, target: &TargetId) -> bool {
+        let avoided_targets = [target.clone()];
+        let continuation = self.continuation.borrow();
+        let query = self.query(&avoided_targets, &continuation);
+        router.balancer.borrow().has_other_target(router.now_ms(), &query, target)
+    }
+
+    /// Records the software version that writes the first events of the stream.
+    pub fn begin_stream(&self, software: Option<SoftwareVersion>) {
+        let mut continuation = self.continuation.borrow_mut();
+        if *continuation == Continuation::Unbound {
+            *continuation = Continuation::of(software);
+        }
+    }
+
     /// Whether a target may still run the request.
     pub fn has_attempts_left(&self) -> bool {
         self.possible_runs.get() < self.route.max_attempts.max(1)
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -196,7 +196,10 @@
     ) -> TargetChoice {
         let mut candidates = Candidates::new(now_ms, permit_use.may_await);
         for (at, target) in self.targets.iter().enumerate() {
-            if !target.serves(query.service) || self.is_leaving(&target.entry) {
+            if !target.serves(query.service)
+                || !query.continuation.admits(&target.entry)
+                || self.is_leaving(&target.entry)
+            {
                 continue;
             }
             if query.model.is_some_and(|model| !target.has_model(now_ms, model)) {
@@ -388,6 +391,7 @@
     pub fn next_return_ms(&mut self, now_ms: u64, query: &TargetQuery<'_>) -> Option<u64> {
         let could_serve = |target: &&KnownTarget| {
             target.serves(query.service)
+                && query.continuation.admits(&target.entry)
                 && !self.is_leaving(&target.entry)
                 && query.model.is_none_or(|model| target.has_model(now_ms, model))
         };
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -4,6 +4,7 @@
 //! limited. A limited target without a permit is chosen if it is the best one, and its permit is
 //! asked for; the others take the rest.
 
+use super::continuation::Continuation;
 use crate::ids::{ModelRef, ServiceName, TargetId};
 use crate::rate_limit::permits::Gate;
 use crate::rate_limit::schedule::AT_ONCE_MS;
@@ -20,6 +21,8 @@
     pub prompt_prefix: Option<u64>,
     /// Targets at which earlier attempts of the request failed. They are chosen last.
     pub avoided_targets: &'a [TargetId],
+    /// Which targets may continue the stream, if it has events already. The others do not count.
+    pub continuation: &'a Continuation,
     /// Seed of the random part of the cost, so that routers that see equal loads choose different
     /// targets.
     pub salt: u64,
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -110,6 +110,9 @@
         /// `whole`, or the name of the failure that cut the stream off.
         #[serde(rename = "how")]
         ending: &'a str,
+        /// Why no target could continue it.
+        #[serde(rename = "why", skip_serializing_if = "Option::is_none")]
+        reason: Option<&'a str>,
         /// The longest time between two chunks of the stream as received by the router.
         longest_gap_ms: u64,
         /// Time since the request arrived.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod availability;
 pub mod balancer;
 pub mod choice;
+pub mod continuation;
 mod event_buffer;
 pub mod events;
 mod follower;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -11,7 +11,6 @@
 use rand::Rng as _;
 
 use super::attempt::{RoutedRequest, SentAttempt, TargetResponse};
-use super::balancer::TargetQuery;
 use super::events::{self, RequestEvent};
 use super::refusal::{self, RefusalReason};
 use super::reservation::SlotReservation;
@@ -90,6 +89,7 @@
         arrived_ms,
         deadline_ms: arrived_ms + timeout_ms,
         avoided_targets: std::cell::RefCell::default(),
+        continuation: std::cell::RefCell::default(),
         possible_runs: std::cell::Cell::new(0),
         attempts: std::cell::Cell::new(0),
         info,
@@ -208,6 +208,9 @@
 ) {
     record_failed_attempt(router, routed, &sent.life.target, failure, sent.sent_ms);
     penalize_target(router, routed, &sent.life.target, failure);
+    if matches!(failure, AttemptFailure::ConnectionClosed | AttemptFailure::NotSent) {
+        routed.continuation.borrow_mut().record_broken(&sent.life);
+    }
     if failure == AttemptFailure::ConnectionClosed && !sent.has_answered {
         router.record_break(routed, sent);
     }
@@ -384,15 +387,7 @@
     if !is_idempotent || !has_attempt_left {
         return remaining_ms;
     }
-    let avoided_targets = [reservation.target.clone()];
-    let query = TargetQuery {
-        service: &routed.service,
-        model: routed.info.model.as_ref(),
-        prompt_prefix: None,
-        avoided_targets: &avoided_targets,
-        salt: 0,
-    };
-    if !router.balancer.borrow().has_other_target(router.now_ms(), &query, &reservation.target) {
+    if !routed.has_other_target(router, &reservation.target) {
         return remaining_ms;
     }
     let share_ms = (routed.route.latency_target_ms as f64 * RESPONSE_TIMEOUT_SHARE) as u64;
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -4,6 +4,7 @@
 //! other models pass.
 
 use super::choice::PermitClaims;
+use super::continuation::Continuation;
 use crate::ids::{ModelRef, ServiceName, TargetId};
 use crate::placement::swap::demand::WaitingRequests;
 use crate::rate_limit::TargetLife;
@@ -27,6 +28,8 @@
     pub prompt_tokens: u64,
     /// Targets at which earlier attempts of the request failed.
     pub avoided_targets: Vec<TargetId>,
+    /// Which targets may continue the stream, if it has events already.
+    pub continuation: Continuation,
     /// Its priority; 0 is served first.
     pub rank: u8,
     /// When the latency target of its route expires.
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -40,6 +40,9 @@
     NoService,
     /// The service has no targets.
     NoTargets,
+    /// The service has no target that can continue the stream: of the software version that wrote its
+    /// first events.
+    NoTargetOfVersion,
     /// No target became free in time.
     NoFreeTarget,
     /// All targets that could serve the request are paused.
@@ -76,6 +79,9 @@
             RefusalReason::BodyMemoryFull => "other bodies leave no room",
             RefusalReason::NoService => "the route has no service",
             RefusalReason::NoTargets => "the service has no targets",
+            RefusalReason::NoTargetOfVersion => {
+                "no target has the software version that began the stream"
+            }
             RefusalReason::NoFreeTarget => "no target was free in time",
             RefusalReason::AllPaused { .. } => "all targets ask to be left alone",
             RefusalReason::AllLimited { .. } => "all targets are at their rate limits",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,10 +12,12 @@
 
 use super::attempt::{RoutedRequest, SentAttempt, TargetResponse};
 use super::balancer::TargetQuery;
+use super::continuation::Continuation;
 use super::event_buffer::EventBuffer;
 use super::events::{self, RequestEvent};
 use super::poison;
 use super::proxy;
+use super::refusal::RefusalReason;
 use super::retry::AttemptFailure;
 use super::state::RouterState;
 use crate::ids::{self, TargetId};
@@ -103,11 +105,8 @@
 ) -> Option<http::Response<Body>> {
     let avoided_targets = routed.avoided_targets.borrow().clone();
     let query = TargetQuery {
-        service: &routed.service,
-        model: routed.info.model.as_ref(),
-        prompt_prefix: None,
-        avoided_targets: &avoided_targets,
         salt: router.next_salt(),
+        ..routed.query(&avoided_targets, &Continuation::Unbound)
     };
     let reservation = router.try_reserve(&query, routed.prompt_tokens(), false).ok()?;
     let attempt = SentAttempt::begin(router, &reservation);
@@ -207,6 +206,7 @@
     stream.began_ms = Some(stream.last_data_ms);
     if let Some(response) = &mut stream.response {
         response.reservation.note_prompt_read();
+        stream.routed.begin_stream(response.reservation.software.clone());
     }
     let first_response_ms = stream.router.now_ms().saturating_sub(stream.sent_ms);
     record_answer(&stream.routed, stream.target.as_str(), stream.head.status, first_response_ms);
@@ -263,12 +263,12 @@
                 }
                 NextData::End => {
                     self.record_answer();
-                    self.record_end("whole");
+                    self.record_end("whole", None);
                     return None;
                 }
                 NextData::Failed(failure) => {
-                    if !self.resume(failure).await {
-                        self.record_end(events::failure_name(failure));
+                    if let Err(reason) = self.resume(failure).await {
+                        self.record_end(events::failure_name(failure), reason);
                         return Some(Err(web::Error::Broken));
                     }
                 }
@@ -298,10 +298,11 @@
         }
     }
 
-    fn record_end(&self, ending: &str) {
+    fn record_end(&self, ending: &str, reason: Option<RefusalReason>) {
         let elapsed_ms = self.routed.elapsed_ms(&self.router);
         let longest_gap_ms = self.longest_gap_ms;
-        let event = RequestEvent::StreamEnded { ending, longest_gap_ms, elapsed_ms };
+        let reason = reason.map(RefusalReason::text);
+        let event = RequestEvent::StreamEnded { ending, reason, longest_gap_ms, elapsed_ms };
         events::emit(&self.routed.info.id, &event);
         metrics::counter!("fescuebay_streams_ended_total", "how" => ending.to_owned()).increment(1);
     }
@@ -360,19 +361,7 @@
 
     fn has_other_target(&self) -> bool {
         let Some(response) = &self.response else { return true };
-        let avoided_targets = [response.reservation.target.clone()];
-        let query = TargetQuery {
-            service: &self.routed.service,
-            model: self.routed.info.model.as_ref(),
-            prompt_prefix: None,
-            avoided_targets: &avoided_targets,
-            salt: 0,
-        };
-        self.router.balancer.borrow().has_other_target(
-            self.router.now_ms(),
-            &query,
-            &response.reservation.target,
-        )
+        self.routed.has_other_target(&self.router, &response.reservation.target)
     }
 
     /// Returns the connection to the pool after a complete response.
@@ -400,11 +389,14 @@
         head.status.is_success() && content_type(head) == content_type(&self.head)
     }
 
-    /// Resumes the stream at another target. Returns whether it could be resumed.
-    async fn resume(&mut self, failure: AttemptFailure) -> bool {
+    /// Resumes the stream at another target.
+    ///
+    /// # Errors
+    /// It cannot be resumed; with the reason if there was no target for it.
+    async fn resume(&mut self, failure: AttemptFailure) -> Result<(), Option<RefusalReason>> {
         // The old connection is closed first, so that two targets do not generate the same stream
         // at the same time.
-        let Some(old) = self.response.take() else { return false };
+        let Some(old) = self.response.take() else { return Err(None) };
         let mut attempt = SentAttempt {
             sent_ms: old.sent_ms,
             has_answered: self.has_answered,
@@ -417,11 +409,11 @@
             let (router, routed) = (&self.router, &self.routed);
             let can_retry = proxy::handle_failure(router, routed, &attempt, failure).is_ok();
             if !can_retry || !self.is_resumable() {
-                return false;
+                return Err(None);
             }
             let since_ms = router.now_ms();
             let reserved = poison::reserve_permitted(router, routed, since_ms).await;
-            let Ok(reservation) = reserved else { return false };
+            let reservation = reserved.map_err(Some)?;
             attempt = SentAttempt::begin(router, &reservation);
             match proxy::send_attempt(router, routed, reservation, self.events.last_id()).await {
                 Ok(response) if self.can_go_on_with(&response.head) => {
@@ -435,7 +427,7 @@
                     self.response = Some(response);
                     self.has_answered = false;
                     self.began_ms = None;
-                    return true;
+                    return Ok(());
                 }
                 Ok(_) => failure = AttemptFailure::ErrorStatus,
                 Err(failed) => failure = failed,
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -4,6 +4,7 @@
 
 use super::attempt::RoutedRequest;
 use super::balancer::{TargetChoice, TargetQuery};
+use super::continuation::Continuation;
 use super::queue::{WaiterId, WaitingRequest};
 use super::refusal::RefusalReason;
 use super::reservation::SlotReservation;
@@ -23,12 +24,11 @@
     since_ms: u64,
 ) -> Result<SlotReservation, RefusalReason> {
     let avoided_targets = routed.avoided_targets.borrow().clone();
+    let continuation = routed.continuation.borrow().clone();
     let query = TargetQuery {
-        service: &routed.service,
-        model: routed.info.model.as_ref(),
         prompt_prefix: routed.prompt_prefix(),
-        avoided_targets: &avoided_targets,
         salt: router.next_salt(),
+        ..routed.query(&avoided_targets, &continuation)
     };
     let mut choice = router.try_reserve(&query, routed.prompt_tokens(), true);
     if let Err(reason @ TargetChoice::AwaitPermit { has_alternative: true, .. }) = choice {
@@ -85,6 +85,7 @@
         prompt_prefix: query.prompt_prefix,
         prompt_tokens: routed.prompt_tokens(),
         avoided_targets: query.avoided_targets.to_vec(),
+        continuation: query.continuation.clone(),
         rank: routed.route.rank,
         respond_by_ms: routed.arrived_ms + routed.route.latency_target_ms,
         give_up_ms,
@@ -107,7 +108,10 @@
 ) -> RefusalReason {
     let now_ms = router.now_ms();
     match reason {
-        TargetChoice::NoTarget => RefusalReason::NoTargets,
+        TargetChoice::NoTarget if *query.continuation == Continuation::Unbound => {
+            RefusalReason::NoTargets
+        }
+        TargetChoice::NoTarget => RefusalReason::NoTargetOfVersion,
         TargetChoice::AllPaused { resumes_at_ms } => {
             RefusalReason::AllPaused { resumes_in_ms: resumes_at_ms.saturating_sub(now_ms) }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -253,6 +253,7 @@
                 model: waiter.model.as_ref(),
                 prompt_prefix: waiter.prompt_prefix,
                 avoided_targets: &waiter.avoided_targets,
+                continuation: &waiter.continuation,
                 salt: self.salt.get(),
             };
             let permit_use = PermitUse { claims: Some(&claims), may_await: waiter.may_await };
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use fescuebay::gateway::balancer::{Balancer, TargetChoice, TargetQuery};
+use fescuebay::gateway::continuation::Continuation;
 use fescuebay::gateway::queue::{RequestQueue, WaitingRequest};
 use fescuebay::gateway::retry::{
     AttemptFailure, FailedAttempt, RequestFailure, RetryDecision, decide_retry,
@@ -47,6 +48,7 @@
         model: None,
         prompt_prefix: None,
         avoided_targets,
+        continuation: &Continuation::Unbound,
         salt: 1,
     };
     match balancer.choose(now_ms, &query) {
@@ -88,6 +90,7 @@
             model: None,
             prompt_prefix: None,
             avoided_targets: &[],
+            continuation: &Continuation::Unbound,
             salt,
         };
         if let TargetChoice::Selected(at) = balancer.choose(0, &query) {
@@ -164,6 +167,7 @@
         model: Some(&other),
         prompt_prefix: None,
         avoided_targets: &[],
+        continuation: &Continuation::Unbound,
         salt: 1,
     };
     assert_eq!(balancer.choose(0, &query), TargetChoice::NoReplica);
@@ -184,6 +188,7 @@
         model: Some(&model),
         prompt_prefix: None,
         avoided_targets: &[],
+        continuation: &Continuation::Unbound,
         salt: 1,
     };
     let shown = [entry("t1", "a", 6)];
@@ -256,6 +261,7 @@
             prompt_prefix: None,
             prompt_tokens: 0,
             avoided_targets: Vec::new(),
+            continuation: Continuation::Unbound,
             rank,
             respond_by_ms: 0,
         };
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -4,6 +4,7 @@
 
 use fescuebay::coordinator::follow::Follower as _;
 use fescuebay::gateway::balancer::{Balancer, TargetChoice, TargetQuery};
+use fescuebay::gateway::continuation::Continuation;
 use fescuebay::ids::Incarnation;
 use fescuebay::membership::table::TargetEntry;
 
@@ -144,6 +145,7 @@
             model: None,
             prompt_prefix: None,
             avoided_targets: &[],
+            continuation: &Continuation::Unbound,
             salt: 1,
         };
         let (target, incarnation) = ("a".parse().unwrap(), Incarnation(1));
--- a/tests/gateway_pauses.rs
+++ b/tests/gateway_pauses.rs
@@ -5,6 +5,7 @@
 use fescuebay::gateway::RequestProtocol as _;
 use fescuebay::gateway::availability::{Availability, AvailabilityMap, MAX_RESTRICTED_TARGETS};
 use fescuebay::gateway::balancer::{Balancer, TargetChoice, TargetQuery};
+use fescuebay::gateway::continuation::Continuation;
 use fescuebay::ids::{Incarnation, ServiceName, TargetId};
 use fescuebay::membership::table::TargetEntry;
 use fescuebay::platform;
@@ -112,6 +113,7 @@
         model: None,
         prompt_prefix: None,
         avoided_targets: &[],
+        continuation: &Continuation::Unbound,
         salt: 1,
     };
     balancer.choose(now_ms, &query)
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -82,7 +82,7 @@
         let mut replicas: Vec<Replica> = models.iter().map(replica).collect();
         replicas.sort();
         TargetEntry {
-            software: None,
+            software: Some("v1".parse().unwrap()),
             target: self.id.parse().unwrap(),
             incarnation: Incarnation(1),
             kind: Kind::Application,
