--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -1,7 +1,7 @@
 //! The replicated commands that change the control state.
 
 use crate::config;
-use crate::control::{departures, jobs, orders, outcomes, owner, poison, records};
+use crate::control::{departures, jobs, orders, outcomes, owner, poison, records, software};
 use crate::routes;
 
 /// An entry of the log. New variants of its enums go at the end: entries outlive a release.
@@ -51,6 +51,8 @@
     Orders(orders::Command),
     /// The announced departure of a target.
     Departures(departures::Command),
+    /// The software versions of targets.
+    Software(software::Command),
 }
 
 /// The result of a [`Command`].
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -5,12 +5,14 @@
 use crate::config;
 use crate::consensus;
 use crate::control::commands::{Command, Entry, Limits, Outcome};
-use crate::control::{departures, jobs, orders, outcomes, owner, poison, queries, records};
+use crate::control::{
+    departures, jobs, orders, outcomes, owner, poison, queries, records, software,
+};
 use crate::ids::LogIndex;
 use crate::routes;
 
 /// The snapshot format; raised when an older release could not read new snapshots.
-const FORMAT: u32 = 5;
+const FORMAT: u32 = 6;
 /// The oldest readable format. It lacks the document of routes.
 const OLDEST_FORMAT: u32 = 1;
 /// The last format without unconfirmed deaths of the poison list; it ends with the routes.
@@ -19,6 +21,8 @@
 const FORMAT_WITHOUT_ORDERS: u32 = 3;
 /// The last format without departures of targets; it ends with the sender of orders.
 const FORMAT_WITHOUT_DEPARTURES: u32 = 4;
+/// The last format without software versions of targets; it ends with the departures.
+const FORMAT_WITHOUT_SOFTWARE: u32 = 5;
 
 /// The context in which commands are applied and queries are answered.
 #[derive(Clone, Copy, Debug)]
@@ -51,9 +55,12 @@
     /// The daemon that sends orders to engines; encoded after the unconfirmed poison deaths.
     #[serde(skip)]
     pub orders: orders::State,
-    /// Departures of targets; the last part of a snapshot.
+    /// Departures of targets; encoded after the sender of orders.
     #[serde(skip)]
     pub departures: departures::State,
+    /// Software versions of targets; the last part of a snapshot.
+    #[serde(skip)]
+    pub software: software::State,
 }
 
 impl State {
@@ -80,6 +87,7 @@
             routes: self.routes.clone(),
             orders: self.orders.clone(),
             departures: self.departures.clone(),
+            software: self.software.clone(),
         }
     }
 
@@ -114,6 +122,10 @@
                 self.departures.apply(command);
                 Outcome::Done
             }
+            Command::Software(command) => {
+                self.software.apply(command);
+                Outcome::Done
+            }
         };
         self.count();
         outcome
@@ -168,7 +180,9 @@
         let bytes = postcard::to_extend(&self.0.poison.unconfirmed_deaths, bytes);
         let bytes = bytes.expect("a list of names can be encoded");
         let bytes = postcard::to_extend(&self.0.orders, bytes).expect("a name can be encoded");
-        postcard::to_extend(&self.0.departures, bytes).expect("names and numbers can be encoded")
+        let bytes = postcard::to_extend(&self.0.departures, bytes);
+        let bytes = bytes.expect("names and numbers can be encoded");
+        postcard::to_extend(&self.0.software, bytes).expect("a list of names can be encoded")
     }
 }
 
@@ -232,7 +246,10 @@
             (state.orders, rest) = take(rest)?;
         }
         if format > FORMAT_WITHOUT_DEPARTURES {
-            (state.departures, _) = take(rest)?;
+            (state.departures, rest) = take(rest)?;
+        }
+        if format > FORMAT_WITHOUT_SOFTWARE {
+            (state.software, _) = take(rest)?;
         }
         state.records.rebuild_indexes();
         state.jobs.rebuild_indexes();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,5 +19,6 @@
 pub mod records;
 pub mod shards;
 pub mod single;
+pub mod software;
 
 pub use machine::Machine;
--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -8,7 +8,7 @@
 use super::loads;
 use super::message::{self, Reply, Request, WatchRequest, WatchResponse};
 use crate::clock::BootClock;
-use crate::ids::{DaemonId, Term};
+use crate::ids::{DaemonId, ServiceName, Term};
 use crate::membership::feed;
 use crate::placement::swap::demand;
 use crate::poison::message::Statement;
@@ -43,6 +43,10 @@
     /// Applies what is known of requests that may crash targets.
     fn apply_suspects(&self, told: &[Statement]);
 
+    /// Applies which services have targets of more than one software version, before the route table that
+    /// shows them.
+    fn apply_mixed_services(&self, services: &[ServiceName]);
+
     /// Handles a change of the leader. The new one may not know all targets yet.
     fn handle_leader_change(&self);
 
@@ -61,6 +65,7 @@
     /// What targets last said of their rate limits.
     pub rate_limits: RefCell<Statements>,
     suspects_cursor: RefCell<feed::FeedCursor>,
+    mixed_services_cursor: RefCell<feed::FeedCursor>,
     /// What the leader said last of requests that may crash targets.
     pub suspects: RefCell<Registry>,
     version: RefCell<Option<routes::Version>>,
@@ -80,6 +85,7 @@
             rate_limits_cursor: RefCell::default(),
             rate_limits: RefCell::default(),
             suspects_cursor: RefCell::default(),
+            mixed_services_cursor: RefCell::default(),
             suspects: RefCell::default(),
             version: RefCell::default(),
             heard_ms: RefCell::default(),
@@ -113,6 +119,7 @@
             loads: *state.loads.borrow(),
             rate_limits: *state.rate_limits_cursor.borrow(),
             suspects: *state.suspects_cursor.borrow(),
+            mixed_services: *state.mixed_services_cursor.borrow(),
             routes: *state.version.borrow(),
             usage: follower.usage(),
         };
@@ -180,6 +187,10 @@
         state.suspects.replace(Registry::from_statements(state.clock.now_ms(), told));
         follower.apply_suspects(told);
     }
+    if let Some((cursor, services)) = &response.mixed_services {
+        state.mixed_services_cursor.replace(*cursor);
+        follower.apply_mixed_services(services);
+    }
     state.loads.replace(response.loads.cursor);
     follower.apply_loads(response.routers, &response.loads);
     let followed = state.feed.borrow_mut().apply(response.batch);
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -2,6 +2,7 @@
 
 mod orders;
 mod permits;
+mod software;
 mod suspects;
 mod targets;
 mod updates;
@@ -13,6 +14,8 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
+pub use self::software::SoftwareRecord;
+use self::software::UnrecordedSoftware;
 pub use self::targets::AckCondition;
 use self::targets::Cause;
 use super::EngineClient;
@@ -61,6 +64,8 @@
     pub find_departure: DepartureLookup,
     /// Records the departure of a target in the background.
     pub record_departure: Rc<dyn Fn(departures::Command)>,
+    /// The software versions on record.
+    pub software: Rc<dyn SoftwareRecord>,
 }
 
 /// The leader of one term.
@@ -79,6 +84,9 @@
     /// What may crash targets, and the number of changes of it.
     suspects: RefCell<Registry>,
     suspects_cursor: Cell<FeedCursor>,
+    /// Software versions that are not on record, and the number of changes of the services with several.
+    unrecorded: RefCell<UnrecordedSoftware>,
+    mixed_services_cursor: Cell<FeedCursor>,
     /// Routers and when they last asked for news, sorted.
     routers: RefCell<Vec<(DaemonId, u64)>>,
     /// The document in force, encoded for routers.
@@ -116,6 +124,8 @@
             rate_limits_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
             suspects: RefCell::default(),
             suspects_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
+            unrecorded: RefCell::default(),
+            mixed_services_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
             routers: RefCell::default(),
             document: RefCell::default(),
             update_count: watch::Sender::new(0),
@@ -128,6 +138,7 @@
             tasks: RefCell::default(),
             context,
         });
+        leader.handle_software_change();
         let checking = tokio::task::spawn_local(check_silence(Rc::clone(&leader)));
         let planning = tokio::task::spawn_local(run_planners(Rc::clone(&leader)));
         leader.tasks.borrow_mut().extend([checking, planning]);
@@ -254,6 +265,7 @@
         let effects = leader.directory.borrow_mut().tick(now_ms);
         leader.apply_effects(effects, Cause::Silence);
         leader.loads.borrow_mut().remove_silent_routers(now_ms);
+        leader.remove_absent_software(now_ms);
         for (_, planner) in leader.planners.borrow_mut().iter_mut() {
             for (target, what) in planner.take_blocked_engines(BLOCKED_LOG_MS) {
                 log::warn!("engine {target} takes no new work: {what}");
--- a/src/coordinator/leader/targets.rs
+++ b/src/coordinator/leader/targets.rs
@@ -208,6 +208,8 @@
 
     /// Appends changes to the feed, except those without effect.
     pub(super) fn push_changes(&self, changes: Vec<TableChange>) {
+        let changes: Vec<TableChange> =
+            changes.into_iter().map(|change| self.withhold_unrecorded(change)).collect();
         let mut feed = self.feed.borrow_mut();
         let is_new = |change: &TableChange| match change {
             TableChange::Put(entry) => feed.table().find(&entry.target) != Some(entry),
--- a/src/coordinator/leader/updates.rs
+++ b/src/coordinator/leader/updates.rs
@@ -92,6 +92,12 @@
             || self.has_document_for(watch)
             || self.has_rate_limits_for(watch)
             || self.has_suspects_for(watch)
+            || self.has_mixed_services_for(watch)
+    }
+
+    /// Whether a follower was told other services with several software versions.
+    fn has_mixed_services_for(&self, watch: &WatchRequest) -> bool {
+        self.mixed_services_cursor.get() != watch.mixed_services
     }
 
     /// Whether a follower has other statements of targets on their rate limits. Voters keep them
@@ -141,6 +147,9 @@
                 let now_ms = self.context.clock.now_ms();
                 (self.suspects_cursor.get(), self.suspects.borrow().statements(now_ms))
             }),
+            mixed_services: self
+                .has_mixed_services_for(watch)
+                .then(|| (self.mixed_services_cursor.get(), self.mixed_services())),
             voters,
         }
     }
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -6,8 +6,10 @@
 use super::takeover::LastOrder;
 use crate::consensus::entry::VoterId;
 use crate::consensus::formation;
-use crate::ids::{DaemonId, Incarnation, TargetId, Term};
+use crate::ids::{DaemonId, Incarnation, ServiceName, TargetId, Term};
 use crate::membership::feed;
+use crate::origins::StreamKey;
+use crate::origins::message::{BegunStreams, Origin, OriginQuery};
 use crate::placement::swap::demand;
 use crate::poison;
 use crate::rate_limit::message::{PermitAsk, PermitGrant, TargetStatement};
@@ -46,6 +48,14 @@
     /// What a router saw of requests that may crash targets, and what it wants to send. The leader
     /// answers.
     Poison(Box<poison::message::Report>),
+    /// Streams that began at a router. The leader remembers them and passes them on.
+    RecordStreams(Vec<BegunStreams>),
+    /// Streams that began, as the leader was told. Any voter remembers them.
+    CopyStreams(Vec<BegunStreams>),
+    /// Who began these streams? The leader answers.
+    FindStreams(Vec<OriginQuery>),
+    /// Who began these streams, as far as this voter remembers? Any voter answers.
+    RecallStreams(Vec<StreamKey>),
 }
 
 /// A follower's long poll for updates. It also serves as its heartbeat.
@@ -62,6 +72,8 @@
     pub rate_limits: feed::FeedCursor,
     /// Its position in the changes of what may crash targets.
     pub suspects: feed::FeedCursor,
+    /// Its position in the changes of the services with more than one software version.
+    pub mixed_services: feed::FeedCursor,
     /// The document that it has, if any.
     pub routes: Option<routes::Version>,
     /// The requests waiting and running at it.
@@ -89,6 +101,9 @@
     /// The leader's position in the changes of what may crash targets, and all of it, if the follower
     /// is at another position.
     pub suspects: Option<(feed::FeedCursor, Vec<poison::message::Statement>)>,
+    /// The leader's position in the changes of the services with more than one software version, and all
+    /// of them, if the follower is at another position. They are never older than the route table.
+    pub mixed_services: Option<(feed::FeedCursor, Vec<ServiceName>)>,
     /// The voters.
     pub voters: Vec<DaemonId>,
 }
@@ -153,6 +168,10 @@
     Permits(Vec<PermitGrant>),
     /// To [`Request::Poison`].
     Poison(poison::message::Permission),
+    /// To [`Request::FindStreams`], in the order of the queries.
+    Origins(Vec<Origin>),
+    /// To [`Request::RecallStreams`]: the streams that this voter remembers.
+    Recalled(Vec<BegunStreams>),
 }
 
 /// Encodes a request or a reply.
--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -12,6 +12,7 @@
 use super::voter::{self, PeerHandler, Voter};
 use super::{EngineClient, Error, Result, api, daemon_at, follow, loads};
 use crate::clock::BootClock;
+use crate::ids::ServiceName;
 use crate::membership::{feed, targets};
 use crate::peer;
 use crate::placement::swap::{self, demand};
@@ -56,6 +57,8 @@
 
     fn apply_suspects(&self, _told: &[Statement]) {}
 
+    fn apply_mixed_services(&self, _services: &[ServiceName]) {}
+
     fn handle_leader_change(&self) {}
 
     fn apply_loads(&self, _routers: u32, _changes: &loads::LoadChanges) {}
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -2,6 +2,7 @@
 
 mod membership;
 mod orders;
+mod origins;
 
 use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
@@ -24,6 +25,8 @@
 use crate::control::{self, commands};
 use crate::ids::{DaemonId, GroupId, Incarnation};
 use crate::membership::targets;
+use crate::origins::message::BegunStreams;
+use crate::origins::store::OriginStore;
 use crate::peer;
 use crate::placement::swap;
 use crate::routes;
@@ -84,6 +87,9 @@
     unformed: RefCell<Option<VoterId>>,
     is_membership_changing: Cell<bool>,
     membership_requests: RefCell<members::Requests>,
+    /// Streams that began, and those that are not passed on to the other voters yet.
+    origins: RefCell<OriginStore>,
+    copies: RefCell<Vec<BegunStreams>>,
     /// The losses of voters that the group bore when this voter last told so as the leader.
     tolerated_losses: Cell<Option<usize>>,
 }
@@ -118,6 +124,8 @@
             unformed: RefCell::default(),
             is_membership_changing: Cell::new(false),
             membership_requests: RefCell::default(),
+            origins: RefCell::default(),
+            copies: RefCell::default(),
             tolerated_losses: Cell::new(None),
         })
     }
@@ -241,6 +249,7 @@
             find_departure: Rc::new(move |target, life| {
                 machine.borrow().state().departures.find(target, life)
             }),
+            software: Rc::new(origins::LoggedSoftware { voter: Rc::downgrade(self) }),
         };
         let leader = Leader::start(now.term, context, &entries);
         leader.inherit_rate_limits(&self.following.rate_limits.borrow());
@@ -307,6 +316,8 @@
             return match request {
                 Request::Status => self.status(),
                 Request::LastOrder(term) => Reply::LastOrder(self.last_order(term)),
+                Request::CopyStreams(begun) => self.answer_copy(&begun),
+                Request::RecallStreams(streams) => self.answer_recall(&streams),
                 _ => self.not_leader(),
             };
         };
@@ -344,6 +355,13 @@
                 Some(permission) => Reply::Poison(permission),
                 None => Reply::NotLeader(None),
             },
+            Request::RecordStreams(begun) => {
+                self.record_streams(begun);
+                Reply::Done
+            }
+            Request::CopyStreams(begun) => self.answer_copy(&begun),
+            Request::RecallStreams(streams) => self.answer_recall(&streams),
+            Request::FindStreams(queries) => self.find_streams(&queries).await,
             Request::Watch(watch) => match leader.answer_watch(from, *watch, self.voters()).await {
                 Some(news) => Reply::Watch(Box::new(news)),
                 None => Reply::NotLeader(None),
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -4,6 +4,7 @@
 
 use super::state::RouterState;
 use crate::coordinator::{follow, loads};
+use crate::ids::ServiceName;
 use crate::membership::{feed, table};
 use crate::placement::swap::demand;
 use crate::poison::message::Statement;
@@ -50,11 +51,17 @@
         self.dispatch_waiting();
     }
 
+    fn apply_mixed_services(&self, services: &[ServiceName]) {
+        self.set_mixed_services(services);
+    }
+
     fn handle_leader_change(&self) {
         self.discovery_since_ms.set(Some(self.now_ms()));
         self.balancer.borrow_mut().permits_mut().forget_told();
         self.poison.borrow_mut().begin_leader();
         self.poison_observed.notify_one();
+        self.recent_streams.borrow_mut().begin_leader();
+        self.streams_begun.notify_one();
     }
 
     fn apply_suspects(&self, told: &[Statement]) {
@@ -64,6 +71,7 @@
     fn apply_loads(&self, routers: u32, changes: &loads::LoadChanges) {
         self.last_update_ms.set(Some(self.now_ms()));
         self.budget.borrow_mut().set_routers(routers);
+        self.set_report_pause(routers);
         let mut balancer = self.balancer.borrow_mut();
         balancer.apply_load_totals(changes);
         balancer.permits_mut().set_routers(routers);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod event_buffer;
 pub mod events;
 mod follower;
+mod origins;
 mod permits;
 mod poison;
 mod pool;
--- /dev/null
+++ b/src/gateway/origins.rs
@@ -0,0 +1,172 @@
+//! Tells the leader of streams that begin at this router, and asks it who began a stream that a caller takes
+//! up again.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::refusal::RefusalReason;
+use super::state::RouterState;
+use super::{RequestInfo, wait_limit};
+use crate::coordinator::client::VoterClient;
+use crate::coordinator::message::{Reply, Request};
+use crate::ids::SoftwareVersion;
+use crate::origins::StreamKey;
+use crate::origins::message::{BegunStreams, Origin, OriginQuery, Writer};
+use crate::routes::Route;
+
+/// Pause before the leader is told of streams, so that a burst causes one message.
+const MIN_REPORT_PAUSE_MS: u64 = 20;
+/// The pause grows by one millisecond for each of this many routers, up to the upper bound.
+const ROUTERS_PER_MS: u64 = 2;
+const MAX_REPORT_PAUSE_MS: u64 = 200;
+/// Timeout of telling the leader.
+const REPORT_TIMEOUT_MS: u64 = 600;
+/// Pause before a report that no leader took is sent again.
+const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before the leader is asked, so that a burst causes one message.
+const ASK_PAUSE: Duration = Duration::from_millis(2);
+/// Timeout of asking the leader.
+const ASK_TIMEOUT_MS: u64 = 400;
+/// Pauses before the leader is asked again about a stream of which it knows nothing: another router may be
+/// about to tell it. Together they are longer than the time that this takes.
+const UNKNOWN_RETRY_PAUSES: [Duration; 2] =
+    [Duration::from_millis(100), Duration::from_millis(250)];
+/// Pause before the leader is asked again if none answered.
+const LEADER_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// A query that waits for the leader, and where its answer goes.
+pub(super) struct WaitingQuery {
+    query: OriginQuery,
+    answer: oneshot::Sender<Option<Origin>>,
+}
+
+/// Finds out who began a stream that a caller takes up again.
+///
+/// # Errors
+/// Why the stream can't be continued.
+pub(super) async fn find_writer(
+    router: &RouterState,
+    route: &Route,
+    info: &RequestInfo,
+    arrived_ms: u64,
+    deadline_ms: u64,
+) -> Result<Writer, RefusalReason> {
+    let limit_ms = wait_limit::max_origin_wait_ms(route, deadline_ms.saturating_sub(arrived_ms));
+    let services: Vec<_> = route.destinations.iter().map(|share| share.service.clone()).collect();
+    let stream = info.began_with.as_deref().and_then(StreamKey::of);
+    let query = OriginQuery { stream, services };
+    let mut unknown_pauses = UNKNOWN_RETRY_PAUSES.into_iter();
+    loop {
+        let pause = match ask(router, query.clone()).await {
+            Some(Origin::Known(writer)) => return check_allowed(route, writer),
+            Some(Origin::Unknown) => unknown_pauses.next().ok_or(RefusalReason::UnknownOrigin)?,
+            None => LEADER_RETRY_PAUSE,
+        };
+        if router.now_ms() >= arrived_ms + limit_ms {
+            return Err(RefusalReason::UnknownOrigin);
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// The service may not be one of the route any more.
+fn check_allowed(route: &Route, writer: Writer) -> Result<Writer, RefusalReason> {
+    let is_allowed = route.destinations.iter().any(|share| share.service == writer.service);
+    if is_allowed { Ok(writer) } else { Err(RefusalReason::NoTargetOfVersion) }
+}
+
+/// Asks the leader together with other requests; `None` if none answered.
+async fn ask(router: &RouterState, query: OriginQuery) -> Option<Origin> {
+    let (answer, answered) = oneshot::channel();
+    router.origin_queries.borrow_mut().push(WaitingQuery { query, answer });
+    router.origins_wanted.notify_one();
+    answered.await.ok().flatten()
+}
+
+/// Asks the leader the queries that wait.
+pub(super) async fn ask_origins(client: Rc<VoterClient>, router: Rc<RouterState>) {
+    loop {
+        router.origins_wanted.notified().await;
+        tokio::time::sleep(ASK_PAUSE).await;
+        let waiting = router.origin_queries.take();
+        if waiting.is_empty() {
+            continue;
+        }
+        let request =
+            Request::FindStreams(waiting.iter().map(|waiting| waiting.query.clone()).collect());
+        let answers = match client.ask_leader(&request, ASK_TIMEOUT_MS, ASK_TIMEOUT_MS).await {
+            Ok(Reply::Origins(origins)) => origins,
+            other => {
+                log::info!(queries = waiting.len(); "no leader knows who began streams: {:?}", other.err());
+                Vec::new()
+            }
+        };
+        let mut answers = answers.into_iter();
+        for WaitingQuery { answer, .. } in waiting {
+            // The request may have been cancelled meanwhile.
+            let _ = answer.send(answers.next());
+        }
+    }
+}
+
+/// Tells the leader of streams that began here.
+pub(super) async fn report_streams(client: Rc<VoterClient>, router: Rc<RouterState>) {
+    loop {
+        router.streams_begun.notified().await;
+        tokio::time::sleep(Duration::from_millis(router.report_pause_ms.get())).await;
+        while router.recent_streams.borrow().has_report() {
+            let report = router.recent_streams.borrow_mut().take_report();
+            if !tell(&client, &report).await {
+                router.recent_streams.borrow_mut().put_back(&report);
+                tokio::time::sleep(REPORT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn tell(client: &VoterClient, report: &[BegunStreams]) -> bool {
+    let request = Request::RecordStreams(report.to_vec());
+    match client.ask_leader(&request, REPORT_TIMEOUT_MS, REPORT_TIMEOUT_MS).await {
+        Ok(Reply::Done) => true,
+        other => {
+            log::info!("no leader takes who began streams: {:?}", other.err());
+            metrics::counter!("fescuebay_stream_reports_lost_total").increment(1);
+            false
+        }
+    }
+}
+
+impl RouterState {
+    /// Remembers who writes the first events of a stream.
+    pub(super) fn record_begun_stream(
+        &self,
+        route: &Route,
+        info: &RequestInfo,
+        service: &crate::ids::ServiceName,
+        software: Option<&SoftwareVersion>,
+    ) {
+        let began_with = info.began_with.as_deref().unwrap_or(&info.id);
+        let (Some(stream), Some(software)) = (StreamKey::of(began_with), software) else { return };
+        let writer = Writer { service: service.clone(), software: software.clone() };
+        let is_split = route.destinations.len() > 1;
+        let now_ms = self.now_ms();
+        if self.recent_streams.borrow_mut().record(now_ms, stream, writer, is_split) {
+            self.streams_begun.notify_one();
+        }
+    }
+
+    /// Applies which services have several software versions.
+    pub(super) fn set_mixed_services(&self, services: &[crate::ids::ServiceName]) {
+        log::info!(services:? = services; "services with several software versions");
+        self.recent_streams.borrow_mut().set_mixed(services.to_vec());
+        self.streams_begun.notify_one();
+    }
+
+    /// The more routers there are, the longer each of them collects streams.
+    pub(super) fn set_report_pause(&self, routers: u32) {
+        let pause_ms = u64::from(routers) / ROUTERS_PER_MS;
+        self.report_pause_ms.set(pause_ms.clamp(MIN_REPORT_PAUSE_MS, MAX_REPORT_PAUSE_MS));
+    }
+}
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -1,6 +1,7 @@
 //! Handles one request of a caller: finds its route, sends attempts to targets, and produces the
 //! response.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,15 +12,18 @@
 use rand::Rng as _;
 
 use super::attempt::{RoutedRequest, SentAttempt, TargetResponse};
+use super::continuation::Continuation;
 use super::events::{self, RequestEvent};
 use super::refusal::{self, RefusalReason};
 use super::reservation::SlotReservation;
 use super::retry::{self, AttemptFailure, FailedAttempt, RequestFailure, RetryDecision};
 use super::state::RouterState;
-use super::{AttemptOptions, ConnectionUse, ResponseClass, poison, relay, wait_limit};
-use crate::ids::{self, TargetId};
+use super::{
+    AttemptOptions, ConnectionUse, RequestInfo, ResponseClass, origins, poison, relay, wait_limit,
+};
+use crate::ids::{self, ServiceName, TargetId};
 use crate::poison::{ContentHash, Subject};
-use crate::routes::{self, index};
+use crate::routes::{self, Route, index};
 use crate::web::client::Connection;
 use crate::web::server::Answer;
 use crate::web::{self, Body};
@@ -38,6 +42,20 @@
 /// Pause before a request is retried after a target declined to run it.
 const RETRY_PAUSE_MS: u64 = 15;
 
+/// Why a request has no route and no service.
+enum NotRouted {
+    /// It is refused.
+    Refused(RefusalReason),
+    /// The caller closed the connection.
+    CallerLeft,
+}
+
+impl From<RefusalReason> for NotRouted {
+    fn from(reason: RefusalReason) -> Self {
+        NotRouted::Refused(reason)
+    }
+}
+
 /// Handles one request of a caller.
 pub(super) async fn handle_request(
     router: Rc<RouterState>,
@@ -46,40 +64,43 @@
     let arrived_ms = router.now_ms();
     let (head, body) = request.into_parts();
     let info = router.protocol.read_request(&head.headers);
-    let refuse = |reason| {
-        let elapsed_ms = router.now_ms().saturating_sub(arrived_ms);
-        Answer::Send(refusal::refuse_unsent(&info.id, reason, elapsed_ms))
-    };
+    let id = info.id.clone();
+    match route_request(&router, head, body, info, arrived_ms).await {
+        Ok(routed) => Answer::Send(answer_routed(router, Rc::new(routed)).await),
+        Err(NotRouted::Refused(reason)) => {
+            let elapsed_ms = router.now_ms().saturating_sub(arrived_ms);
+            Answer::Send(refusal::refuse_unsent(&id, reason, elapsed_ms))
+        }
+        Err(NotRouted::CallerLeft) => Answer::Close,
+    }
+}
+
+/// Finds the route and the service of a request, and reads its body.
+async fn route_request(
+    router: &RouterState,
+    head: http::request::Parts,
+    body: Incoming,
+    info: RequestInfo,
+    arrived_ms: u64,
+) -> Result<RoutedRequest, NotRouted> {
     let limit_ms = wait_limit::max_document_wait_ms(info.caller_timeout_ms.unwrap_or(u64::MAX));
-    let Some(index) = router.document_within(limit_ms).await else {
-        return refuse(RefusalReason::NoDocument);
-    };
-    let Some(route) = index.find(&request_host(&head), head.uri.path()) else {
-        return refuse(RefusalReason::NoRoute);
-    };
+    let index = router.document_within(limit_ms).await.ok_or(RefusalReason::NoDocument)?;
+    let host = request_host(&head);
+    let route = index.find(&host, head.uri.path()).ok_or(RefusalReason::NoRoute)?;
     let timeout_ms = info.caller_timeout_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
-    let left = Duration::from_millis((arrived_ms + timeout_ms).saturating_sub(router.now_ms()));
+    let deadline_ms = arrived_ms + timeout_ms;
+    let left = Duration::from_millis(deadline_ms.saturating_sub(router.now_ms()));
     let limit_bytes = index.document().limits.max_body_bytes;
-    let body = match router.body_reader.collect(body, limit_bytes, left).await {
-        Ok(body) => body,
-        Err(web::Error::TooLarge) => return refuse(RefusalReason::BodyTooLarge),
-        Err(web::Error::Timeout) => return refuse(RefusalReason::BodyTimeout),
-        Err(web::Error::Full) => return refuse(RefusalReason::BodyMemoryFull),
-        // The caller closed the connection.
-        Err(_) => return Answer::Close,
-    };
-    let draw = rand::rng().random();
-    let Some(destination) = index::destination(route, draw) else {
-        return refuse(RefusalReason::NoService);
-    };
-    let content = ContentHash::of(&head.method, &request_host(&head), &head.uri, body.bytes());
-    let service = destination.service.clone();
+    let body = router.body_reader.collect(body, limit_bytes, left).await.map_err(body_failure)?;
+    let content = ContentHash::of(&head.method, &host, &head.uri, body.bytes());
+    let (service, continuation) =
+        choose_service(router, route, &info, arrived_ms, deadline_ms).await?;
     let subjects = Subject::of_request(&service, content, info.shared_parts());
     let routed = RoutedRequest {
         content,
         subjects,
-        is_suspect: std::cell::Cell::new(false),
-        trial: std::cell::RefCell::default(),
+        is_suspect: Cell::new(false),
+        trial: RefCell::default(),
         service,
         route: Rc::new(route.clone()),
         method: head.method,
@@ -87,24 +108,59 @@
         headers: head.headers,
         body,
         arrived_ms,
-        deadline_ms: arrived_ms + timeout_ms,
-        avoided_targets: std::cell::RefCell::default(),
-        continuation: std::cell::RefCell::default(),
-        possible_runs: std::cell::Cell::new(0),
-        attempts: std::cell::Cell::new(0),
+        deadline_ms,
+        avoided_targets: RefCell::default(),
+        continuation: RefCell::new(continuation),
+        possible_runs: Cell::new(0),
+        attempts: Cell::new(0),
         info,
     };
-    record_admission(&router, &routed, index.document());
-    let routed = Rc::new(routed);
-    let response = tokio::select! {
+    record_admission(router, &routed, index.document());
+    Ok(routed)
+}
+
+fn body_failure(error: web::Error) -> NotRouted {
+    match error {
+        web::Error::TooLarge => NotRouted::Refused(RefusalReason::BodyTooLarge),
+        web::Error::Timeout => NotRouted::Refused(RefusalReason::BodyTimeout),
+        web::Error::Full => NotRouted::Refused(RefusalReason::BodyMemoryFull),
+        _ => NotRouted::CallerLeft,
+    }
+}
+
+/// Chooses the service of a request: at random by the shares of the route, but the one that began the
+/// stream if the caller takes one up again.
+async fn choose_service(
+    router: &RouterState,
+    route: &Route,
+    info: &RequestInfo,
+    arrived_ms: u64,
+    deadline_ms: u64,
+) -> Result<(ServiceName, Continuation), RefusalReason> {
+    if route.kind.is_resumable() && info.last_event_id.is_some() {
+        let writer = tokio::select! {
+            writer = origins::find_writer(router, route, info, arrived_ms, deadline_ms) => writer?,
+            () = router.wait_until_exit_in(RESPONSE_CUTOFF_MS) => {
+                return Err(RefusalReason::ShuttingDown);
+            }
+        };
+        return Ok((writer.service, Continuation::of(Some(writer.software))));
+    }
+    let draw = rand::rng().random();
+    let destination = index::destination(route, draw).ok_or(RefusalReason::NoService)?;
+    Ok((destination.service.clone(), Continuation::Unbound))
+}
+
+/// Answers a request that has a service.
+async fn answer_routed(router: Rc<RouterState>, routed: Rc<RoutedRequest>) -> http::Response<Body> {
+    tokio::select! {
         response = send_until_answered(Rc::clone(&router), Rc::clone(&routed)) => response,
         () = router.wait_until_exit_in(RESPONSE_CUTOFF_MS) => {
             // Every attempt that was sent may still run at its target.
             let failure = retry::request_failure(routed.attempts.get(), false);
             routed.give_up(&router, failure, RefusalReason::ShuttingDown)
         }
-    };
-    Answer::Send(response)
+    }
 }
 
 fn record_admission(router: &RouterState, routed: &RoutedRequest, document: &routes::Document) {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -43,6 +43,8 @@
     /// The service has no target that can continue the stream: of the software version that wrote its
     /// first events.
     NoTargetOfVersion,
+    /// It is not known which software version wrote the first events of the stream.
+    UnknownOrigin,
     /// No target became free in time.
     NoFreeTarget,
     /// All targets that could serve the request are paused.
@@ -82,6 +84,7 @@
             RefusalReason::NoTargetOfVersion => {
                 "no target has the software version that began the stream"
             }
+            RefusalReason::UnknownOrigin => "who began the stream is not known",
             RefusalReason::NoFreeTarget => "no target was free in time",
             RefusalReason::AllPaused { .. } => "all targets ask to be left alone",
             RefusalReason::AllLimited { .. } => "all targets are at their rate limits",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -206,7 +206,12 @@
     stream.began_ms = Some(stream.last_data_ms);
     if let Some(response) = &mut stream.response {
         response.reservation.note_prompt_read();
-        stream.routed.begin_stream(response.reservation.software.clone());
+        let software = response.reservation.software.clone();
+        if stream.is_resumable() {
+            let RoutedRequest { route, info, service, .. } = &*stream.routed;
+            stream.router.record_begun_stream(route, info, service, software.as_ref());
+        }
+        stream.routed.begin_stream(software);
     }
     let first_response_ms = stream.router.now_ms().saturating_sub(stream.sent_ms);
     record_answer(&stream.routed, stream.target.as_str(), stream.head.status, first_response_ms);
@@ -248,7 +253,7 @@
     }
 
     fn is_resumable(&self) -> bool {
-        matches!(self.routed.route.kind, Kind::Stream { is_resumable: true, .. })
+        self.routed.route.kind.is_resumable()
     }
 
     /// Returns the next data for the caller, after a resume if necessary; `None` if the stream is
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use super::state::RouterState;
-use super::{Error, RequestProtocol, Result, poison, proxy, retry_budget};
+use super::{Error, RequestProtocol, Result, origins, poison, proxy, retry_budget};
 use crate::clock::BootClock;
 use crate::coordinator::client::VoterClient;
 use crate::coordinator::message::{Reply, Request};
@@ -78,6 +78,8 @@
     tokio::task::spawn_local(report_demand(Rc::clone(&client), Rc::clone(&router)));
     tokio::task::spawn_local(ask_permits(Rc::clone(&client), Rc::clone(&router)));
     tokio::task::spawn_local(serve_permits(Rc::clone(&router)));
+    tokio::task::spawn_local(origins::ask_origins(Rc::clone(&client), Rc::clone(&router)));
+    tokio::task::spawn_local(origins::report_streams(Rc::clone(&client), Rc::clone(&router)));
     router.voters.replace(Some(client));
     tokio::task::spawn_local(poison::report_observations(Rc::clone(&router)));
     tokio::task::spawn_local(sweep(Rc::clone(&router)));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,11 +13,12 @@
 use super::queue::{RequestQueue, WaiterId, WaitingRequest};
 use super::reservation::SlotReservation;
 use super::retry_budget::{RetryBudget, RetryBudgetSettings};
-use super::{RequestProtocol, TargetNotice, events};
+use super::{RequestProtocol, TargetNotice, events, origins};
 use crate::clock::BootClock;
 use crate::coordinator::client::VoterClient;
 use crate::ids::{Incarnation, ModelRef, TargetId, Zone};
 use crate::membership::feed;
+use crate::origins::recent::RecentStreams;
 use crate::placement::swap::demand;
 use crate::poison::view::View;
 use crate::rate_limit::TargetLife;
@@ -65,6 +66,16 @@
     pub(super) poison_observed: Notify,
     /// Notified when the leader has told of such requests.
     pub(super) standings_changed: Notify,
+    /// Streams that began at this router.
+    pub(super) recent_streams: RefCell<RecentStreams>,
+    /// Notified when the leader may have to be told of streams.
+    pub(super) streams_begun: Notify,
+    /// How long streams are collected before the leader is told.
+    pub(super) report_pause_ms: Cell<u64>,
+    /// Requests that wait to learn who began their streams.
+    pub(super) origin_queries: RefCell<Vec<origins::WaitingQuery>>,
+    /// Notified when the leader should be asked.
+    pub(super) origins_wanted: Notify,
     /// The client of the voters, once the router runs.
     pub(super) voters: RefCell<Option<Rc<VoterClient>>>,
     /// When the process is going to exit, once it is shutting down.
@@ -433,6 +444,11 @@
             poison: RefCell::default(),
             poison_observed: Notify::new(),
             standings_changed: Notify::new(),
+            recent_streams: RefCell::default(),
+            streams_begun: Notify::new(),
+            report_pause_ms: Cell::default(),
+            origin_queries: RefCell::default(),
+            origins_wanted: Notify::new(),
             voters: RefCell::default(),
             exit_at_ms: watch::Sender::new(None),
             salt: Cell::new(rand::random()),
--- a/src/gateway/wait_limit.rs
+++ b/src/gateway/wait_limit.rs
@@ -5,7 +5,7 @@
 //! retries; one that has given up does not.
 
 use super::balancer::TargetChoice;
-use crate::routes::Kind;
+use crate::routes::{Kind, Route};
 
 /// Share of a request's total time that it may wait for a target.
 const MAX_WAIT_SHARE: f64 = 0.45;
@@ -17,6 +17,9 @@
 /// Share of a request's total time that it waits for the first document. This share is separate
 /// because the route of the request is not known yet.
 const DOCUMENT_WAIT_SHARE: f64 = 0.3;
+/// Share of a request's total time that it waits to learn who began its stream: a leader that was lost
+/// is replaced within it.
+const ORIGIN_WAIT_SHARE: f64 = 0.3;
 
 /// A request for which no target is free.
 #[derive(Clone, Copy, Debug)]
@@ -35,7 +38,8 @@
 
 /// Time that the request may wait, from the start of the wait. It is refused at once if this is 0.
 pub fn max_wait_ms(request: &UnplacedRequest) -> u64 {
-    let limit_ms = share_ms(request.total_ms, MAX_WAIT_SHARE).min(last_useful_start_ms(request));
+    let limit_ms = share_ms(request.total_ms, MAX_WAIT_SHARE)
+        .min(last_useful_start_ms(request.kind, request.latency_target_ms));
     match request.reason {
         TargetChoice::NoTarget => {
             let discovery_left_ms = DISCOVERY_MS.saturating_sub(request.discovery_ms.unwrap_or(0));
@@ -55,10 +59,16 @@
     share_ms(total_ms, DOCUMENT_WAIT_SHARE).min(DISCOVERY_MS)
 }
 
+/// Time that a request may wait to learn who began its stream, given its total time.
+pub fn max_origin_wait_ms(route: &Route, total_ms: u64) -> u64 {
+    let useful_ms = last_useful_start_ms(route.kind, route.latency_target_ms);
+    share_ms(total_ms, ORIGIN_WAIT_SHARE).min(useful_ms)
+}
+
 /// Latest time at which a target can start its response before the caller of a stream gives up.
-fn last_useful_start_ms(request: &UnplacedRequest) -> u64 {
-    let start_ms = share_ms(request.latency_target_ms, RESPONSE_START_SHARE);
-    match request.kind {
+fn last_useful_start_ms(kind: Kind, latency_target_ms: u64) -> u64 {
+    let start_ms = share_ms(latency_target_ms, RESPONSE_START_SHARE);
+    match kind {
         Kind::Stream { max_gap_ms, .. } => max_gap_ms.saturating_sub(start_ms),
         Kind::Idempotent | Kind::AtMostOnce => u64::MAX,
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ids;
 pub mod logging;
 pub mod membership;
+pub mod origins;
 pub mod peer;
 pub mod placement;
 #[path = "../platform/mod.rs"]
--- a/src/membership/directory.rs
+++ b/src/membership/directory.rs
@@ -139,6 +139,11 @@
         self.known.iter().map(|known| known.entry.clone()).collect()
     }
 
+    /// The entry of a target as published to routers.
+    pub fn find(&self, target: &TargetId) -> Option<&TargetEntry> {
+        Some(&self.known[self.position(target).ok()?].entry)
+    }
+
     fn position(&self, target: &TargetId) -> Result<usize, usize> {
         self.known.binary_search_by(|known| known.entry.target.cmp(target))
     }
--- /dev/null
+++ b/src/origins/recent.rs
@@ -0,0 +1,99 @@
+//! The streams that began at one router, and which of them the leader has to be told of.
+
+use std::collections::VecDeque;
+
+use super::message::{self, BegunStreams, Writer};
+use super::{REMEMBER_MS, StreamKey};
+use crate::ids::ServiceName;
+
+/// Upper bound of streams that a router remembers. The oldest are dropped first.
+const MAX_STREAMS: usize = 4_096;
+/// Upper bound of streams in one report.
+const MAX_REPORTED: usize = 1_024;
+
+/// A stream that began at this router.
+#[derive(Clone, Debug)]
+struct RecentStream {
+    began_ms: u64,
+    stream: StreamKey,
+    writer: Writer,
+    /// Whether its route leads to several services.
+    is_split: bool,
+    is_told: bool,
+}
+
+/// The streams of one router.
+#[derive(Clone, Debug, Default)]
+pub struct RecentStreams {
+    /// Services in which more than one software version has served, sorted.
+    mixed: Vec<ServiceName>,
+    /// Oldest first.
+    streams: VecDeque<RecentStream>,
+}
+
+impl RecentStreams {
+    /// Remembers a stream that begins. Returns whether the leader has to be told of it.
+    pub fn record(
+        &mut self,
+        now_ms: u64,
+        stream: StreamKey,
+        writer: Writer,
+        is_split: bool,
+    ) -> bool {
+        let is_old = |recent: &RecentStream| now_ms >= recent.began_ms + REMEMBER_MS;
+        while self.streams.front().is_some_and(is_old) || self.streams.len() >= MAX_STREAMS {
+            self.streams.pop_front();
+        }
+        let began_ms = now_ms;
+        let recent = RecentStream { began_ms, stream, writer, is_split, is_told: false };
+        let is_due = self.is_due(&recent);
+        self.streams.push_back(recent);
+        is_due
+    }
+
+    /// Replaces the services with more than one software version. Streams that began before one of them
+    /// became such a service have to be told of from now on.
+    pub fn set_mixed(&mut self, mut mixed: Vec<ServiceName>) {
+        mixed.sort_unstable();
+        self.mixed = mixed;
+    }
+
+    /// Another leader has to be told of all streams again.
+    pub fn begin_leader(&mut self) {
+        self.streams.iter_mut().for_each(|recent| recent.is_told = false);
+    }
+
+    /// Whether there are streams to tell of.
+    pub fn has_report(&self) -> bool {
+        self.streams.iter().any(|recent| self.is_due(recent))
+    }
+
+    /// Takes the next streams to tell of. They count as told until they are put back.
+    pub fn take_report(&mut self) -> Vec<BegunStreams> {
+        let mut report: Vec<BegunStreams> = Vec::new();
+        let due = (0..self.streams.len()).filter(|at| self.is_due(&self.streams[*at]));
+        for at in due.take(MAX_REPORTED).collect::<Vec<_>>() {
+            let recent = &mut self.streams[at];
+            recent.is_told = true;
+            message::add_stream(&mut report, recent.stream, recent.writer.clone());
+        }
+        report
+    }
+
+    /// Takes back a report that reached no leader.
+    pub fn put_back(&mut self, report: &[BegunStreams]) {
+        let mut untold: Vec<StreamKey> =
+            report.iter().flat_map(|begun| begun.streams.iter().copied()).collect();
+        untold.sort_unstable();
+        for recent in &mut self.streams {
+            if untold.binary_search(&recent.stream).is_ok() {
+                recent.is_told = false;
+            }
+        }
+    }
+
+    fn is_due(&self, recent: &RecentStream) -> bool {
+        let is_mixed = recent.is_split || self.mixed.binary_search(&recent.writer.service).is_ok();
+        !recent.is_told && is_mixed
+    }
+}
--- a/src/routes/mod.rs
+++ b/src/routes/mod.rs
@@ -114,6 +114,11 @@
     pub fn is_stream(self) -> bool {
         matches!(self, Kind::Stream { .. })
     }
+
+    /// Whether the response is a stream that another target can continue after a given event.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Kind::Stream { is_resumable: true, .. })
+    }
 }
 
 /// One of the services of a route, with its share of the requests.
--- a/tests/control_machine.rs
+++ b/tests/control_machine.rs
@@ -55,22 +55,22 @@
     newer[0] += 1;
     let mut machine = Machine::default();
     machine.restore(&snapshot).unwrap();
-    assert!(machine.restore(&newer).unwrap_err().contains("format 6"));
+    assert!(machine.restore(&newer).unwrap_err().contains("format 7"));
     assert!(machine.restore(&snapshot[..snapshot.len() - 1]).is_err());
     assert!(machine.restore(b"").is_err());
     assert_eq!(machine.snapshot(), snapshot);
 }
 
 /// Format 1 ends before the document of routes, format 2 before doubts about poison requests, format
-/// 3 before who gives orders, format 4 before targets that leave. All are empty here: the version and
-/// the text of the document take a byte each, doubts take one, and so does the missing name; targets
-/// that leave take two.
+/// 3 before who gives orders, format 4 before targets that leave, format 5 before software versions. All
+/// are empty here: the version and the text of the document take a byte each, doubts take one, and so
+/// does the missing name; targets that leave take two, and software versions one.
 #[test]
 fn snapshots_of_earlier_formats_are_read_without_what_came_later() {
     let group = Group::new();
     group.commit(begin(1));
     let snapshot = group.snapshot();
-    for (format, later_bytes) in [(1, 6), (2, 4), (3, 3), (4, 2)] {
+    for (format, later_bytes) in [(1, 7), (2, 5), (3, 4), (4, 3), (5, 1)] {
         let mut earlier = snapshot[..snapshot.len() - later_bytes].to_vec();
         earlier[0] = format;
         let mut machine = Machine::default();
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use fescuebay::clock::BootClock;
-use fescuebay::control::departures;
-use fescuebay::coordinator::leader::{AckCondition, Leader, LeaderContext};
+use fescuebay::control::{departures, software};
+use fescuebay::coordinator::leader::{AckCondition, Leader, LeaderContext, SoftwareRecord};
 use fescuebay::coordinator::message::{self, WatchRequest};
 use fescuebay::coordinator::{EngineClient, daemon_at};
-use fescuebay::ids::{DaemonId, Incarnation, ModelRef, TargetId, Term};
+use fescuebay::ids::{
+    DaemonId, Incarnation, ModelRef, ServiceName, SoftwareVersion, TargetId, Term,
+};
 use fescuebay::membership::feed::{FeedCursor, TableFeed};
 use fescuebay::membership::table::{Standing, TargetEntry};
 use fescuebay::membership::targets;
@@ -32,6 +34,30 @@
     static NOW_MS: Cell<u64> = const { Cell::new(0) };
     /// What the voters have on record, whichever of them leads.
     static RECORDED: RefCell<departures::State> = RefCell::default();
+    static SOFTWARE: RefCell<software::State> = RefCell::default();
+    /// Changes of the software versions that are not on record yet.
+    static SOFTWARE_CHANGES: RefCell<Vec<software::Command>> = RefCell::default();
+}
+
+/// The software versions that the voters have on record.
+struct RecordedSoftware;
+
+impl SoftwareRecord for RecordedSoftware {
+    fn versions(&self, service: &ServiceName) -> Vec<SoftwareVersion> {
+        SOFTWARE.with_borrow(|known| known.versions(service).to_vec())
+    }
+
+    fn mixed(&self) -> Vec<(ServiceName, Vec<SoftwareVersion>)> {
+        SOFTWARE.with_borrow(|known| {
+            let mixed = known.mixed();
+            mixed.map(|(service, versions)| (service.clone(), versions.to_vec())).collect()
+        })
+    }
+
+    /// A test applies it when it is due.
+    fn record(&self, command: software::Command) {
+        SOFTWARE_CHANGES.with_borrow_mut(|changes| changes.push(command));
+    }
 }
 
 /// Engines that take every order and tell that they have taken none.
@@ -118,6 +144,7 @@
         find_departure: Rc::new(|target, life| {
             RECORDED.with_borrow(|known| known.find(target, life))
         }),
+        software: Rc::new(RecordedSoftware),
     }
 }
 
@@ -147,8 +174,18 @@
 fn watch_request(cursor: FeedCursor) -> WatchRequest {
     let routes = Some(Version(3));
     let loads = FeedCursor::default();
-    let (rate_limits, suspects, usage) = (loads, loads, RouterDemand::default());
-    WatchRequest { is_router: true, cursor, loads, rate_limits, suspects, routes, usage }
+    let (rate_limits, suspects, mixed_services) = (loads, loads, loads);
+    let usage = RouterDemand::default();
+    WatchRequest {
+        is_router: true,
+        cursor,
+        loads,
+        rate_limits,
+        suspects,
+        mixed_services,
+        routes,
+        usage,
+    }
 }
 
 async fn follow(leader: &Leader, feed: &mut TableFeed) {
@@ -541,3 +578,101 @@
         })
         .await;
 }
+
+/// Applies the changes of software versions that are under way, as a voter does once they are on record.
+fn record_software(leader: &Leader) {
+    let changes = SOFTWARE_CHANGES.take();
+    for change in changes {
+        SOFTWARE.with_borrow_mut(|known| known.apply(change));
+    }
+    leader.handle_software_change();
+}
+
+fn of_version(state: State, software: &str) -> State {
+    State { software: Some(software.parse().unwrap()), ..state }
+}
+
+fn shown(feed: &TableFeed) -> Vec<String> {
+    feed.table().entries().iter().map(|entry| entry.target.to_string()).collect()
+}
+
+/// Whoever takes up a stream relies on the record: a version that is not on it has begun none.
+#[tokio::test(start_paused = true)]
+async fn a_target_of_a_new_software_version_is_shown_once_the_version_is_on_record() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader();
+            let mut feed = TableFeed::default();
+            announce(&leader, of_version(state("a", 1), "v1"));
+            follow(&leader, &mut feed).await;
+            assert!(shown(&feed).is_empty(), "no version is on record");
+            record_software(&leader);
+            announce(&leader, of_version(state("b", 1), "v2"));
+            announce(&leader, of_version(state("c", 1), "v2"));
+            follow(&leader, &mut feed).await;
+            assert_eq!(shown(&feed), ["a"]);
+            record_software(&leader);
+            let watch = watch_request(feed.cursor());
+            let news = leader.answer_watch(&router(), watch, Vec::new()).await.unwrap();
+            feed.apply(news.batch);
+            assert_eq!(shown(&feed), ["a", "b", "c"]);
+            let (_, mixed) = news.mixed_services.unwrap();
+            assert_eq!(mixed, ["engines".parse().unwrap()], "told with the targets at the latest");
+        })
+        .await;
+}
+
+/// A target that starts again under its id with a version that is not on record is not shown as it was.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_returns_with_a_new_software_version_is_not_shown_with_the_old_one() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader();
+            let mut feed = TableFeed::default();
+            announce(&leader, of_version(state("a", 1), "v1"));
+            record_software(&leader);
+            follow(&leader, &mut feed).await;
+            assert_eq!(shown(&feed), ["a"]);
+            let again = State { incarnation: Incarnation(8), ..state("a", 1) };
+            announce(&leader, of_version(again, "v2"));
+            follow(&leader, &mut feed).await;
+            assert!(shown(&feed).is_empty());
+            record_software(&leader);
+            follow(&leader, &mut feed).await;
+            let entry = feed.table().entries()[0].clone();
+            assert_eq!(entry.software, Some("v2".parse().unwrap()));
+        })
+        .await;
+}
+
+/// A change of the record that failed is tried again, and a version without targets is taken off it late.
+#[tokio::test(start_paused = true)]
+async fn a_software_version_leaves_the_record_long_after_its_last_target() {
+    LocalSet::new()
+        .run_until(async {
+            let leader = leader();
+            announce(&leader, of_version(state("a", 1), "v1"));
+            SOFTWARE_CHANGES.take();
+            leader.handle_software_change();
+            assert_eq!(SOFTWARE_CHANGES.with_borrow(Vec::len), 1, "tried again");
+            record_software(&leader);
+            announce(&leader, of_version(state("b", 1), "v2"));
+            record_software(&leader);
+            let versions =
+                || SOFTWARE.with_borrow(|known| known.versions(&"engines".parse().unwrap()).len());
+            assert_eq!(versions(), 2);
+            let wait = async |sequence: u64, ms: u64| {
+                for step in 0..ms / 1_000 {
+                    announce(&leader, of_version(state("b", sequence + step), "v2"));
+                    tokio::time::sleep(Duration::from_millis(1_000)).await;
+                }
+            };
+            leave(&leader, Some(Incarnation(7)));
+            wait(2, 590_000).await;
+            assert_eq!(SOFTWARE_CHANGES.with_borrow(Vec::clone), []);
+            wait(600, 20_000).await;
+            record_software(&leader);
+            assert_eq!(versions(), 1);
+        })
+        .await;
+}
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -109,6 +109,17 @@
         self.voters[number].start();
     }
 
+    /// Kills all voters and routers at once and starts them again after a while.
+    pub async fn kill_all(&mut self, down: Duration) {
+        let mut all: Vec<&mut Vm> = self.voters.iter_mut().chain(&mut self.routers).collect();
+        for vm in &mut all {
+            vm.signal("KILL");
+            vm.exit_code().await;
+        }
+        tokio::time::sleep(down).await;
+        all.into_iter().for_each(Vm::start);
+    }
+
     /// The voter that leads: it is named in the answer to an announcement.
     pub async fn leader(&self) -> usize {
         let mut leader = None;
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -38,7 +38,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 37, first matter"]
 fn a_stream_that_its_target_breaks_off_goes_on_at_its_software_version() {
     on_one_thread(async {
         let targets = start_targets(&BOTH).await;
@@ -53,7 +52,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 37, first matter"]
 fn a_stream_that_is_taken_up_at_another_router_goes_on_at_its_software_version() {
     on_one_thread(async {
         let targets = start_targets(&BOTH).await;
@@ -70,7 +68,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 37, first matter"]
 fn a_stream_goes_on_at_its_software_version_after_all_routers_were_killed() {
     on_one_thread(async {
         let targets = start_targets(&BOTH).await;
@@ -89,7 +86,6 @@
 /// The targets of the old version leave and end, and then all routers are killed: no stream of the old version
 /// goes on at the new one, which is all that is left.
 #[test]
-#[ignore = "known red: issue 37, first matter"]
 fn a_stream_of_a_software_version_that_has_left_does_not_go_on_at_another_one() {
     on_one_thread(async {
         let targets = start_targets(&BOTH).await;
@@ -130,3 +126,57 @@
         assert!(summary.taken_up >= 12, "{summary:?}");
     });
 }
+
+/// The leader is lost together with all routers: what it was told is known to the others.
+#[test]
+fn a_stream_goes_on_at_its_software_version_after_the_leader_and_all_routers_were_killed() {
+    on_one_thread(async {
+        let targets = start_targets(&BOTH).await;
+        let mut fleet = start("versions-leader", 4, &targets).await;
+        let callers = fleet.callers();
+        let leader = fleet.leader().await;
+        let (stories, ()) = futures::join!(take_all(&callers, STREAMS, PAUSE), async {
+            tokio::time::sleep(LOST_AFTER).await;
+            fleet.kill_voter(leader, Duration::ZERO).await;
+            fleet.kill_routers(0..4, DOWN).await;
+        });
+        let summary = Summary::of(&stories);
+        check("leader and all routers killed", summary);
+        assert!(summary.taken_up >= 12, "{summary:?}");
+    });
+}
+
+/// Nobody remembers who began the streams: those that two versions can have begun are refused.
+#[test]
+fn streams_are_not_joined_after_all_voters_and_routers_were_killed() {
+    on_one_thread(async {
+        let targets = start_targets(&BOTH).await;
+        let mut fleet = start("versions-voters", 4, &targets).await;
+        let callers = fleet.callers();
+        let (stories, ()) = futures::join!(take_all(&callers, STREAMS, PAUSE), async {
+            tokio::time::sleep(LOST_AFTER).await;
+            fleet.kill_all(DOWN).await;
+        });
+        let summary = Summary::of(&stories);
+        println!("all voters and routers killed: {summary:?}");
+        assert!(summary.taken_up >= 12, "{summary:?}");
+        assert!(summary.joined <= MAX_JOINED, "{summary:?}");
+    });
+}
+
+/// The only version that has served is on record, so that no stream of it is refused.
+#[test]
+fn a_stream_of_the_only_software_version_goes_on_after_all_voters_and_routers_were_killed() {
+    on_one_thread(async {
+        let targets = start_targets(&["v1"; 6]).await;
+        let mut fleet = start("versions-one", 4, &targets).await;
+        let callers = fleet.callers();
+        let (stories, ()) = futures::join!(take_all(&callers, STREAMS, PAUSE), async {
+            tokio::time::sleep(LOST_AFTER).await;
+            fleet.kill_all(DOWN).await;
+        });
+        let summary = Summary::of(&stories);
+        check("all voters and routers killed, one version", summary);
+        assert!(summary.taken_up >= 12, "{summary:?}");
+    });
+}
