A further software version is put on record after routers have told of the streams that run

Cause: from the moment at which two versions are on record, a stream of which the leader was not told can't be told from one of the new version; routers told of the running ones only afterwards.

Weighed: a fixed time for each new version (its targets lie idle while the old ones leave).

--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -45,7 +45,10 @@
 
     /// Applies which services have targets of more than one software version, before the route table that
     /// shows them.
-    fn apply_mixed_services(&self, services: &[ServiceName]);
+    fn apply_mixed_services(&self, cursor: feed::FeedCursor, services: &[ServiceName]);
+
+    /// The last of these changes after which the leader was told of all streams.
+    fn streams_told(&self) -> feed::FeedCursor;
 
     /// Handles a change of the leader. The new one may not know all targets yet.
     fn handle_leader_change(&self);
@@ -120,6 +123,7 @@
             rate_limits: *state.rate_limits_cursor.borrow(),
             suspects: *state.suspects_cursor.borrow(),
             mixed_services: *state.mixed_services_cursor.borrow(),
+            streams_told: follower.streams_told(),
             routes: *state.version.borrow(),
             usage: follower.usage(),
         };
@@ -189,7 +193,7 @@
     }
     if let Some((cursor, services)) = &response.mixed_services {
         state.mixed_services_cursor.replace(*cursor);
-        follower.apply_mixed_services(services);
+        follower.apply_mixed_services(*cursor, services);
     }
     state.loads.replace(response.loads.cursor);
     follower.apply_loads(response.routers, &response.loads);
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -15,12 +15,13 @@
 use tokio::task::JoinHandle;
 
 pub use self::software::SoftwareRecord;
-use self::software::UnrecordedSoftware;
+use self::software::SoftwareState;
 pub use self::targets::AckCondition;
 use self::targets::Cause;
 use super::EngineClient;
 use super::loads::LoadAggregator;
 use super::message;
+use super::software::RouterContact;
 use crate::clock::BootClock;
 use crate::control::departures::{self, Departure};
 use crate::ids::{DaemonId, Incarnation, ServiceName, TargetId, Term};
@@ -84,11 +85,9 @@
     /// What may crash targets, and the number of changes of it.
     suspects: RefCell<Registry>,
     suspects_cursor: Cell<FeedCursor>,
-    /// Software versions that are not on record, and the number of changes of the services with several.
-    unrecorded: RefCell<UnrecordedSoftware>,
-    mixed_services_cursor: Cell<FeedCursor>,
-    /// Routers and when they last asked for news, sorted.
-    routers: RefCell<Vec<(DaemonId, u64)>>,
+    software: RefCell<SoftwareState>,
+    /// The routers that poll, sorted.
+    routers: RefCell<Vec<RouterContact>>,
     /// The document in force, encoded for routers.
     document: RefCell<Option<(routes::Version, bytes::Bytes)>>,
     update_count: watch::Sender<u64>,
@@ -97,6 +96,7 @@
     is_notify_pending: Cell<bool>,
     wake: Notify,
     own: Weak<Leader>,
+    leading_since_ms: u64,
     is_stopped: Cell<bool>,
     /// Whether orders may be sent: no other daemon sends any.
     is_order_allowed: Cell<bool>,
@@ -115,6 +115,7 @@
         let leader = Rc::new_cyclic(|own| Self {
             term,
             own: Weak::clone(own),
+            leading_since_ms: now_ms,
             registry: RefCell::new(TargetRegistry::new(context.silence_timeouts)),
             directory: RefCell::new(directory),
             feed: RefCell::new(TableFeed::new(term, entries)),
@@ -124,8 +125,10 @@
             rate_limits_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
             suspects: RefCell::default(),
             suspects_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
-            unrecorded: RefCell::default(),
-            mixed_services_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
+            software: RefCell::new(SoftwareState::new(FeedCursor {
+                term,
+                ..FeedCursor::default()
+            })),
             routers: RefCell::default(),
             document: RefCell::default(),
             update_count: watch::Sender::new(0),
@@ -272,7 +275,8 @@
             }
         }
         let is_active = |heard_ms: u64| now_ms.saturating_sub(heard_ms) < ROUTER_TIMEOUT_MS;
-        leader.routers.borrow_mut().retain(|(_, heard_ms)| is_active(*heard_ms));
+        leader.routers.borrow_mut().retain(|contact| is_active(contact.heard_ms));
+        leader.finish_preparations(now_ms);
     }
 }
 
--- a/src/coordinator/leader/software.rs
+++ b/src/coordinator/leader/software.rs
@@ -5,7 +5,9 @@
 
 use super::Leader;
 use crate::control::software::Command;
-use crate::ids::{ServiceName, SoftwareVersion};
+use crate::coordinator::software::Preparation;
+use crate::ids::{ServiceName, SoftwareVersion, TargetId};
+use crate::membership::feed::FeedCursor;
 use crate::membership::table::{TableChange, TargetEntry};
 
 /// Time without targets of a version after which it is taken off the record. It is longer than any
@@ -25,28 +27,45 @@
     fn record(&self, command: Command);
 }
 
-/// Versions that are not on record, and their targets.
+/// A service and a version of the software of its targets.
+type ServiceSoftware = (ServiceName, SoftwareVersion);
+
+/// What a leader knows of software versions besides the record.
 #[derive(Debug, Default)]
-pub(super) struct UnrecordedSoftware {
-    /// Targets that routers are not told of.
-    withheld: Vec<crate::ids::TargetId>,
+pub(super) struct SoftwareState {
+    /// Targets that routers are not told of, because their versions are not on record.
+    withheld: Vec<TargetId>,
+    /// Versions that are about to be put on record.
+    preparing: Vec<Preparation>,
     /// Changes of the record that are under way.
     changing: Vec<Command>,
-    /// Versions without a target, and since when.
-    absent: Vec<((ServiceName, SoftwareVersion), u64)>,
-    /// The services with several versions that routers were told last.
-    told_mixed: Vec<ServiceName>,
+    /// Versions on record without a target, and since when.
+    absent: Vec<(ServiceSoftware, u64)>,
+    /// The services with several versions as routers are told, sorted.
+    mixed: Vec<ServiceName>,
+    /// The number of changes of these services.
+    pub(super) cursor: FeedCursor,
+}
+
+impl SoftwareState {
+    pub(super) fn new(cursor: FeedCursor) -> Self {
+        Self { cursor, ..Self::default() }
+    }
+
+    /// The services with several versions, for a follower.
+    pub(super) fn mixed(&self) -> (FeedCursor, Vec<ServiceName>) {
+        (self.cursor, self.mixed.clone())
+    }
 }
 
 impl Leader {
     /// Handles a change of the record, or a failed attempt to change it.
     pub fn handle_software_change(&self) {
         let withheld = {
-            let mut unrecorded = self.unrecorded.borrow_mut();
-            unrecorded.changing.clear();
-            std::mem::take(&mut unrecorded.withheld)
+            let mut software = self.software.borrow_mut();
+            software.changing.clear();
+            std::mem::take(&mut software.withheld)
         };
-        self.tell_mixed_services();
         let directory = self.directory.borrow();
         let mut entries: Vec<TargetEntry> =
             withheld.iter().filter_map(|target| directory.find(target).cloned()).collect();
@@ -54,28 +73,32 @@
         // A version that was taken off the record as one of its targets came back.
         let published = self.feed.borrow().table().entries().to_vec();
         entries.extend(published.into_iter().filter(|entry| !self.is_software_recorded(entry)));
+        self.tell_mixed_services();
         let changes = entries.into_iter().map(|entry| self.with_replicas(TableChange::Put(entry)));
         let changes = changes.collect();
         self.push_changes(changes);
     }
 
-    /// Replaces the entry of a target whose version is not on record by its removal, and starts to record the
-    /// version.
+    /// Replaces the entry of a target whose version is not on record by its removal, and prepares the
+    /// version for the record.
     pub(super) fn withhold_unrecorded(&self, change: TableChange) -> TableChange {
         let TableChange::Put(entry) = &change else { return change };
-        if self.is_software_recorded(entry) {
-            return change;
-        }
         let (Some(service), Some(software)) = (entry.services.first(), &entry.software) else {
             return change;
         };
+        if self.is_software_recorded(entry) {
+            return change;
+        }
         let target = entry.target.clone();
-        let mut unrecorded = self.unrecorded.borrow_mut();
-        if !unrecorded.withheld.contains(&target) {
-            unrecorded.withheld.push(target.clone());
+        let mut state = self.software.borrow_mut();
+        if !state.withheld.contains(&target) {
+            state.withheld.push(target.clone());
+        }
+        drop(state);
+        match self.context.software.versions(service).is_empty() {
+            true => self.change_record(Command::Add(service.clone(), software.clone())),
+            false => self.prepare_software(service, software),
         }
-        drop(unrecorded);
-        self.change_record(Command::Add(service.clone(), software.clone()));
         TableChange::Remove(target)
     }
 
@@ -88,13 +111,62 @@
         }
     }
 
+    /// Tells routers that the service is about to have a further version.
+    fn prepare_software(&self, service: &ServiceName, software: &SoftwareVersion) {
+        let mut state = self.software.borrow_mut();
+        let is_same =
+            |known: &Preparation| known.service == *service && known.software == *software;
+        let is_adding = state.changing.contains(&Command::Add(service.clone(), software.clone()));
+        if is_adding || state.preparing.iter().any(is_same) {
+            return;
+        }
+        state.preparing.push(Preparation {
+            service: service.clone(),
+            software: software.clone(),
+            since_ms: self.context.clock.now_ms(),
+            announced: FeedCursor::default(),
+        });
+        drop(state);
+        log::info!(
+            term = self.term.0, service:% = service, software:% = software,
+            on_record:? = self.context.software.versions(service);
+            "a further software version is held back until routers have told of their streams"
+        );
+        self.tell_mixed_services();
+        let mut state = self.software.borrow_mut();
+        let cursor = state.cursor;
+        let unannounced = |known: &&mut Preparation| known.announced == FeedCursor::default();
+        state.preparing.iter_mut().filter(unannounced).for_each(|known| known.announced = cursor);
+    }
+
+    /// Puts the versions on record that are prepared.
+    pub(super) fn finish_preparations(&self, now_ms: u64) {
+        let routers = self.routers.borrow();
+        let is_complete =
+            |known: &Preparation| known.is_complete(now_ms, self.leading_since_ms, &routers);
+        let complete: Vec<Preparation> = self
+            .software
+            .borrow_mut()
+            .preparing
+            .extract_if(.., |known| is_complete(known))
+            .collect();
+        for Preparation { service, software, since_ms, .. } in complete {
+            log::info!(
+                service:% = service, software:% = software, held_back_ms = now_ms - since_ms,
+                routers = routers.len();
+                "a further software version is put on record"
+            );
+            self.change_record(Command::Add(service, software));
+        }
+    }
+
     fn change_record(&self, command: Command) {
-        let mut unrecorded = self.unrecorded.borrow_mut();
-        if unrecorded.changing.contains(&command) {
+        let mut state = self.software.borrow_mut();
+        if state.changing.contains(&command) {
             return;
         }
-        unrecorded.changing.push(command.clone());
-        drop(unrecorded);
+        state.changing.push(command.clone());
+        drop(state);
         log::info!(
             term = self.term.0, change:? = command;
             "the record of software versions is to be changed"
@@ -102,42 +174,39 @@
         self.context.software.record(command);
     }
 
-    /// The services with several versions, for a follower at another position.
-    pub(super) fn mixed_services(&self) -> Vec<ServiceName> {
-        self.unrecorded.borrow().told_mixed.clone()
-    }
-
-    /// Tells followers which services have several versions, if that has changed.
-    pub(super) fn tell_mixed_services(&self) {
-        let mixed: Vec<ServiceName> =
-            self.context.software.mixed().into_iter().map(|(service, _)| service).collect();
-        let mut unrecorded = self.unrecorded.borrow_mut();
-        if unrecorded.told_mixed == mixed {
+    /// Tells followers which services have several versions or are about to, if that has changed.
+    fn tell_mixed_services(&self) {
+        let recorded = self.context.software.mixed();
+        let mut state = self.software.borrow_mut();
+        let preparing = state.preparing.iter().map(|known| known.service.clone());
+        let mut mixed: Vec<ServiceName> =
+            recorded.into_iter().map(|(service, _)| service).chain(preparing).collect();
+        mixed.sort_unstable();
+        mixed.dedup();
+        if state.mixed == mixed {
             return;
         }
         log::info!(
-            term = self.term.0, mixed:? = mixed, mixed_before:? = unrecorded.told_mixed;
+            term = self.term.0, mixed:? = mixed, mixed_before:? = state.mixed;
             "services with several software versions"
         );
         metrics::gauge!("fescuebay_mixed_services").set(mixed.len() as f64);
-        unrecorded.told_mixed = mixed;
-        drop(unrecorded);
-        let mut cursor = self.mixed_services_cursor.get();
-        cursor.sequence.0 += 1;
-        self.mixed_services_cursor.set(cursor);
+        state.mixed = mixed;
+        state.cursor.sequence.0 += 1;
+        drop(state);
         self.notify_followers();
     }
 
     /// Takes versions off the record that have had no target for long.
     pub(super) fn remove_absent_software(&self, now_ms: u64) {
         let mixed = self.context.software.mixed();
-        let mut unrecorded = self.unrecorded.borrow_mut();
+        let mut state = self.software.borrow_mut();
         if mixed.is_empty() {
-            unrecorded.absent.clear();
+            state.absent.clear();
             return;
         }
         let entries = self.directory.borrow().entries();
-        let is_present = |(service, software): &(ServiceName, SoftwareVersion)| {
+        let is_present = |(service, software): &ServiceSoftware| {
             entries.iter().any(|entry| {
                 entry.services.first() == Some(service) && entry.software.as_ref() == Some(software)
             })
@@ -146,16 +215,16 @@
             versions.into_iter().map(move |software| (service.clone(), software))
         });
         let absent: Vec<_> = versions.filter(|version| !is_present(version)).collect();
-        unrecorded.absent.retain(|(version, _)| absent.contains(version));
+        state.absent.retain(|(version, _)| absent.contains(version));
         for version in absent {
-            if !unrecorded.absent.iter().any(|(known, _)| *known == version) {
-                unrecorded.absent.push((version, now_ms));
+            if !state.absent.iter().any(|(known, _)| *known == version) {
+                state.absent.push((version, now_ms));
             }
         }
         let is_due = |since_ms: u64| now_ms.saturating_sub(since_ms) >= REMOVE_MS;
-        let due = unrecorded.absent.iter().find(|(_, since_ms)| is_due(*since_ms));
+        let due = state.absent.iter().find(|(_, since_ms)| is_due(*since_ms));
         let due = due.map(|((service, software), _)| (service.clone(), software.clone()));
-        drop(unrecorded);
+        drop(state);
         if let Some((service, software)) = due {
             self.change_record(Command::Remove(service, software));
         }
--- a/src/coordinator/leader/updates.rs
+++ b/src/coordinator/leader/updates.rs
@@ -7,7 +7,9 @@
 use crate::coordinator::follow;
 use crate::coordinator::loads;
 use crate::coordinator::message::{WatchRequest, WatchResponse};
+use crate::coordinator::software::RouterContact;
 use crate::ids::DaemonId;
+use crate::membership::feed::FeedCursor;
 use crate::placement::swap;
 use crate::placement::swap::demand;
 
@@ -66,7 +68,7 @@
         voters: Vec<DaemonId>,
     ) -> Option<WatchResponse> {
         if watch.is_router {
-            self.count_router(from);
+            self.note_router(from, &watch);
             self.record_usage(from, watch.usage.clone());
         }
         let mut updates = self.update_count.subscribe();
@@ -97,7 +99,7 @@
 
     /// Whether a follower was told other services with several software versions.
     fn has_mixed_services_for(&self, watch: &WatchRequest) -> bool {
-        self.mixed_services_cursor.get() != watch.mixed_services
+        self.software.borrow().cursor != watch.mixed_services
     }
 
     /// Whether a follower has other statements of targets on their rate limits. Voters keep them
@@ -149,17 +151,42 @@
             }),
             mixed_services: self
                 .has_mixed_services_for(watch)
-                .then(|| (self.mixed_services_cursor.get(), self.mixed_services())),
+                .then(|| self.software.borrow().mixed()),
             voters,
         }
     }
 
-    fn count_router(&self, router: &DaemonId) {
-        let now_ms = self.context.clock.now_ms();
+    fn note_router(&self, router: &DaemonId, watch: &WatchRequest) {
+        let heard_ms = self.context.clock.now_ms();
+        let is_start = watch.cursor == FeedCursor::default();
+        let mut routers = self.routers.borrow_mut();
+        match routers.binary_search_by(|known| known.router.cmp(router)) {
+            Ok(at) => {
+                let contact = &mut routers[at];
+                contact.heard_ms = heard_ms;
+                if is_start {
+                    contact.started_ms = heard_ms;
+                }
+            }
+            Err(at) => {
+                let started_ms = if is_start { heard_ms } else { 0 };
+                let (router, streams_told) = (router.clone(), watch.streams_told);
+                routers.insert(at, RouterContact { router, heard_ms, started_ms, streams_told });
+            }
+        }
+        drop(routers);
+        self.note_streams_told(router, watch.streams_told);
+    }
+
+    /// Records that a router has told of all its streams after a change of the services with several
+    /// software versions.
+    pub fn note_streams_told(&self, router: &DaemonId, streams_told: FeedCursor) {
         let mut routers = self.routers.borrow_mut();
-        match routers.binary_search_by(|(known, _)| known.cmp(router)) {
-            Ok(at) => routers[at].1 = now_ms,
-            Err(at) => routers.insert(at, (router.clone(), now_ms)),
+        let known = routers.binary_search_by(|known| known.router.cmp(router));
+        let Ok(at) = known else { return };
+        if std::mem::replace(&mut routers[at].streams_told, streams_told) != streams_told {
+            drop(routers);
+            self.finish_preparations(self.context.clock.now_ms());
         }
     }
 }
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -49,7 +49,7 @@
     /// answers.
     Poison(Box<poison::message::Report>),
     /// Streams that began at a router. The leader remembers them and passes them on.
-    RecordStreams(Vec<BegunStreams>),
+    RecordStreams(StreamReport),
     /// Streams that began, as the leader was told. Any voter remembers them.
     CopyStreams(Vec<BegunStreams>),
     /// Who began these streams? The leader answers.
@@ -74,12 +74,24 @@
     pub suspects: feed::FeedCursor,
     /// Its position in the changes of the services with more than one software version.
     pub mixed_services: feed::FeedCursor,
+    /// The position of these changes after which the follower has told of all its streams.
+    pub streams_told: feed::FeedCursor,
     /// The document that it has, if any.
     pub routes: Option<routes::Version>,
     /// The requests waiting and running at it.
     pub usage: demand::RouterDemand,
 }
 
+/// Streams that began at a router.
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct StreamReport {
+    /// The streams.
+    pub begun: Vec<BegunStreams>,
+    /// As [`WatchRequest::streams_told`], after this report.
+    pub streams_told: feed::FeedCursor,
+}
+
 /// The updates that the leader sends to a follower.
 #[derive(Clone, Debug)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/coordinator/mod.rs
+++ b/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 pub mod members;
 pub mod message;
 mod run;
+pub mod software;
 pub mod takeover;
 mod voter;
 
--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -57,7 +57,11 @@
 
     fn apply_suspects(&self, _told: &[Statement]) {}
 
-    fn apply_mixed_services(&self, _services: &[ServiceName]) {}
+    fn apply_mixed_services(&self, _cursor: feed::FeedCursor, _services: &[ServiceName]) {}
+
+    fn streams_told(&self) -> feed::FeedCursor {
+        feed::FeedCursor::default()
+    }
 
     fn handle_leader_change(&self) {}
 
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -355,8 +355,9 @@
                 Some(permission) => Reply::Poison(permission),
                 None => Reply::NotLeader(None),
             },
-            Request::RecordStreams(begun) => {
-                self.record_streams(begun);
+            Request::RecordStreams(report) => {
+                self.record_streams(report.begun);
+                leader.note_streams_told(from, report.streams_told);
                 Reply::Done
             }
             Request::CopyStreams(begun) => self.answer_copy(&begun),
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -51,8 +51,12 @@
         self.dispatch_waiting();
     }
 
-    fn apply_mixed_services(&self, services: &[ServiceName]) {
-        self.set_mixed_services(services);
+    fn apply_mixed_services(&self, cursor: feed::FeedCursor, services: &[ServiceName]) {
+        self.set_mixed_services(cursor, services);
+    }
+
+    fn streams_told(&self) -> feed::FeedCursor {
+        self.recent_streams.borrow().told()
     }
 
     fn handle_leader_change(&self) {
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -10,10 +10,11 @@
 use super::state::RouterState;
 use super::{RequestInfo, wait_limit};
 use crate::coordinator::client::VoterClient;
-use crate::coordinator::message::{Reply, Request};
-use crate::ids::SoftwareVersion;
+use crate::coordinator::message::{Reply, Request, StreamReport};
+use crate::ids::{ServiceName, SoftwareVersion};
+use crate::membership::feed::FeedCursor;
 use crate::origins::StreamKey;
-use crate::origins::message::{BegunStreams, Origin, OriginQuery, Writer};
+use crate::origins::message::{Origin, OriginQuery, Writer};
 use crate::routes::Route;
 
 /// Pause before the leader is told of streams, so that a burst causes one message.
@@ -117,17 +118,21 @@
         router.streams_begun.notified().await;
         tokio::time::sleep(Duration::from_millis(router.report_pause_ms.get())).await;
         while router.recent_streams.borrow().has_report() {
-            let report = router.recent_streams.borrow_mut().take_report();
-            if !tell(&client, &report).await {
-                router.recent_streams.borrow_mut().put_back(&report);
+            let begun = router.recent_streams.borrow_mut().take_report();
+            let streams_told = router.recent_streams.borrow().told_after_report();
+            let report = StreamReport { begun, streams_told };
+            if tell(&client, &report).await {
+                router.recent_streams.borrow_mut().confirm_report();
+            } else {
+                router.recent_streams.borrow_mut().put_back(&report.begun);
                 tokio::time::sleep(REPORT_RETRY_PAUSE).await;
             }
         }
     }
 }
 
-async fn tell(client: &VoterClient, report: &[BegunStreams]) -> bool {
-    let request = Request::RecordStreams(report.to_vec());
+async fn tell(client: &VoterClient, report: &StreamReport) -> bool {
+    let request = Request::RecordStreams(report.clone());
     match client.ask_leader(&request, REPORT_TIMEOUT_MS, REPORT_TIMEOUT_MS).await {
         Ok(Reply::Done) => true,
         other => {
@@ -144,7 +149,7 @@
         &self,
         route: &Route,
         info: &RequestInfo,
-        service: &crate::ids::ServiceName,
+        service: &ServiceName,
         software: Option<&SoftwareVersion>,
     ) {
         let began_with = info.began_with.as_deref().unwrap_or(&info.id);
@@ -158,9 +163,9 @@
     }
 
     /// Applies which services have several software versions.
-    pub(super) fn set_mixed_services(&self, services: &[crate::ids::ServiceName]) {
+    pub(super) fn set_mixed_services(&self, cursor: FeedCursor, services: &[ServiceName]) {
         log::info!(services:? = services; "services with several software versions");
-        self.recent_streams.borrow_mut().set_mixed(services.to_vec());
+        self.recent_streams.borrow_mut().set_mixed(cursor, services.to_vec());
         self.streams_begun.notify_one();
     }
 
--- a/src/origins/recent.rs
+++ b/src/origins/recent.rs
@@ -5,6 +5,7 @@
 use super::message::{self, BegunStreams, Writer};
 use super::{REMEMBER_MS, StreamKey};
 use crate::ids::ServiceName;
+use crate::membership::feed::FeedCursor;
 
 /// Upper bound of streams that a router remembers. The oldest are dropped first.
 const MAX_STREAMS: usize = 4_096;
@@ -27,6 +28,10 @@
 pub struct RecentStreams {
     /// Services in which more than one software version has served, sorted.
     mixed: Vec<ServiceName>,
+    /// The last change of these services.
+    cursor: FeedCursor,
+    /// Whether a report is on its way.
+    is_reporting: bool,
     /// Oldest first.
     streams: VecDeque<RecentStream>,
 }
@@ -53,9 +58,20 @@
 
     /// Replaces the services with more than one software version. Streams that began before one of them
     /// became such a service have to be told of from now on.
-    pub fn set_mixed(&mut self, mut mixed: Vec<ServiceName>) {
+    pub fn set_mixed(&mut self, cursor: FeedCursor, mut mixed: Vec<ServiceName>) {
         mixed.sort_unstable();
         self.mixed = mixed;
+        self.cursor = cursor;
+    }
+
+    /// The last change of these services after which the leader was told of all streams.
+    pub fn told(&self) -> FeedCursor {
+        if self.is_reporting { FeedCursor::default() } else { self.told_after_report() }
+    }
+
+    /// The same once the report that is on its way has arrived.
+    pub fn told_after_report(&self) -> FeedCursor {
+        if self.has_report() { FeedCursor::default() } else { self.cursor }
     }
 
     /// Another leader has to be told of all streams again.
@@ -68,8 +84,9 @@
         self.streams.iter().any(|recent| self.is_due(recent))
     }
 
-    /// Takes the next streams to tell of. They count as told until they are put back.
+    /// Takes the next streams to tell of, which are then on their way.
     pub fn take_report(&mut self) -> Vec<BegunStreams> {
+        self.is_reporting = true;
         let mut report: Vec<BegunStreams> = Vec::new();
         let due = (0..self.streams.len()).filter(|at| self.is_due(&self.streams[*at]));
         for at in due.take(MAX_REPORTED).collect::<Vec<_>>() {
@@ -80,8 +97,14 @@
         report
     }
 
+    /// Records that the leader has the report.
+    pub fn confirm_report(&mut self) {
+        self.is_reporting = false;
+    }
+
     /// Takes back a report that reached no leader.
     pub fn put_back(&mut self, report: &[BegunStreams]) {
+        self.is_reporting = false;
         let mut untold: Vec<StreamKey> =
             report.iter().flat_map(|begun| begun.streams.iter().copied()).collect();
         untold.sort_unstable();
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -9,6 +9,7 @@
 use fescuebay::control::{departures, software};
 use fescuebay::coordinator::leader::{AckCondition, Leader, LeaderContext, SoftwareRecord};
 use fescuebay::coordinator::message::{self, WatchRequest};
+use fescuebay::coordinator::software::MAX_PREPARATION_MS;
 use fescuebay::coordinator::{EngineClient, daemon_at};
 use fescuebay::ids::{
     DaemonId, Incarnation, ModelRef, ServiceName, SoftwareVersion, TargetId, Term,
@@ -183,6 +184,7 @@
         rate_limits,
         suspects,
         mixed_services,
+        streams_told: mixed_services,
         routes,
         usage,
     }
@@ -579,8 +581,9 @@
         .await;
 }
 
-/// Applies the changes of software versions that are under way, as a voter does once they are on record.
-fn record_software(leader: &Leader) {
+/// Waits until a further software version may be put on record, and applies the changes as a voter does.
+async fn record_software(leader: &Leader) {
+    tokio::time::sleep(Duration::from_millis(MAX_PREPARATION_MS + 300)).await;
     let changes = SOFTWARE_CHANGES.take();
     for change in changes {
         SOFTWARE.with_borrow_mut(|known| known.apply(change));
@@ -606,12 +609,12 @@
             announce(&leader, of_version(state("a", 1), "v1"));
             follow(&leader, &mut feed).await;
             assert!(shown(&feed).is_empty(), "no version is on record");
-            record_software(&leader);
+            record_software(&leader).await;
             announce(&leader, of_version(state("b", 1), "v2"));
             announce(&leader, of_version(state("c", 1), "v2"));
             follow(&leader, &mut feed).await;
             assert_eq!(shown(&feed), ["a"]);
-            record_software(&leader);
+            record_software(&leader).await;
             let watch = watch_request(feed.cursor());
             let news = leader.answer_watch(&router(), watch, Vec::new()).await.unwrap();
             feed.apply(news.batch);
@@ -630,14 +633,14 @@
             let leader = leader();
             let mut feed = TableFeed::default();
             announce(&leader, of_version(state("a", 1), "v1"));
-            record_software(&leader);
+            record_software(&leader).await;
             follow(&leader, &mut feed).await;
             assert_eq!(shown(&feed), ["a"]);
             let again = State { incarnation: Incarnation(8), ..state("a", 1) };
             announce(&leader, of_version(again, "v2"));
             follow(&leader, &mut feed).await;
             assert!(shown(&feed).is_empty());
-            record_software(&leader);
+            record_software(&leader).await;
             follow(&leader, &mut feed).await;
             let entry = feed.table().entries()[0].clone();
             assert_eq!(entry.software, Some("v2".parse().unwrap()));
@@ -655,9 +658,9 @@
             SOFTWARE_CHANGES.take();
             leader.handle_software_change();
             assert_eq!(SOFTWARE_CHANGES.with_borrow(Vec::len), 1, "tried again");
-            record_software(&leader);
+            record_software(&leader).await;
             announce(&leader, of_version(state("b", 1), "v2"));
-            record_software(&leader);
+            record_software(&leader).await;
             let versions =
                 || SOFTWARE.with_borrow(|known| known.versions(&"engines".parse().unwrap()).len());
             assert_eq!(versions(), 2);
@@ -671,7 +674,7 @@
             wait(2, 590_000).await;
             assert_eq!(SOFTWARE_CHANGES.with_borrow(Vec::clone), []);
             wait(600, 20_000).await;
-            record_software(&leader);
+            record_software(&leader).await;
             assert_eq!(versions(), 1);
         })
         .await;
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -1,7 +1,9 @@
 //! What routers and voters remember of streams that began, without I/O.
 
 use fescuebay::control::software::{Command, MAX_VERSIONS, State};
-use fescuebay::ids::{ServiceName, SoftwareVersion};
+use fescuebay::coordinator::software::{MAX_PREPARATION_MS, Preparation, RouterContact};
+use fescuebay::ids::{Sequence, ServiceName, SoftwareVersion, Term};
+use fescuebay::membership::feed::FeedCursor;
 use fescuebay::origins::message::{BegunStreams, Writer};
 use fescuebay::origins::recent::RecentStreams;
 use fescuebay::origins::store::OriginStore;
@@ -19,6 +21,10 @@
     StreamKey::of(id).unwrap()
 }
 
+fn cursor(sequence: u64) -> FeedCursor {
+    FeedCursor { term: Term(1), sequence: Sequence(sequence) }
+}
+
 fn begun(software: &str, ids: &[&str]) -> BegunStreams {
     BegunStreams { writer: writer(software), streams: ids.iter().map(|id| key(id)).collect() }
 }
@@ -73,7 +79,7 @@
     assert_eq!(recent.take_report(), [begun("v1", &["b"])]);
     assert!(!recent.has_report());
     // Streams that began before the second version came are told of when it comes.
-    recent.set_mixed(vec![service("llm")]);
+    recent.set_mixed(cursor(1), vec![service("llm")]);
     assert!(recent.record(0, key("c"), writer("v2"), false));
     assert_eq!(recent.take_report(), [begun("v1", &["a"]), begun("v2", &["c"])]);
     assert!(!recent.has_report());
@@ -82,7 +88,7 @@
 #[test]
 fn a_lost_report_is_told_again_and_another_leader_is_told_all() {
     let mut recent = RecentStreams::default();
-    recent.set_mixed(vec![service("llm")]);
+    recent.set_mixed(cursor(1), vec![service("llm")]);
     recent.record(0, key("a"), writer("v1"), false);
     let report = recent.take_report();
     recent.put_back(&report);
@@ -116,3 +122,48 @@
     state.apply(Command::Remove(service("llm"), last.clone()));
     assert!(!state.has(&service("llm"), &last));
 }
+
+/// A leader counts on it that a router has told of what it says.
+#[test]
+fn a_router_has_told_of_all_streams_once_the_leader_has_its_report() {
+    let mut recent = RecentStreams::default();
+    recent.record(0, key("a"), writer("v1"), false);
+    assert_eq!(recent.told(), FeedCursor::default());
+    recent.set_mixed(cursor(1), vec![service("llm")]);
+    assert_eq!(recent.told(), FeedCursor::default());
+    let report = recent.take_report();
+    assert_eq!((recent.told(), recent.told_after_report()), (FeedCursor::default(), cursor(1)));
+    recent.put_back(&report);
+    assert_eq!(recent.told_after_report(), FeedCursor::default());
+    recent.take_report();
+    recent.confirm_report();
+    assert_eq!(recent.told(), cursor(1));
+}
+
+/// The load: a second version comes while routers run, are lost without a word, or have just come back.
+#[test]
+fn a_further_version_is_held_back_until_routers_have_told_of_their_streams() {
+    const LATE_MS: u64 = 100_000;
+    let preparation = Preparation {
+        service: service("llm"),
+        software: "v2".parse().unwrap(),
+        since_ms: LATE_MS,
+        announced: cursor(2),
+    };
+    let contact = |started_ms, sequence| RouterContact {
+        router: "r".parse().unwrap(),
+        heard_ms: LATE_MS,
+        started_ms,
+        streams_told: cursor(sequence),
+    };
+    let is_complete = |now_ms, leading_since_ms, routers: &[RouterContact]| {
+        preparation.is_complete(now_ms, leading_since_ms, routers)
+    };
+    assert!(is_complete(LATE_MS, 0, &[]), "no router has streams");
+    assert!(is_complete(LATE_MS, 0, &[contact(0, 2), contact(0, 3)]));
+    assert!(!is_complete(LATE_MS, 0, &[contact(0, 2), contact(0, 1)]), "one has not told yet");
+    assert!(!is_complete(LATE_MS, 0, &[contact(LATE_MS - 400, 2)]), "one has just started");
+    assert!(!is_complete(LATE_MS, LATE_MS - 400, &[contact(0, 2)]), "the leader is new");
+    let end_ms = LATE_MS + MAX_PREPARATION_MS;
+    assert!(is_complete(end_ms, LATE_MS - 400, &[contact(LATE_MS, 1)]), "it does not take longer");
+}
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -108,7 +108,6 @@
 
 /// A second version appears while streams of the first one run, which began when it was alone.
 #[test]
-#[ignore = "known red: issue 37, first matter"]
 fn a_stream_that_began_before_a_second_software_version_came_goes_on_at_its_own() {
     on_one_thread(async {
         let targets = start_targets(&BOTH).await;
