A stream that ends before its first event is answered

Where neither a length nor chunks show the end, the target may have ended after its head: that is a failed attempt (502, or another target), as a_stream_without_events_that_ends_with_its_connection_is_not_complete keeps it.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -190,7 +190,8 @@
     let mut stream = StreamRelay::new(router, routed, response);
     let first = match stream.read_data().await {
         NextData::Bytes(bytes) => bytes,
-        NextData::End => Bytes::new(),
+        NextData::End if stream.is_end_framed() => return Ok(stream.empty_response()),
+        NextData::End => return Err(AttemptFailure::ConnectionClosed),
         NextData::Failed(failure) => return Err(failure),
     };
     if let Some(prompt_prefix) = routed.info.prompt_parts.iter().rev().nth(1) {
@@ -281,6 +282,24 @@
         }
     }
 
+    /// Whether a length or chunks show where the response ends. Else it may have been broken off there.
+    fn is_end_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
+    /// The response to a stream that ended before its first event: the caller has them all.
+    fn empty_response(mut self) -> http::Response<Body> {
+        let now_ms = self.router.now_ms();
+        let first_response_ms = now_ms.saturating_sub(self.sent_ms);
+        record_answer(&self.routed, self.target.as_str(), self.head.status, first_response_ms);
+        self.last_data_ms = now_ms;
+        self.record_answer();
+        self.record_end("whole", None);
+        caller_response(self.head, web::whole(Bytes::new()))
+    }
+
     fn record_gap(&mut self) {
         let now_ms = self.router.now_ms();
         let gap_ms = now_ms.saturating_sub(self.last_data_ms);
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -5,7 +5,9 @@
 
 use fescuebay::membership::table::TargetEntry;
 
-use gateway_support::{Action, END, Router, ScriptedTarget, events, header, on_one_thread};
+use gateway_support::{
+    Action, END, Router, ScriptedTarget, endless_head, events, header, on_one_thread, status,
+};
 
 const MODEL: &str = "Model: m1\r\nDeadline-Ms: 3000\r\n";
 
@@ -86,3 +88,34 @@
         assert_eq!(other.requests(), 0);
     });
 }
+
+/// A caller that has all events but not the end of a stream takes it up as well.
+#[test]
+fn a_stream_without_further_events_is_complete() {
+    on_one_thread(async {
+        let head = events(1, 0);
+        let target = ScriptedTarget::start("a", vec![Action::Write(head + END)]).await;
+        let router = Router::start(vec![target.entry("llm", &["m1"])]).await;
+        for path in ["/contract/x", "/draft/x"] {
+            let answer = router.request("POST", path, MODEL, "b").await;
+            assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{path}: {answer:?}");
+            let is_whole = answer.ends_with(END) || answer.contains("content-length: 0\r\n");
+            assert!(is_whole, "{path}: {answer:?}");
+        }
+    });
+}
+
+/// Its target may have ended right after the head.
+#[test]
+fn a_stream_without_events_that_ends_with_its_connection_is_not_complete() {
+    on_one_thread(async {
+        let head = endless_head()
+            .replace("Server-Stamp", "Content-Type: text/event-stream\r\nServer-Stamp");
+        let target = ScriptedTarget::start("a", vec![Action::WriteAndClose(head)]).await;
+        let router = Router::start(vec![target.entry("llm", &["m1"])]).await;
+        for path in ["/contract/x", "/draft/x"] {
+            let answer = router.request("POST", path, MODEL, "b").await;
+            assert_eq!(status(&answer), 502, "{path}: {answer:?}");
+        }
+    });
+}
