Placement loads a model where streams that wait for a software version can go on

Cause: routers told how many requests wait for a model, not where they can be served, and a replica on a target of another version counts for nothing there. Waiting requests carry the version now; models that only such requests miss are loaded from disks of that version's engines, never from the weight store, which those callers would not wait for, and are not evicted.

a_model_is_loaded_on_an_engine_of_the_software_version_that_waiting_streams_need failed before (the loads without this change), a_stream_that_needs_a_software_version_loads_nothing_from_the_weight_store guards the rest.

--- a/benches/swap.rs
+++ b/benches/swap.rs
@@ -51,7 +51,12 @@
         let waiting = own_numbers.flat_map(|number| {
             let rare = model_ref(self.models - 1 - number, None);
             let adapter = model_ref(number % 6, Some(1 + number % 60));
-            [rare, adapter].map(|model| WaitingRequests { model, count: 1, slack_ms: 100 })
+            [rare, adapter].map(|model| WaitingRequests {
+                model,
+                software: None,
+                count: 1,
+                slack_ms: 100,
+            })
         });
         let waiting = waiting.collect();
         RouterDemand { waiting, running: running.collect(), ..RouterDemand::default() }
--- a/src/coordinator/voter/origins.rs
+++ b/src/coordinator/voter/origins.rs
@@ -116,7 +116,15 @@
         if !unknown.is_empty() {
             self.recall_streams(unknown).await;
         }
-        Reply::Origins(queries.iter().map(|query| self.find_origin(query)).collect())
+        let origins: Vec<Origin> = queries.iter().map(|query| self.find_origin(query)).collect();
+        for (query, _) in queries.iter().zip(&origins).filter(|(_, o)| **o == Origin::Unknown) {
+            log::info!(
+                stream:? = query.stream.map(|stream| stream.to_string()),
+                remembered = self.origins.borrow().len();
+                "nobody told who began a stream"
+            );
+        }
+        Reply::Origins(origins)
     }
 
     /// Asks the other voters for streams that this one does not remember: it may have started after they
--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -34,6 +34,14 @@
         }
     }
 
+    /// The version that has to write the next events, if it is known.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::Version { software, .. } => Some(software),
+            Self::Unbound | Self::Nowhere => None,
+        }
+    }
+
     /// Whether a target may write the next events.
     pub fn admits(&self, entry: &TargetEntry) -> bool {
         match self {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -33,6 +33,20 @@
         #[serde(rename = "left_ms")]
         remaining_ms: u64,
     },
+    /// The leader was asked who began the stream that the caller takes up again.
+    Origin {
+        /// The request that brought the first event, if the caller named it.
+        #[serde(rename = "resumes", skip_serializing_if = "Option::is_none")]
+        began_with: Option<&'a str>,
+        /// The software version that wrote it, if it is known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        software: Option<&'a str>,
+        /// How often the leader was asked.
+        asked: u32,
+        /// Time since the request arrived.
+        #[serde(rename = "after_ms")]
+        elapsed_ms: u64,
+    },
     /// The request was queued until a target has a free slot.
     Queued {
         /// Why no target was chosen.
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::oneshot;
 
+use super::events::{self, RequestEvent};
 use super::refusal::RefusalReason;
 use super::state::RouterState;
 use super::{RequestInfo, wait_limit};
@@ -54,21 +55,40 @@
     arrived_ms: u64,
     deadline_ms: u64,
 ) -> Result<Writer, RefusalReason> {
-    let limit_ms = wait_limit::max_origin_wait_ms(route, deadline_ms.saturating_sub(arrived_ms));
     let services: Vec<_> = route.destinations.iter().map(|share| share.service.clone()).collect();
     let stream = info.began_with.as_deref().and_then(StreamKey::of);
     let query = OriginQuery { stream, services };
+    let limit_ms = wait_limit::max_origin_wait_ms(route, deadline_ms.saturating_sub(arrived_ms));
+    let (origin, asked) = ask_until(router, &query, arrived_ms + limit_ms).await;
+    let writer = match origin {
+        Origin::Known(writer) => Some(writer),
+        Origin::Unknown => None,
+    };
+    let event = RequestEvent::Origin {
+        began_with: info.began_with.as_deref(),
+        software: writer.as_ref().map(|writer| writer.software.as_str()),
+        asked,
+        elapsed_ms: router.now_ms().saturating_sub(arrived_ms),
+    };
+    events::emit(&info.id, &event);
+    check_allowed(route, writer.ok_or(RefusalReason::UnknownOrigin)?)
+}
+
+/// Asks the leader until it knows the stream or the time is up. Also returns how often it was asked.
+async fn ask_until(router: &RouterState, query: &OriginQuery, give_up_ms: u64) -> (Origin, u32) {
     let mut unknown_pauses = UNKNOWN_RETRY_PAUSES.into_iter();
+    let mut asked = 0;
     loop {
+        asked += 1;
         let pause = match ask(router, query.clone()).await {
-            Some(Origin::Known(writer)) => return check_allowed(route, writer),
-            Some(Origin::Unknown) => unknown_pauses.next().ok_or(RefusalReason::UnknownOrigin)?,
-            None => LEADER_RETRY_PAUSE,
+            Some(known @ Origin::Known(_)) => return (known, asked),
+            Some(Origin::Unknown) => unknown_pauses.next(),
+            None => Some(LEADER_RETRY_PAUSE),
         };
-        if router.now_ms() >= arrived_ms + limit_ms {
-            return Err(RefusalReason::UnknownOrigin);
+        match pause.filter(|_| router.now_ms() < give_up_ms) {
+            Some(pause) => tokio::time::sleep(pause).await,
+            None => return (Origin::Unknown, asked),
         }
-        tokio::time::sleep(pause).await;
     }
 }
 
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -119,12 +119,18 @@
         for waiter in &self.waiters {
             let Some(model) = &waiter.model else { continue };
             let slack_ms = waiter.respond_by_ms as i64 - now_ms as i64;
-            match waiting.iter_mut().find(|known| known.model == *model) {
+            let software = waiter.continuation.software().cloned();
+            let is_same =
+                |known: &&mut WaitingRequests| known.model == *model && known.software == software;
+            match waiting.iter_mut().find(is_same) {
                 Some(known) => {
                     known.count += 1;
                     known.slack_ms = known.slack_ms.min(slack_ms);
                 }
-                None => waiting.push(WaitingRequests { model: model.clone(), count: 1, slack_ms }),
+                None => {
+                    let model = model.clone();
+                    waiting.push(WaitingRequests { model, software, count: 1, slack_ms });
+                }
             }
         }
         waiting
--- a/src/placement/swap/adapters.rs
+++ b/src/placement/swap/adapters.rs
@@ -2,7 +2,7 @@
 
 use super::engine::LoadedAdapter;
 use super::{EngineState, Operation, Planner};
-use crate::ids::ModelRef;
+use crate::ids::{ModelRef, SoftwareVersion};
 
 /// Largest number of unfinished adapter changes on one engine.
 const MAX_ADAPTER_CHANGES: usize = 3;
@@ -10,27 +10,29 @@
 impl Planner {
     /// Starts loading the adapters that requests wait for.
     pub(super) fn plan_adapters(&mut self) {
-        let mut wanted: Vec<ModelRef> = self
+        let mut wanted: Vec<(ModelRef, Option<SoftwareVersion>)> = self
             .demand
             .waiting()
             .filter(|waiting| waiting.model.is_adapter())
-            .map(|waiting| waiting.model.clone())
+            .map(|waiting| (waiting.model.clone(), waiting.software.clone()))
             .collect();
         wanted.sort_unstable();
         wanted.dedup();
-        for adapter in wanted {
-            self.place_adapter(&adapter);
+        for (adapter, software) in wanted {
+            self.place_adapter(&adapter, software.as_ref());
         }
     }
 
-    fn place_adapter(&mut self, adapter: &ModelRef) {
+    /// Starts to load an adapter on an engine of a software version, unless one has it.
+    fn place_adapter(&mut self, adapter: &ModelRef, software: Option<&SoftwareVersion>) {
         let is_loading = |engine: &EngineState| {
             engine
                 .adapter_changes
                 .iter()
                 .any(|change| change.adapter == *adapter && change.operation == Operation::Load)
         };
-        if self.engines.iter().any(|engine| has_adapter(engine, adapter) || is_loading(engine)) {
+        let mut serving = self.engines.iter().filter(|engine| engine.may_serve(software));
+        if serving.any(|engine| has_adapter(engine, adapter) || is_loading(engine)) {
             return;
         }
         let slots = self.specs.adapter_slots();
@@ -38,7 +40,10 @@
         for (at, engine) in self.engines.iter().enumerate() {
             let base = engine.find(&adapter.model).filter(|loaded| !loaded.is_unloading);
             let Some(base) = base else { continue };
-            if !engine.is_usable() || engine.adapter_changes.len() >= MAX_ADAPTER_CHANGES {
+            if !engine.may_serve(software)
+                || !engine.is_usable()
+                || engine.adapter_changes.len() >= MAX_ADAPTER_CHANGES
+            {
                 continue;
             }
             let used_slots = used_adapter_slots(engine);
--- a/src/placement/swap/demand.rs
+++ b/src/placement/swap/demand.rs
@@ -1,6 +1,6 @@
 //! Request demand as the routers report it: arrivals, waiting requests and running requests.
 
-use crate::ids::{DaemonId, Incarnation, ModelName, ModelRef, TargetId};
+use crate::ids::{DaemonId, Incarnation, ModelName, ModelRef, SoftwareVersion, TargetId};
 
 /// Longest time between two planner ticks: arrival rates decay between reports.
 pub const RATE_REFRESH_INTERVAL_MS: u64 = 250;
@@ -30,6 +30,8 @@
 pub struct WaitingRequests {
     /// The model or adapter.
     pub model: ModelRef,
+    /// The software version that has to continue their streams; `None` where any may serve them.
+    pub software: Option<SoftwareVersion>,
     /// Number of waiting requests.
     pub count: u32,
     /// Time left until the earliest of their latency targets; negative once it has passed.
--- a/src/placement/swap/engine/mod.rs
+++ b/src/placement/swap/engine/mod.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use super::Operation;
-use crate::ids::{AdapterName, Incarnation, ModelName, ModelRef, TargetId};
+use crate::ids::{AdapterName, Incarnation, ModelName, ModelRef, SoftwareVersion, TargetId};
 use crate::target::order;
 
 /// Time that an engine takes to unload a model without running requests.
@@ -107,6 +107,7 @@
     pub target: TargetId,
     pub incarnation: Incarnation,
     pub address: SocketAddr,
+    pub software: Option<SoftwareVersion>,
     pub is_leaving: bool,
     /// The requests a second that it takes from all routers, if it names a limit.
     pub limit_per_s: Option<f64>,
@@ -141,6 +142,7 @@
             target: state.target.clone(),
             incarnation: state.incarnation,
             address: state.address,
+            software: state.software.clone(),
             is_leaving: state.leaving,
             limit_per_s: None,
             models: Vec::new(),
@@ -276,6 +278,11 @@
         }
     }
 
+    /// Whether it may serve requests that wait for a software version.
+    pub(super) fn may_serve(&self, software: Option<&SoftwareVersion>) -> bool {
+        software.is_none() || self.software.as_ref() == software
+    }
+
     /// The loaded model of this name.
     pub(super) fn find(&self, model: &ModelName) -> Option<&LoadedModel> {
         let at = self.models.binary_search_by(|loaded| loaded.model.cmp(model)).ok()?;
--- a/src/placement/swap/model_counts.rs
+++ b/src/placement/swap/model_counts.rs
@@ -3,12 +3,12 @@
 use super::demand::AggregateDemand;
 use super::engine::EngineState;
 use super::specs::EngineSpecs;
-use crate::ids::ModelName;
+use crate::ids::{ModelName, SoftwareVersion};
 
 /// Counts for one model.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ModelCount {
-    /// Requests that wait for the model or one of its adapters.
+    /// Requests that wait for the model or one of its adapters, on any engine.
     pub waiting: u32,
     /// Requests for the model at engines.
     pub running: u32,
@@ -37,6 +37,16 @@
 pub(super) struct ModelCounts {
     /// Sorted by model.
     counts: Vec<(ModelName, ModelCount)>,
+    /// Requests that wait for a model on an engine of one software version.
+    bound: Vec<BoundWaiting>,
+}
+
+/// Requests whose streams only engines of one software version can continue.
+#[derive(Clone, Debug)]
+pub(super) struct BoundWaiting {
+    pub model: ModelName,
+    pub software: SoftwareVersion,
+    pub count: u32,
 }
 
 impl ModelCounts {
@@ -46,9 +56,12 @@
         demand: &AggregateDemand,
     ) -> Self {
         let names = specs.models().iter().map(|spec| (spec.name.clone(), ModelCount::default()));
-        let mut counts = Self { counts: names.collect() };
+        let mut counts = Self { counts: names.collect(), bound: Vec::new() };
         for waiting in demand.waiting() {
-            counts.update(&waiting.model.model, |count| count.waiting += waiting.count);
+            match &waiting.software {
+                Some(software) => counts.add_bound(&waiting.model.model, software, waiting.count),
+                None => counts.update(&waiting.model.model, |count| count.waiting += waiting.count),
+            }
         }
         for running in demand.running() {
             let Some(model) = &running.model else { continue };
@@ -75,6 +88,30 @@
         counts
     }
 
+    fn add_bound(&mut self, model: &ModelName, software: &SoftwareVersion, added: u32) {
+        let is_same =
+            |known: &&mut BoundWaiting| known.model == *model && known.software == *software;
+        match self.bound.iter_mut().find(is_same) {
+            Some(known) => known.count += added,
+            None => {
+                let (model, software) = (model.clone(), software.clone());
+                self.bound.push(BoundWaiting { model, software, count: added });
+            }
+        }
+    }
+
+    /// Requests that wait for a model on an engine of one software version.
+    pub(super) fn bound(&self) -> &[BoundWaiting] {
+        &self.bound
+    }
+
+    /// Whether requests wait for a model that this engine may serve.
+    pub(super) fn is_awaited(&self, model: &ModelName, engine: &EngineState) -> bool {
+        let is_bound =
+            |bound: &BoundWaiting| bound.model == *model && engine.may_serve(Some(&bound.software));
+        self.get(model).waiting > 0 || self.bound.iter().any(is_bound)
+    }
+
     fn update(&mut self, model: &ModelName, update: impl FnOnce(&mut ModelCount)) {
         if let Ok(at) = self.counts.binary_search_by(|(known, _)| known.cmp(model)) {
             update(&mut self.counts[at].1);
--- a/src/placement/swap/plan.rs
+++ b/src/placement/swap/plan.rs
@@ -4,10 +4,10 @@
 //! seconds, beside two models that get most of the traffic and swap their rates every few seconds.
 
 use super::engine::{ModelChange, Source};
-use super::model_counts::ModelCount;
+use super::model_counts::{BoundWaiting, ModelCount};
 use super::round::{self, PlanningRound};
 use super::{LoadReason, Planner};
-use crate::ids::ModelName;
+use crate::ids::{ModelName, SoftwareVersion};
 
 /// Requests waiting or running per replica above which another replica is wanted.
 const MAX_REQUESTS_PER_REPLICA: u32 = 8;
@@ -29,10 +29,23 @@
 /// only copy models to disks.
 const EXTRA_URGENT_STORE_LOADS: usize = 2;
 
+/// Urgency of a waiting request, in requests a second.
+const WAITING_URGENCY: f64 = 10.0;
+
 /// Evaluated pairs of model and engine per millisecond of additional delay before the next round,
 /// so that a backlog leaves the leader time for its other work.
 const EVALUATED_PAIRS_PER_MS: u64 = 1_000;
 
+/// A model that is to be loaded.
+#[derive(Clone, Debug)]
+struct PendingLoad {
+    reason: LoadReason,
+    urgency: f64,
+    model: ModelName,
+    /// The software version of the engine, if requests wait for one.
+    software: Option<SoftwareVersion>,
+}
+
 /// A possible load of a model on one engine.
 struct Candidate {
     /// Index in [`Planner::engines`].
@@ -59,14 +72,14 @@
     pub(super) fn plan_loads(&mut self) {
         self.load_replacements();
         let mut round = PlanningRound::new(&self.engines);
-        for (reason, model) in self.pending_loads() {
-            let is_prefetch = reason == LoadReason::NoCopy;
+        for load in self.pending_loads() {
+            let is_prefetch = load.reason == LoadReason::NoCopy;
             if round.idle_engines == 0 || (is_prefetch && !self.can_prefetch(&round)) {
                 break;
             }
-            match self.choose_candidate(&mut round, reason, &model) {
+            match self.choose_candidate(&mut round, &load) {
                 Some(candidate) if candidate.can_start_now => {
-                    self.start_candidate(&model, &candidate);
+                    self.start_candidate(&load.model, &candidate);
                     round.invalidate(&self.engines, candidate.engine);
                 }
                 // If one model cannot be prefetched, no other one can.
@@ -94,12 +107,12 @@
     }
 
     /// The models to be loaded, the most urgent first.
-    fn pending_loads(&self) -> Vec<(LoadReason, ModelName)> {
-        let mut pending: Vec<(LoadReason, f64, &ModelName)> = Vec::new();
+    fn pending_loads(&self) -> Vec<PendingLoad> {
+        let mut pending = self.pending_bound_loads();
         for spec in self.specs.models() {
             let count = self.counts.get(&spec.name);
             let rate_per_s = self.demand.rate_per_s(self.now_ms, &spec.name);
-            let urgency = f64::from(count.waiting) * 10.0 + rate_per_s;
+            let urgency = f64::from(count.waiting) * WAITING_URGENCY + rate_per_s;
             let reason = match count.replicas {
                 0 if count.waiting > 0 => LoadReason::NoReplica,
                 0 if count.copies == 0 => LoadReason::NoCopy,
@@ -109,10 +122,33 @@
                 }
                 _ => continue,
             };
-            pending.push((reason, urgency, &spec.name));
+            let model = spec.name.clone();
+            pending.push(PendingLoad { reason, urgency, model, software: None });
         }
-        pending.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(b.2)));
-        pending.into_iter().map(|(reason, _, model)| (reason, model.clone())).collect()
+        pending.sort_by(|a, b| {
+            let by_reason = a.reason.cmp(&b.reason);
+            by_reason.then(b.urgency.total_cmp(&a.urgency)).then(a.model.cmp(&b.model))
+        });
+        pending
+    }
+
+    /// The models that requests wait for on engines of one software version, of which none has it.
+    fn pending_bound_loads(&self) -> Vec<PendingLoad> {
+        let is_missing = |bound: &&BoundWaiting| {
+            !self.engines.iter().any(|engine| {
+                let loaded = engine.find(&bound.model).filter(|loaded| !loaded.is_unloading);
+                let is_there = loaded.is_some() || engine.incoming_model() == Some(&bound.model);
+                is_there && engine.may_serve(Some(&bound.software)) && !engine.is_leaving
+            })
+        };
+        let missing = self.counts.bound().iter().filter(is_missing);
+        let load = |bound: &BoundWaiting| PendingLoad {
+            reason: LoadReason::NoReplica,
+            urgency: f64::from(bound.count) * WAITING_URGENCY,
+            model: bound.model.clone(),
+            software: Some(bound.software.clone()),
+        };
+        missing.map(load).collect()
     }
 
     fn can_prefetch(&mut self, round: &PlanningRound) -> bool {
@@ -137,18 +173,20 @@
     fn choose_candidate(
         &mut self,
         round: &mut PlanningRound,
-        reason: LoadReason,
-        model: &ModelName,
+        load: &PendingLoad,
     ) -> Option<Candidate> {
-        let max_store_loads = match reason {
+        let max_store_loads = match load.reason {
             LoadReason::NoReplica => self.settings.max_store_loads + EXTRA_URGENT_STORE_LOADS,
             LoadReason::TooFewReplicas | LoadReason::NoCopy => self.settings.max_store_loads,
         };
-        let can_use_store = round.store_loads < max_store_loads && self.can_start_store_load();
+        // The caller of a stream that broke off does not wait for the weight store.
+        let can_use_store = load.software.is_none()
+            && round.store_loads < max_store_loads
+            && self.can_start_store_load();
         let mut best: Option<(f64, Candidate)> = None;
         round.evaluated_pairs += self.engines.len() as u64;
         for at in 0..self.engines.len() {
-            let evaluated = self.evaluate_engine(round, at, reason, model, can_use_store);
+            let evaluated = self.evaluate_engine(round, at, load, can_use_store);
             let Some((cost_ms, candidate)) = evaluated else { continue };
             if best.as_ref().is_none_or(|(best_ms, _)| cost_ms < *best_ms) {
                 best = Some((cost_ms, candidate));
@@ -163,11 +201,15 @@
         &self,
         round: &mut PlanningRound,
         at: usize,
-        reason: LoadReason,
-        model: &ModelName,
+        load: &PendingLoad,
         can_use_store: bool,
     ) -> Option<(f64, Candidate)> {
+        let PendingLoad { reason, model, software, .. } = load;
+        let reason = *reason;
         let engine = &self.engines[at];
+        if !engine.may_serve(software.as_ref()) {
+            return None;
+        }
         let source = engine.load_source(model);
         let is_blocked = source == Source::Store && !can_use_store;
         // Another replica there would serve no more requests.
--- a/src/placement/swap/round.rs
+++ b/src/placement/swap/round.rs
@@ -131,7 +131,7 @@
             let is_new = self.now_ms < loaded.loaded_ms + MIN_RESIDENCE_MS;
             let count = self.counts.get(&loaded.model);
             let rate_per_s = self.demand.rate_per_s(self.now_ms, &loaded.model);
-            let has_waiting = count.waiting > 0;
+            let has_waiting = self.counts.is_awaited(&loaded.model, engine);
             let is_in_use = loaded.running > 0 && reason != LoadReason::NoReplica;
             let serving = count.serving_replicas(rate_per_s);
             let has_no_spare = serving <= super::plan::wanted_replicas(&count, rate_per_s);
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -208,7 +208,12 @@
             assert_eq!(feed.table().entries().len(), 2);
             tokio::time::sleep(Duration::from_millis(20)).await;
             // Placement may not order yet, so this waits for the next event.
-            let waiting = vec![WaitingRequests { model: model("m1"), count: 1, slack_ms: 500 }];
+            let waiting = vec![WaitingRequests {
+                model: model("m1"),
+                software: None,
+                count: 1,
+                slack_ms: 500,
+            }];
             leader.record_usage(&router(), RouterDemand { waiting, ..RouterDemand::default() });
             tokio::time::sleep(Duration::from_millis(90)).await;
             leave(&leader, Some(Incarnation(7)));
@@ -265,7 +270,12 @@
                 // It is empty, so the first order is a load, at once.
                 announce(&leader, State { holds: Vec::new(), ..state("a", 1) });
                 tokio::time::sleep(Duration::from_millis(20)).await;
-                let waiting = vec![WaitingRequests { model: model("m1"), count: 1, slack_ms: 500 }];
+                let waiting = vec![WaitingRequests {
+                    model: model("m1"),
+                    software: None,
+                    count: 1,
+                    slack_ms: 500,
+                }];
                 leader.record_usage(&router(), RouterDemand { waiting, ..RouterDemand::default() });
                 if is_stopped {
                     leader.stop();
@@ -547,7 +557,12 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             // Two reports at one moment: the round after the second is not due yet.
             leader.record_usage(&router(), RouterDemand::default());
-            let waiting = vec![WaitingRequests { model: model("m1"), count: 1, slack_ms: 500 }];
+            let waiting = vec![WaitingRequests {
+                model: model("m1"),
+                software: None,
+                count: 1,
+                slack_ms: 500,
+            }];
             leader.record_usage(&router(), RouterDemand { waiting, ..RouterDemand::default() });
             assert_eq!(orders.get(), 0);
             NOW_MS.set(NOW_MS.get() + 50);
--- a/tests/swap_planner.rs
+++ b/tests/swap_planner.rs
@@ -4,7 +4,7 @@
 
 use std::collections::VecDeque;
 
-use fescuebay::ids::{Incarnation, ModelRef, TargetId};
+use fescuebay::ids::{Incarnation, ModelRef, SoftwareVersion, TargetId};
 use fescuebay::placement::swap::demand::{RouterDemand, RunningRequests, WaitingRequests};
 use fescuebay::placement::swap::{Action, EngineReport, Event, OrderReply};
 use fescuebay::rate_limit::TargetLife;
@@ -177,6 +177,7 @@
     let demand = |models: &[&ModelRef]| {
         let waiting = |model: &&ModelRef| WaitingRequests {
             model: (*model).clone(),
+            software: None,
             count: 1,
             slack_ms: 500,
         };
@@ -334,3 +335,57 @@
         assert!(!is_limited || is_elsewhere, "{before:?}, {after:?}");
     }
 }
+
+/// The load: streams of two software versions broke off, and callers take them up while models were moved.
+/// Engines 0 and 1 have one version, engine 2 another; model 0 is loaded on engine 0 alone and on the disks
+/// of engines 1 and 2.
+#[test]
+fn a_model_is_loaded_on_an_engine_of_the_software_version_that_waiting_streams_need() {
+    let version = |name: &str| name.parse::<SoftwareVersion>().unwrap();
+    for adapter in [None, Some(1)] {
+        let mut simulation = Simulation::new(1, 3, 9, Faults::default());
+        for (at, name) in ["v1", "v1", "v2"].iter().enumerate() {
+            simulation.engines[at].software = Some(version(name));
+            simulation.engines[at].is_announcement_due = true;
+        }
+        simulation.engines[1].put_on_disk(0);
+        simulation.engines[2].put_on_disk(0);
+        for _ in 0..2_000 {
+            simulation.step();
+        }
+        let wanted = (model_ref(0, adapter), Some(version("v2")));
+        let is_served_by = |simulation: &Simulation, at: usize| {
+            let target = &simulation.engines[at].target;
+            simulation.planner.replicas(target).unwrap_or_default().contains(&wanted.0)
+        };
+        for _ in 0..1_500 {
+            if simulation.now_ms.is_multiple_of(100) {
+                simulation.report_bound_demand(&[], std::slice::from_ref(&wanted), Vec::new());
+            }
+            simulation.step();
+        }
+        assert!(is_served_by(&simulation, 2), "{adapter:?}: the engine of the version has it");
+        assert!(!simulation.engines[1].models.contains_key(&wanted.0.model), "{adapter:?}");
+        assert!(simulation.store_starts_ms.is_empty() || adapter.is_some());
+    }
+}
+
+/// A stream that needs a version whose engines have no copy does not take a load from the weight store, which
+/// its caller would not wait for.
+#[test]
+fn a_stream_that_needs_a_software_version_loads_nothing_from_the_weight_store() {
+    let version = |name: &str| name.parse::<SoftwareVersion>().unwrap();
+    let mut simulation = Simulation::new(1, 3, 9, Faults::default());
+    for (at, name) in ["v1", "v1", "v2"].iter().enumerate() {
+        simulation.engines[at].software = Some(version(name));
+        simulation.engines[at].is_announcement_due = true;
+    }
+    for _ in 0..4_000 {
+        if simulation.now_ms.is_multiple_of(100) {
+            let wanted = (model_ref(0, None), Some(version("v2")));
+            simulation.report_bound_demand(&[], &[wanted], Vec::new());
+        }
+        simulation.step();
+    }
+    assert!(simulation.store_starts_ms.is_empty(), "{:?}", simulation.store_starts_ms);
+}
--- a/tests/swap_simulation/mod.rs
+++ b/tests/swap_simulation/mod.rs
@@ -6,7 +6,9 @@
 
 use std::collections::BTreeMap;
 
-use fescuebay::ids::{AdapterName, DaemonId, Incarnation, ModelName, ModelRef, TargetId, Term};
+use fescuebay::ids::{
+    AdapterName, DaemonId, Incarnation, ModelName, ModelRef, SoftwareVersion, TargetId, Term,
+};
 use fescuebay::placement::swap::demand::{RouterDemand, RunningRequests, WaitingRequests};
 use fescuebay::placement::swap::{
     Action, EngineReport, Event, Operation, Order, OrderReply, Planner, Settings,
@@ -65,6 +67,7 @@
 /// A simulated engine.
 pub struct Engine {
     pub target: TargetId,
+    pub software: Option<SoftwareVersion>,
     pub models: BTreeMap<ModelName, Vec<AdapterName>>,
     models_on_disk: Vec<ModelName>,
     accepted_orders: u64,
@@ -86,6 +89,7 @@
         let models_on_disk = models.keys().cloned().collect();
         Self {
             target: format!("e{number}").parse().unwrap(),
+            software: None,
             models,
             models_on_disk,
             accepted_orders: 0,
@@ -125,7 +129,7 @@
             tier: Tier::Disk,
         });
         State {
-            software: None,
+            software: self.software.clone(),
             target: self.target.clone(),
             incarnation: Incarnation(1),
             sequence: self.sequence,
@@ -338,10 +342,25 @@
         waiting: &[ModelRef],
         running: Vec<RunningRequests>,
     ) {
-        let waiting = waiting
-            .iter()
-            .map(|model| WaitingRequests { model: model.clone(), count: 1, slack_ms: 1_000 })
-            .collect::<Vec<_>>();
+        let waiting: Vec<(ModelRef, Option<SoftwareVersion>)> =
+            waiting.iter().map(|model| (model.clone(), None)).collect();
+        self.report_bound_demand(arrivals, &waiting, running);
+    }
+
+    /// The same, where requests may wait for engines of one software version.
+    pub fn report_bound_demand(
+        &mut self,
+        arrivals: &[ModelRef],
+        waiting: &[(ModelRef, Option<SoftwareVersion>)],
+        running: Vec<RunningRequests>,
+    ) {
+        let waiting = waiting.iter().map(|(model, software)| WaitingRequests {
+            model: model.clone(),
+            software: software.clone(),
+            count: 1,
+            slack_ms: 1_000,
+        });
+        let waiting = waiting.collect();
         let arrivals = arrivals.iter().map(|model| (model.clone(), 1)).collect();
         let demand = RouterDemand { arrivals, waiting, running, leaving: Vec::new() };
         let router: DaemonId = "r".parse().unwrap();
