The first event of a stream waits until the leader knows who wrote it, 80 ms at most

While a service has several versions, the first event is now held back until the leader has the record; 80 ms at most, so that a lost leader holds up no stream for longer.

Reports are collected for 3 ms, more with more routers.

--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -19,10 +19,13 @@
 use crate::routes::Route;
 
 /// Pause before the leader is told of streams, so that a burst causes one message.
-const MIN_REPORT_PAUSE_MS: u64 = 20;
+const MIN_REPORT_PAUSE_MS: u64 = 3;
 /// The pause grows by one millisecond for each of this many routers, up to the upper bound.
-const ROUTERS_PER_MS: u64 = 2;
-const MAX_REPORT_PAUSE_MS: u64 = 200;
+const ROUTERS_PER_MS: u64 = 8;
+const MAX_REPORT_PAUSE_MS: u64 = 50;
+/// Longest time for which the first event of a stream is held back until the leader knows who wrote it.
+/// Beyond it, the stream can't be continued if this router is lost before that.
+const MAX_TELL_WAIT: Duration = Duration::from_millis(80);
 /// Timeout of telling the leader.
 const REPORT_TIMEOUT_MS: u64 = 600;
 /// Pause before a report that no leader took is sent again.
@@ -143,8 +146,9 @@
             let report = StreamReport { begun, streams_told };
             if tell(&client, &report).await {
                 router.recent_streams.borrow_mut().confirm_report();
+                router.streams_told.notify_waiters();
             } else {
-                router.recent_streams.borrow_mut().put_back(&report.begun);
+                router.recent_streams.borrow_mut().put_back();
                 tokio::time::sleep(REPORT_RETRY_PAUSE).await;
             }
         }
@@ -164,8 +168,8 @@
 }
 
 impl RouterState {
-    /// Remembers who writes the first events of a stream.
-    pub(super) fn record_begun_stream(
+    /// Remembers who writes the first events of a stream, and tells the leader if others can have.
+    pub(super) async fn tell_begun_stream(
         &self,
         route: &Route,
         info: &RequestInfo,
@@ -177,8 +181,24 @@
         let writer = Writer { service: service.clone(), software: software.clone() };
         let is_split = route.destinations.len() > 1;
         let now_ms = self.now_ms();
-        if self.recent_streams.borrow_mut().record(now_ms, stream, writer, is_split) {
-            self.streams_begun.notify_one();
+        if !self.recent_streams.borrow_mut().record(now_ms, stream, writer, is_split) {
+            return;
+        }
+        self.streams_begun.notify_one();
+        if tokio::time::timeout(MAX_TELL_WAIT, self.wait_until_told(stream)).await.is_err() {
+            metrics::counter!("fescuebay_streams_begun_untold_total").increment(1);
+        }
+    }
+
+    async fn wait_until_told(&self, stream: StreamKey) {
+        loop {
+            let told = self.streams_told.notified();
+            tokio::pin!(told);
+            told.as_mut().enable();
+            if self.recent_streams.borrow().is_told(stream) {
+                return;
+            }
+            told.await;
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -194,6 +194,11 @@
         NextData::End => return Err(AttemptFailure::ConnectionClosed),
         NextData::Failed(failure) => return Err(failure),
     };
+    if stream.is_resumable() {
+        let RoutedRequest { route, info, service, .. } = &**routed;
+        let software = stream.response.as_ref().and_then(|it| it.reservation.software.clone());
+        router.tell_begun_stream(route, info, service, software.as_ref()).await;
+    }
     if let Some(prompt_prefix) = routed.info.prompt_parts.iter().rev().nth(1) {
         router.balancer.borrow_mut().remember_prompt(prompt_prefix.0, &stream.target);
     }
@@ -207,12 +212,7 @@
     stream.began_ms = Some(stream.last_data_ms);
     if let Some(response) = &mut stream.response {
         response.reservation.note_prompt_read();
-        let software = response.reservation.software.clone();
-        if stream.is_resumable() {
-            let RoutedRequest { route, info, service, .. } = &*stream.routed;
-            stream.router.record_begun_stream(route, info, service, software.as_ref());
-        }
-        stream.routed.begin_stream(software);
+        stream.routed.begin_stream(response.reservation.software.clone());
     }
     let first_response_ms = stream.router.now_ms().saturating_sub(stream.sent_ms);
     record_answer(&stream.routed, stream.target.as_str(), stream.head.status, first_response_ms);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -70,6 +70,8 @@
     pub(super) recent_streams: RefCell<RecentStreams>,
     /// Notified when the leader may have to be told of streams.
     pub(super) streams_begun: Notify,
+    /// Notified when the leader was told of streams.
+    pub(super) streams_told: Notify,
     /// How long streams are collected before the leader is told.
     pub(super) report_pause_ms: Cell<u64>,
     /// Requests that wait to learn who began their streams.
@@ -446,6 +448,7 @@
             standings_changed: Notify::new(),
             recent_streams: RefCell::default(),
             streams_begun: Notify::new(),
+            streams_told: Notify::new(),
             report_pause_ms: Cell::default(),
             origin_queries: RefCell::default(),
             origins_wanted: Notify::new(),
--- a/src/origins/recent.rs
+++ b/src/origins/recent.rs
@@ -12,6 +12,15 @@
 /// Upper bound of streams in one report.
 const MAX_REPORTED: usize = 1_024;
 
+/// Whether the leader has been told of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Telling {
+    Untold,
+    /// The report is on its way.
+    Underway,
+    Told,
+}
+
 /// A stream that began at this router.
 #[derive(Clone, Debug)]
 struct RecentStream {
@@ -20,7 +29,7 @@
     writer: Writer,
     /// Whether its route leads to several services.
     is_split: bool,
-    is_told: bool,
+    telling: Telling,
 }
 
 /// The streams of one router.
@@ -30,8 +39,6 @@
     mixed: Vec<ServiceName>,
     /// The last change of these services.
     cursor: FeedCursor,
-    /// Whether a report is on its way.
-    is_reporting: bool,
     /// Oldest first.
     streams: VecDeque<RecentStream>,
 }
@@ -50,7 +57,8 @@
             self.streams.pop_front();
         }
         let began_ms = now_ms;
-        let recent = RecentStream { began_ms, stream, writer, is_split, is_told: false };
+        let telling = Telling::Untold;
+        let recent = RecentStream { began_ms, stream, writer, is_split, telling };
         let is_due = self.is_due(&recent);
         self.streams.push_back(recent);
         is_due
@@ -66,7 +74,11 @@
 
     /// The last change of these services after which the leader was told of all streams.
     pub fn told(&self) -> FeedCursor {
-        if self.is_reporting { FeedCursor::default() } else { self.told_after_report() }
+        let is_underway = |recent: &RecentStream| recent.telling == Telling::Underway;
+        match self.streams.iter().any(is_underway) {
+            true => FeedCursor::default(),
+            false => self.told_after_report(),
+        }
     }
 
     /// The same once the report that is on its way has arrived.
@@ -76,7 +88,13 @@
 
     /// Another leader has to be told of all streams again.
     pub fn begin_leader(&mut self) {
-        self.streams.iter_mut().for_each(|recent| recent.is_told = false);
+        self.streams.iter_mut().for_each(|recent| recent.telling = Telling::Untold);
+    }
+
+    /// Whether the leader has been told of a stream that has to be told of.
+    pub fn is_told(&self, stream: StreamKey) -> bool {
+        let found = self.streams.iter().rev().find(|recent| recent.stream == stream);
+        found.is_none_or(|recent| recent.telling == Telling::Told || !self.is_mixed(recent))
     }
 
     /// Whether there are streams to tell of.
@@ -86,12 +104,11 @@
 
     /// Takes the next streams to tell of, which are then on their way.
     pub fn take_report(&mut self) -> Vec<BegunStreams> {
-        self.is_reporting = true;
         let mut report: Vec<BegunStreams> = Vec::new();
         let due = (0..self.streams.len()).filter(|at| self.is_due(&self.streams[*at]));
         for at in due.take(MAX_REPORTED).collect::<Vec<_>>() {
             let recent = &mut self.streams[at];
-            recent.is_told = true;
+            recent.telling = Telling::Underway;
             message::add_stream(&mut report, recent.stream, recent.writer.clone());
         }
         report
@@ -99,24 +116,24 @@
 
     /// Records that the leader has the report.
     pub fn confirm_report(&mut self) {
-        self.is_reporting = false;
+        self.end_report(Telling::Told);
     }
 
-    /// Takes back a report that reached no leader.
-    pub fn put_back(&mut self, report: &[BegunStreams]) {
-        self.is_reporting = false;
-        let mut untold: Vec<StreamKey> =
-            report.iter().flat_map(|begun| begun.streams.iter().copied()).collect();
-        untold.sort_unstable();
-        for recent in &mut self.streams {
-            if untold.binary_search(&recent.stream).is_ok() {
-                recent.is_told = false;
-            }
-        }
+    /// Records that the report reached no leader.
+    pub fn put_back(&mut self) {
+        self.end_report(Telling::Untold);
+    }
+
+    fn end_report(&mut self, telling: Telling) {
+        let underway = self.streams.iter_mut().filter(|recent| recent.telling == Telling::Underway);
+        underway.for_each(|recent| recent.telling = telling);
+    }
+
+    fn is_mixed(&self, recent: &RecentStream) -> bool {
+        recent.is_split || self.mixed.binary_search(&recent.writer.service).is_ok()
     }
 
     fn is_due(&self, recent: &RecentStream) -> bool {
-        let is_mixed = recent.is_split || self.mixed.binary_search(&recent.writer.service).is_ok();
-        !recent.is_told && is_mixed
+        recent.telling == Telling::Untold && self.is_mixed(recent)
     }
 }
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -93,9 +93,9 @@
 
     /// Kills these routers and starts them again after a while.
     pub async fn kill_routers(&mut self, numbers: std::ops::Range<usize>, down: Duration) {
-        for number in numbers.clone() {
-            self.routers[number].signal("KILL");
-            self.routers[number].exit_code().await;
+        self.routers[numbers.clone()].iter().for_each(|router| router.signal("KILL"));
+        for router in &mut self.routers[numbers.clone()] {
+            router.exit_code().await;
         }
         tokio::time::sleep(down).await;
         numbers.for_each(|number| self.routers[number].start());
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -91,7 +91,7 @@
     recent.set_mixed(cursor(1), vec![service("llm")]);
     recent.record(0, key("a"), writer("v1"), false);
     let report = recent.take_report();
-    recent.put_back(&report);
+    recent.put_back();
     assert_eq!(recent.take_report(), report);
     recent.record(1, key("b"), writer("v1"), false);
     recent.begin_leader();
@@ -131,12 +131,14 @@
     assert_eq!(recent.told(), FeedCursor::default());
     recent.set_mixed(cursor(1), vec![service("llm")]);
     assert_eq!(recent.told(), FeedCursor::default());
-    let report = recent.take_report();
+    recent.take_report();
+    assert!(!recent.is_told(key("a")));
     assert_eq!((recent.told(), recent.told_after_report()), (FeedCursor::default(), cursor(1)));
-    recent.put_back(&report);
+    recent.put_back();
     assert_eq!(recent.told_after_report(), FeedCursor::default());
     recent.take_report();
     recent.confirm_report();
+    assert!(recent.is_told(key("a")));
     assert_eq!(recent.told(), cursor(1));
 }
 
--- a/tests/stream_support/mod.rs
+++ b/tests/stream_support/mod.rs
@@ -208,9 +208,19 @@
 
 /// Asks for streams at all routers, each `pause` after the one before.
 pub async fn take_all(callers: &[SocketAddr], streams: usize, pause: Duration) -> Vec<Story> {
+    take_all_counted(callers, streams, pause, &Rc::default()).await
+}
+
+/// The same, and counts the streams that have begun.
+pub async fn take_all_counted(
+    callers: &[SocketAddr],
+    streams: usize,
+    pause: Duration,
+    begun: &Rc<Cell<usize>>,
+) -> Vec<Story> {
     let mut open = Vec::new();
     for number in 0..streams {
-        open.push(tokio::task::spawn_local(take(callers.to_vec(), number)));
+        open.push(tokio::task::spawn_local(take(callers.to_vec(), number, Rc::clone(begun))));
         tokio::time::sleep(pause).await;
     }
     let mut stories = Vec::new();
@@ -221,7 +231,7 @@
 }
 
 /// Asks for one stream, and takes it up at the next router where it breaks off.
-pub async fn take(callers: Vec<SocketAddr>, first: usize) -> Story {
+async fn take(callers: Vec<SocketAddr>, first: usize, begun: Rc<Cell<usize>>) -> Story {
     let mut story = Story::default();
     let stream = rand::random::<u64>();
     let mut began_with = None;
@@ -235,7 +245,7 @@
         }
         let before = story.numbers.len();
         let to = callers[(first + number) % callers.len()];
-        let (status, retry_after) = take_once(to, &headers, &mut story).await;
+        let (status, retry_after) = take_once(to, &headers, &mut story, &begun).await;
         story.statuses.push(status);
         let has_come = story.numbers.len() > before;
         story.has_begun |= has_come && number == 0;
@@ -252,7 +262,12 @@
 }
 
 /// One try: its status, and when the caller is asked to return.
-async fn take_once(to: SocketAddr, headers: &str, story: &mut Story) -> (u16, Option<Duration>) {
+async fn take_once(
+    to: SocketAddr,
+    headers: &str,
+    story: &mut Story,
+    begun: &Cell<usize>,
+) -> (u16, Option<Duration>) {
     let Some(mut stream) = send(to, "POST", PATH, headers, "b").await else { return (0, None) };
     let mut bytes = Vec::new();
     let mut read = 0;
@@ -264,7 +279,9 @@
         if status(head) != 200 {
             continue;
         }
+        let was_empty = story.numbers.is_empty();
         read += read_events(&body[read..], story);
+        begun.set(begun.get() + usize::from(was_empty && !story.numbers.is_empty()));
         story.is_whole |=
             body.ends_with(END) || header(head, "content-length").as_deref() == Some("0");
     }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -7,12 +7,16 @@
 mod roles_support;
 mod stream_support;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use common::proxy::PathMode;
 use fleet_support::Fleet;
 use gateway_support::on_one_thread;
-use stream_support::{DOCUMENT, PATH, StreamTarget, Summary, start_targets, take_all};
+use stream_support::{
+    DOCUMENT, PATH, StreamTarget, Summary, start_targets, take_all, take_all_counted,
+};
 
 /// Streams that may hold events of two versions.
 const MAX_JOINED: usize = 2;
@@ -29,6 +33,9 @@
     Fleet::start(name, routers, DOCUMENT, announced, PATH).await
 }
 
+/// What a router tells the leader arrives this much later, and a stream that goes on must not depend on it.
+const LEADER_DELAY: PathMode = PathMode::Delayed(25);
+
 /// Checks that no streams are joined, and that those that were taken up go on.
 fn check(name: &str, summary: Summary) {
     println!("{name}: {summary:?}");
@@ -83,6 +90,27 @@
     });
 }
 
+/// The load: many streams that waited begin at once, and their routers are killed right then.
+#[test]
+fn a_stream_goes_on_if_its_router_is_killed_right_after_its_first_event() {
+    on_one_thread(async {
+        let targets = start_targets(&BOTH).await;
+        let mut fleet = start("versions-first", 4, &targets).await;
+        (0..4).for_each(|router| fleet.set_paths_from(router, LEADER_DELAY));
+        let (callers, begun) = (fleet.callers(), Rc::new(Cell::new(0)));
+        let taking = take_all_counted(&callers, STREAMS, Duration::ZERO, &begun);
+        let (stories, ()) = futures::join!(taking, async {
+            while begun.get() < STREAMS * 9 / 10 {
+                tokio::task::yield_now().await;
+            }
+            fleet.kill_routers(0..4, DOWN).await;
+        });
+        let summary = Summary::of(&stories);
+        check("killed after the first events", summary);
+        assert!(summary.taken_up >= 12, "{summary:?}");
+    });
+}
+
 /// The targets of the old version leave and end, and then all routers are killed: no stream of the old version
 /// goes on at the new one, which is all that is left.
 #[test]
