Placement serves streams that broke off before new requests for other models

Cause: a model that waits for one version's engines had the same place in the order as any other, though few engines can take it and its caller leaves sooner. It comes first now.

a_broken_stream_does_not_wait_behind_new_requests_for_other_models failed before.

--- a/src/placement/swap/plan.rs
+++ b/src/placement/swap/plan.rs
@@ -125,9 +125,12 @@
             let model = spec.name.clone();
             pending.push(PendingLoad { reason, urgency, model, software: None });
         }
+        // A stream that broke off comes first: its caller does not wait for long, and few engines can
+        // continue it.
+        let rank = |load: &PendingLoad| (load.reason, load.software.is_none());
         pending.sort_by(|a, b| {
-            let by_reason = a.reason.cmp(&b.reason);
-            by_reason.then(b.urgency.total_cmp(&a.urgency)).then(a.model.cmp(&b.model))
+            let by_rank = rank(a).cmp(&rank(b));
+            by_rank.then(b.urgency.total_cmp(&a.urgency)).then(a.model.cmp(&b.model))
         });
         pending
     }
--- a/tests/swap_planner.rs
+++ b/tests/swap_planner.rs
@@ -389,3 +389,32 @@
     }
     assert!(simulation.store_starts_ms.is_empty(), "{:?}", simulation.store_starts_ms);
 }
+
+/// The load: after an outage requests wait for more models than engines can swap in at once, among them one
+/// of a broken stream that a single engine can continue.
+#[test]
+fn a_broken_stream_does_not_wait_behind_new_requests_for_other_models() {
+    let version = |name: &str| name.parse::<SoftwareVersion>().unwrap();
+    let mut simulation = Simulation::new(1, 2, 24, Faults::default());
+    for (at, name) in ["v1", "v2"].iter().enumerate() {
+        simulation.engines[at].software = Some(version(name));
+        simulation.engines[at].is_announcement_due = true;
+        (6..24).for_each(|model| simulation.engines[at].put_on_disk(model));
+    }
+    for _ in 0..2_000 {
+        simulation.step();
+    }
+    // The new requests come first in the order of names, and more of them wait for each model.
+    let broken = (model_ref(9, None), Some(version("v2")));
+    let mut waiting = vec![broken.clone()];
+    for model in 10..24 {
+        waiting.extend([(model_ref(model, None), None), (model_ref(model, None), None)]);
+    }
+    for _ in 0..1_500 {
+        if simulation.now_ms.is_multiple_of(100) {
+            simulation.report_bound_demand(&[], &waiting, Vec::new());
+        }
+        simulation.step();
+    }
+    assert!(simulation.engines[1].models.contains_key(&broken.0.model));
+}
