--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -24,6 +24,8 @@
     Delayed(u64),
     /// Resets connections, old and new.
     Reset,
+    /// Resets new connections; old ones live on.
+    ResetNew,
     /// Passes nothing on and closes nothing.
     Silent,
     /// Passes on what goes to the server alone.
@@ -110,7 +112,7 @@
         let _ = socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO));
         let _ = socket2::SockRef::from(&server).set_linger(Some(Duration::ZERO));
     };
-    if mode.get() == PathMode::Reset {
+    if matches!(mode.get(), PathMode::Reset | PathMode::ResetNew) {
         return reset();
     }
     reset();
