A target that goes on announcing itself has not ended under a request

Cause: each broken connection counted as a target that ended, also where the leader went on hearing from that target.

Two announcements of an incarnation that come after the break take back what the break said; a crashed target may have sent one that is late. What trials closed is opened again when their targets turn out to be alive.

--- a/src/coordinator/leader/suspects.rs
+++ b/src/coordinator/leader/suspects.rs
@@ -4,6 +4,7 @@
 use crate::ids::DaemonId;
 use crate::poison::message::{Permission, Report, Statement};
 use crate::poison::registry::Registry;
+use crate::rate_limit::TargetLife;
 
 impl Leader {
     /// Begins with what this daemon was told while another one led.
@@ -47,6 +48,21 @@
         is_sure.then_some(permission)
     }
 
+    /// Takes into account that a target has announced itself: it has not ended.
+    pub(super) fn note_alive(&self, life: &TargetLife) {
+        if self.suspects.borrow().is_empty() {
+            return;
+        }
+        let now_ms = self.context.clock.now_ms();
+        if self.suspects.borrow_mut().record_announcement(now_ms, life) {
+            log::info!(
+                target_id:% = life.target, life = life.incarnation.0;
+                "a target goes on: what it was taken to have ended under is treated in another way"
+            );
+            self.tell_suspects();
+        }
+    }
+
     fn inherit_statements(&self, statements: &[Statement]) -> bool {
         let now_ms = self.context.clock.now_ms();
         let mut is_changed = false;
--- a/src/coordinator/leader/targets.rs
+++ b/src/coordinator/leader/targets.rs
@@ -10,6 +10,7 @@
 use crate::membership::table::{Replica, TableChange, TargetEntry};
 use crate::membership::targets::{self, AnnouncementOutcome};
 use crate::placement::swap;
+use crate::rate_limit::TargetLife;
 use crate::target::order;
 
 /// The version of all weights: engines keep only the newest one.
@@ -66,6 +67,10 @@
                 state.leaving |= known.is_some();
                 let event = targets::TargetEvent::Announced(state);
                 let taken = self.handle_event(event, Cause::Announcement(sequence));
+                if taken == AnnouncementOutcome::Accepted {
+                    let (target, incarnation) = (target.clone(), life);
+                    self.note_alive(&TargetLife { target, incarnation });
+                }
                 if is_new_departure {
                     let departure = Departure::Leaving;
                     return AckCondition::AfterRecord(Command { target, life, departure });
--- a/src/poison/registry.rs
+++ b/src/poison/registry.rs
@@ -29,11 +29,19 @@
 /// Upper bound of subjects. The one that changed the longest ago is dropped first, closed ones last.
 pub const MAX_SUBJECTS: usize = 1_024;
 
+/// Announcements of a target after a connection to it broke that show that it has not ended: one may have been
+/// under way.
+const ALIVE_ANNOUNCEMENTS: u8 = 2;
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct KnownDeath {
     life: TargetLife,
     sent_ms: u64,
     broke_ms: u64,
+    /// What it says against the subject, if it was the end of a trial.
+    blame: u32,
+    /// Announcements of this incarnation that came later.
+    announcements: u8,
 }
 
 #[derive(Clone, Debug)]
@@ -63,8 +71,6 @@
     /// The other suspects of the trial that closed it.
     closed_with: Vec<Subject>,
     trial: Option<Trial>,
-    /// From trials, since the last answer.
-    blame: u32,
     changed_ms: u64,
 }
 
@@ -77,7 +83,6 @@
             closed_until_ms: None,
             closed_with: Vec::new(),
             trial: None,
-            blame: 0,
             changed_ms: 0,
         }
     }
@@ -129,19 +134,38 @@
         true
     }
 
-    fn record_death(&mut self, now_ms: u64, from: &DaemonId, death: KnownDeath) {
+    fn record_death(&mut self, now_ms: u64, from: &DaemonId, mut death: KnownDeath) {
         let is_of_trial = |trial: &mut Trial| trial.router == *from && trial.target == death.life;
         let trial = self.trial.take_if(is_of_trial);
+        death.blame = trial.as_ref().map_or(0, Trial::blame);
         let is_new = self.add_death(death);
-        let Some(trial) = trial.filter(|_| is_new) else { return };
-        self.blame += trial.blame();
+        if let Some(trial) = trial.filter(|_| is_new && self.is_to_blame()) {
+            self.closed_until_ms = Some(now_ms + CLOSED_MS);
+            self.closed_with = trial.with;
+        }
+    }
+
+    /// Whether the trials since the last answer say enough to close the subject.
+    fn is_to_blame(&self) -> bool {
         let limit = match self.is_trusted() {
             true => CLOSED_AT_BLAME_TRUSTED,
             false => CLOSED_AT_BLAME,
         };
-        if self.blame >= limit {
-            self.closed_until_ms = Some(now_ms + CLOSED_MS);
-            self.closed_with = trial.with;
+        self.deaths.iter().map(|death| death.blame).sum::<u32>() >= limit
+    }
+
+    /// Takes an announcement of a target into account: an incarnation that goes on announcing itself has not
+    /// ended, whatever became of a connection to it.
+    fn record_announcement(&mut self, now_ms: u64, life: &TargetLife) {
+        let before = self.deaths.len();
+        let had_blame = self.deaths.iter().any(|death| death.blame > 0);
+        for death in self.deaths.iter_mut().filter(|death| death.life == *life) {
+            death.announcements += u8::from(now_ms > death.broke_ms);
+        }
+        self.deaths.retain(|death| death.announcements < ALIVE_ANNOUNCEMENTS);
+        let is_reopened = self.deaths.is_empty() || (had_blame && !self.is_to_blame());
+        if self.deaths.len() < before && is_reopened {
+            self.closed_until_ms = None;
         }
     }
 
@@ -152,7 +176,6 @@
         self.deaths.retain(|death| death.sent_ms > began_ms);
         if self.deaths.len() < before {
             self.trial = None;
-            self.blame = 0;
         }
         if self.deaths.is_empty() {
             self.closed_until_ms = None;
@@ -200,6 +223,19 @@
         is_changed
     }
 
+    /// Takes into account that an incarnation of a target has announced itself. Returns whether the standing of
+    /// a subject changed.
+    pub fn record_announcement(&mut self, now_ms: u64, life: &TargetLife) -> bool {
+        let mut is_changed = false;
+        for entry in &mut self.entries {
+            let before = entry.standing(now_ms);
+            entry.record_announcement(now_ms, life);
+            is_changed |= entry.standing(now_ms) != before;
+        }
+        self.forget(now_ms);
+        is_changed
+    }
+
     /// Takes what an earlier leader told of a subject. Returns whether this is new.
     pub fn inherit(&mut self, now_ms: u64, statement: &Statement) -> bool {
         let entry = self.entry(&statement.subject);
@@ -339,6 +375,8 @@
         life: death.life.clone(),
         sent_ms: now_ms.saturating_sub(death.sent_age_ms),
         broke_ms: now_ms.saturating_sub(death.broke_age_ms),
+        blame: 0,
+        announcements: 0,
     }
 }
 
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -30,7 +30,7 @@
     begin_round(&mut reach, 1_000, &app);
     assert!(!reach.is_lost(&app), "one failure is none of all targets");
     assert_eq!(reach.end_round(1_400, &app, 3), ReachChange::Lost);
-    assert_eq!(reach.lost_services(), [app.clone()]);
+    assert_eq!(reach.lost_services(), std::slice::from_ref(&app));
     assert!(!reach.is_lost(&service("other")));
     assert_eq!(reach.next_step(1_400, &app), ProbeStep::Wait { ms: 100 });
     assert!(matches!(reach.next_step(1_500, &app), ProbeStep::Probe { .. }));
--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -7,11 +7,13 @@
 mod partition_support;
 mod roles_support;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use common::proxy::PathMode;
-use gateway_support::on_one_thread;
+use gateway_support::{on_one_thread, status};
 use partition_support::{CONTACT, CUT, PartitionedFleet, Served, Try};
+use roles_support::ask;
 
 const ROUTERS: usize = 6;
 const TARGETS: usize = 6;
@@ -110,3 +112,37 @@
         check("two of six, half of the targets", served);
     });
 }
+
+/// The load: the paths of two routers are reset with many requests for one content under way there, which nobody
+/// else asks for. No target has ended, as the leader hears from all of them.
+#[test]
+fn connections_that_are_reset_make_no_request_one_that_crashes_targets() {
+    on_one_thread(async {
+        let partitioned = PartitionedFleet::start("cut-again", ROUTERS, TARGETS).await;
+        let callers = partitioned.fleet.callers();
+        let ask_often = |count: usize| {
+            let callers = callers.clone();
+            async move {
+                let asked = (0..count).map(|n| ask_rare(callers[n % 2]));
+                futures::future::join_all(asked).await
+            }
+        };
+        for _ in 0..4 {
+            partitioned.set_paths(0..2, 0..TARGETS, PathMode::Reset);
+            ask_often(40).await;
+            partitioned.set_paths(0..2, 0..TARGETS, PathMode::Open);
+            tokio::time::sleep(Duration::from_millis(700)).await;
+        }
+        tokio::time::sleep(CONTACT).await;
+        for to in &callers {
+            assert_eq!(ask_rare(*to).await, 200, "after the cut, at {to}");
+        }
+    });
+}
+
+/// Asks for a content that nobody else asks for.
+async fn ask_rare(to: SocketAddr) -> u16 {
+    let id: u64 = rand::random();
+    let headers = format!("Attempt-Id: {id:x}\r\nDeadline-Ms: 1500\r\n");
+    status(&ask(to, "POST", "/draft/x", &headers, "rare").await)
+}
--- a/tests/poison_registry.rs
+++ b/tests/poison_registry.rs
@@ -270,3 +270,38 @@
         assert_eq!(permit(&mut registry, 1_900, 1, &[&guilty], 8), Permission::Closed { for_ms });
     }
 }
+
+/// The load: the paths of a router to all targets are reset with the same request under way at several. A crashed
+/// target may have sent one announcement that is heard late.
+#[test]
+fn targets_that_go_on_announcing_themselves_have_not_ended_under_a_request() {
+    let one = request(1);
+    let (mut registry, now_ms) = closed(&one);
+    assert!(matches!(registry.standing(now_ms, &one), Standing::Closed { .. }));
+    for number in 1..=4 {
+        assert!(!registry.record_announcement(now_ms + 100, &life(number)), "it may be late");
+    }
+    assert!(matches!(registry.standing(now_ms + 100, &one), Standing::Closed { .. }));
+    // The trials of the targets 3 and 4 closed it.
+    assert!(registry.record_announcement(now_ms + 1_300, &life(3)));
+    assert_eq!(registry.standing(now_ms + 1_300, &one), Standing::Restricted);
+    for number in [4, 1, 2] {
+        registry.record_announcement(now_ms + 1_300, &life(number));
+    }
+    assert_eq!(registry.standing(now_ms + 1_300, &one), Standing::Clear);
+    assert!(registry.is_empty(), "nothing is left to say of it");
+}
+
+#[test]
+fn an_announcement_of_another_incarnation_or_from_before_shows_nothing() {
+    let one = request(1);
+    let (mut registry, now_ms) = closed(&one);
+    let next = |number| TargetLife { incarnation: Incarnation(number + 100), ..life(number) };
+    for later_ms in [100, 1_300, 2_500] {
+        for number in 1..=4 {
+            assert!(!registry.record_announcement(now_ms + later_ms, &next(number)));
+            assert!(!registry.record_announcement(1_050, &life(number)), "before the break");
+        }
+    }
+    assert!(matches!(registry.standing(now_ms + 2_500, &one), Standing::Closed { .. }));
+}
