--- /dev/null
+++ b/tests/forwarding.rs
@@ -0,0 +1,149 @@
+//! Requests that one router hands to another because it reaches no target: bounded, never in a circle, at most
+//! once, streams as they come.
+
+mod common;
+mod fleet_support;
+mod gateway_support;
+mod partition_support;
+mod roles_support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::process::until;
+use common::proxy::PathMode;
+use gateway_support::{on_one_thread, status};
+use partition_support::PartitionedFleet;
+use roles_support::{Vm, ask, send};
+use tokio::io::AsyncReadExt as _;
+
+/// A fleet in which these routers reach no target and know it.
+async fn start_cut(name: &str, routers: usize, cut: std::ops::Range<usize>) -> PartitionedFleet {
+    let partitioned = PartitionedFleet::start(name, routers, 3).await;
+    partitioned.set_paths(cut.clone(), 0..3, PathMode::Reset);
+    for router in &partitioned.fleet.routers[cut] {
+        until("the router knows that it is cut off", async || {
+            look(router.callers(), "probe").await;
+            router.log().contains("can be reached from here")
+        })
+        .await;
+    }
+    partitioned
+}
+
+async fn look(to: SocketAddr, id: &str) -> String {
+    let id = format!("{id}-{:x}", rand::random::<u64>());
+    ask(to, "GET", "/look/x", &format!("Attempt-Id: {id}\r\nDeadline-Ms: 1500\r\n"), "").await
+}
+
+/// How often a router logged this event of a request.
+fn count(router: &Vm, id: &str, event: &str) -> usize {
+    let (id, event) = (format!(r#""id":"{id}""#), format!(r#""event":"{event}""#));
+    router.log().lines().filter(|line| line.contains(&id) && line.contains(&event)).count()
+}
+
+#[test]
+fn a_request_is_never_forwarded_twice_in_a_row() {
+    on_one_thread(async {
+        let partitioned = start_cut("forward-circle", 4, 0..4).await;
+        let routers = &partitioned.fleet.routers;
+        let id = "circle-1";
+        let headers = format!("Attempt-Id: {id}\r\nDeadline-Ms: 1500\r\n");
+        let answer = ask(routers[0].callers(), "POST", "/order/x", &headers, "b").await;
+        assert!(matches!(status(&answer), 502..=504), "{answer}");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let forwarded: Vec<usize> =
+            routers.iter().map(|router| count(router, id, "forwarded")).collect();
+        assert_eq!(forwarded[1..], [0, 0, 0], "by who first took it, and by nobody else");
+        assert!(forwarded[0] <= 3, "{forwarded:?}");
+    });
+}
+
+/// The other router sends the request on and is killed before it answers.
+#[test]
+fn a_request_whose_answer_is_lost_with_the_other_router_runs_once() {
+    on_one_thread(async {
+        let mut partitioned = start_cut("forward-lost", 2, 0..1).await;
+        let to = partitioned.fleet.routers[0].callers();
+        let headers = "Attempt-Id: order-lost\r\nDeadline-Ms: 1500\r\n";
+        let asked =
+            tokio::task::spawn_local(
+                async move { ask(to, "POST", "/order/slow", headers, "b").await },
+            );
+        let is_seen = |partitioned: &PartitionedFleet| {
+            partitioned.targets.iter().any(|t| t.seen.borrow().iter().any(|id| id == "order-lost"))
+        };
+        until("a target runs it", async || is_seen(&partitioned)).await;
+        partitioned.fleet.kill_routers(1..2, Duration::ZERO).await;
+        let answer = asked.await.unwrap();
+        assert_eq!(status(&answer), 502, "it may have run: {answer}");
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(partitioned.most_runs(), 1);
+    });
+}
+
+#[test]
+fn a_forwarded_stream_arrives_event_by_event_and_ends_with_its_caller() {
+    on_one_thread(async {
+        let partitioned = start_cut("forward-stream", 2, 0..1).await;
+        let to = partitioned.fleet.routers[0].callers();
+        let headers = "Attempt-Id: stream-1\r\nDeadline-Ms: 5000\r\n";
+        let mut stream = send(to, "POST", "/draft/slow", headers, "b").await.unwrap();
+        let mut text = String::new();
+        let mut buffer = [0; 1 << 10];
+        while !text.contains("data: e5\n") {
+            let count = stream.read(&mut buffer).await.unwrap();
+            assert!(count > 0, "cut off: {text}");
+            text += &String::from_utf8_lossy(&buffer[..count]);
+        }
+        assert!(text.starts_with("HTTP/1.1 200 OK"), "{text}");
+        drop(stream);
+        let left = || partitioned.targets.iter().map(|target| target.left.get()).sum::<usize>();
+        until("the target is told that its caller left", async || left() == 1).await;
+    });
+}
+
+/// The router that helps is killed in the middle of a stream: the answer does not look whole.
+#[test]
+fn a_forwarded_stream_that_is_lost_with_the_other_router_does_not_look_whole() {
+    on_one_thread(async {
+        let mut partitioned = start_cut("forward-broken", 2, 0..1).await;
+        let to = partitioned.fleet.routers[0].callers();
+        let headers = "Attempt-Id: stream-2\r\nDeadline-Ms: 5000\r\n";
+        let mut stream = send(to, "POST", "/draft/slow", headers, "b").await.unwrap();
+        let mut buffer = [0; 1 << 10];
+        let mut text = String::new();
+        while !text.contains("data: e2\n") {
+            let count = stream.read(&mut buffer).await.unwrap();
+            text += &String::from_utf8_lossy(&buffer[..count]);
+        }
+        partitioned.fleet.kill_routers(1..2, Duration::ZERO).await;
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+        text += &String::from_utf8_lossy(&rest);
+        assert!(!text.ends_with(gateway_support::END), "{text}");
+    });
+}
+
+/// A router that is cut off is no help, and the others take their share.
+#[test]
+fn forwarded_requests_are_spread_over_the_routers_that_reach_targets() {
+    on_one_thread(async {
+        let partitioned = start_cut("forward-spread", 5, 0..2).await;
+        let routers = &partitioned.fleet.routers;
+        let asked = (0..60).map(|_| look(routers[0].callers(), "spread"));
+        for answer in futures::future::join_all(asked).await {
+            assert_eq!(status(&answer), 200, "{answer}");
+        }
+        let handled = |router: &Vm| {
+            let log = router.log();
+            let lines = log.lines().filter(|line| line.contains(r#""id":"spread-"#));
+            lines.filter(|line| line.contains(r#""event":"answered""#)).count()
+        };
+        let shares = || -> Vec<usize> { routers[2..].iter().map(handled).collect() };
+        until("all are logged", async || shares().iter().sum::<usize>() == 60).await;
+        let shares = shares();
+        assert_eq!(handled(&routers[1]), 0, "it is cut off itself");
+        assert!(shares.iter().all(|share| (10..=30).contains(share)), "{shares:?}");
+    });
+}
--- a/tests/partition_support/mod.rs
+++ b/tests/partition_support/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code, reason = "each test uses a part of it")]
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,6 +22,8 @@
 pub const CUT: Duration = Duration::from_secs(12);
 /// Time that a target takes for a request.
 const WORK: Duration = Duration::from_millis(20);
+/// The same for one whose path ends with `/slow`.
+const SLOW_WORK: Duration = Duration::from_millis(1_000);
 
 pub const DOCUMENT: &str = r#"{"version":5,"routes":[
  {"name":"look","host":"h.example","pathPrefix":"/look/","kind":"safe","timeoutMs":1500,
@@ -41,18 +43,20 @@
     id: String,
     pub paths: Proxy,
     /// The ids of requests that it has run.
-    pub ids: Rc<RefCell<Vec<String>>>,
+    pub seen: Rc<RefCell<Vec<String>>>,
+    /// Slow streams that ended because their router closed the connection.
+    pub left: Rc<Cell<usize>>,
 }
 
 impl ReachedTarget {
     async fn start(id: String) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let paths = Proxy::start(listener.local_addr().unwrap()).await;
-        let target = Self { id, paths, ids: Rc::default() };
-        let ids = Rc::clone(&target.ids);
+        let target = Self { id, paths, seen: Rc::default(), left: Rc::default() };
+        let (seen, left) = (Rc::clone(&target.seen), Rc::clone(&target.left));
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(serve(stream, Rc::clone(&ids)));
+                tokio::task::spawn_local(serve(stream, Rc::clone(&seen), Rc::clone(&left)));
             }
         });
         target
@@ -71,14 +75,37 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, ids: Rc<RefCell<Vec<String>>>) {
+/// Writes events for as long as the connection lives.
+async fn stream_slowly(stream: &mut TcpStream, id: &str, left: &Cell<usize>) {
+    let first = events(1, 1).replace("{id}", id);
+    let mut is_open = stream.write_all(first.as_bytes()).await.is_ok();
+    for number in 2.. {
+        if !is_open {
+            break;
+        }
+        tokio::time::sleep(WORK * 5).await;
+        let event = format!("id: {number}\ndata: e{number}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        is_open = stream.write_all(chunk.as_bytes()).await.is_ok();
+    }
+    left.set(left.get() + 1);
+}
+
+async fn serve(mut stream: TcpStream, seen: Rc<RefCell<Vec<String>>>, left: Rc<Cell<usize>>) {
     while let Some(head) = read_request(&mut stream).await {
         let id = header(&head, "attempt-id").unwrap_or_default();
-        tokio::time::sleep(WORK).await;
+        if header(&head, "host").as_deref() != Some("probe") {
+            seen.borrow_mut().push(id.clone());
+        }
+        let is_slow = head.contains("/slow ");
+        tokio::time::sleep(if is_slow { SLOW_WORK } else { WORK }).await;
         let text = if head.contains(" /draft/") {
+            if is_slow {
+                stream_slowly(&mut stream, &id, &left).await;
+                return;
+            }
             events(1, 3) + END
         } else {
-            ids.borrow_mut().push(id.clone());
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
                 .to_owned()
         };
@@ -122,7 +149,7 @@
     /// How often each request that may run once was run, the most.
     pub fn most_runs(&self) -> usize {
         let mut ids: Vec<String> =
-            self.targets.iter().flat_map(|target| target.ids.borrow().clone()).collect();
+            self.targets.iter().flat_map(|target| target.seen.borrow().clone()).collect();
         ids.retain(|id| id.starts_with("order"));
         ids.sort_unstable();
         ids.chunk_by(|a, b| a == b).map(<[String]>::len).max().unwrap_or(0)
