A router that is cut off itself refuses forwarded requests at once

Found by forwarded_requests_are_spread_over_the_routers_that_reach_targets: two routers were cut off at the same moment, and the first to know it chose the other, as the leader had named it before; that one sent the requests into the dark (502, may have run). It says now that they did not run, and the next router gets them.

--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -218,6 +218,10 @@
             return response;
         }
         let was_lost = router.reach.borrow().is_lost(&routed.service);
+        if was_lost && routed.is_forwarded && routed.possible_runs.get() == 0 {
+            // Another router may reach targets.
+            return routed.give_up(&router, RequestFailure::NotRun, RefusalReason::OutOfReach);
+        }
         let reserving = poison::reserve_permitted(&router, &routed, routed.arrived_ms);
         let reserved = tokio::select! {
             reserved = reserving => reserved,
