Test proxy passes small messages on at once

Asks between daemons took 41 or 87 ms through the tests' proxies: Nagle's algorithm waits there for the acknowledgement of the message before. Daemons set TCP_NODELAY themselves, so this showed only in tests.

--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -116,6 +116,9 @@
         return reset();
     }
     reset();
+    // Else small messages wait for the acknowledgement of those before, 40 ms each.
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
     let (client_reads, client_writes) = client.into_split();
     let (server_reads, server_writes) = server.into_split();
     let (to, back) = (Rc::clone(&mode), Rc::clone(&mode));
