--- a/src/coordinator/follow.rs
+++ b/src/coordinator/follow.rs
@@ -14,8 +14,10 @@
 use crate::poison::message::Statement;
 use crate::poison::registry::Registry;
 use crate::rate_limit::message::TargetStatement;
-use crate::rate_limit::statements::Statements;
+use crate::rate_limit::statements::{Limit, Statements};
 use crate::routes;
+use crate::slot_lease::MaxRejections;
+use crate::slot_lease::message::BrittleNews;
 
 /// Time for which a leader holds a long poll without updates.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -40,6 +42,9 @@
     /// Applies what targets said of their rate limits to any router.
     fn apply_rate_limits(&self, told: &[TargetStatement]);
 
+    /// Applies what brittle targets said to any router.
+    fn apply_brittle(&self, told: &[BrittleNews]);
+
     /// Applies what is known of requests that may crash targets.
     fn apply_suspects(&self, told: &[Statement]);
 
@@ -67,6 +72,9 @@
     rate_limits_cursor: RefCell<feed::FeedCursor>,
     /// What targets last said of their rate limits.
     pub rate_limits: RefCell<Statements>,
+    brittle_cursor: RefCell<feed::FeedCursor>,
+    /// What targets last said that are brittle or were.
+    pub brittle: RefCell<Statements<MaxRejections>>,
     suspects_cursor: RefCell<feed::FeedCursor>,
     mixed_services_cursor: RefCell<feed::FeedCursor>,
     /// What the leader said last of requests that may crash targets.
@@ -87,6 +95,8 @@
             loads: RefCell::default(),
             rate_limits_cursor: RefCell::default(),
             rate_limits: RefCell::default(),
+            brittle_cursor: RefCell::default(),
+            brittle: RefCell::default(),
             suspects_cursor: RefCell::default(),
             mixed_services_cursor: RefCell::default(),
             suspects: RefCell::default(),
@@ -122,6 +132,7 @@
             cursor: state.feed.borrow().cursor(),
             loads: *state.loads.borrow(),
             rate_limits: *state.rate_limits_cursor.borrow(),
+            brittle: *state.brittle_cursor.borrow(),
             suspects: *state.suspects_cursor.borrow(),
             mixed_services: *state.mixed_services_cursor.borrow(),
             streams_told: follower.streams_told(),
@@ -177,16 +188,18 @@
             Err(error) => log::error!("document {version} cannot be read: {error}"),
         }
     }
+    let now_ms = state.clock.now_ms();
     if let Some((cursor, told)) = &response.rate_limits {
         state.rate_limits_cursor.replace(*cursor);
-        let now_ms = state.clock.now_ms();
-        let mut rate_limits = state.rate_limits.borrow_mut();
-        for statement in told {
-            rate_limits.record_limit(&statement.life, statement.limit, statement.stated_at(now_ms));
-        }
-        drop(rate_limits);
+        record_all(now_ms, &mut state.rate_limits.borrow_mut(), told.iter());
         follower.apply_rate_limits(told);
     }
+    if let Some((cursor, told)) = &response.brittle {
+        state.brittle_cursor.replace(*cursor);
+        let statements = told.iter().map(|news| &news.statement);
+        record_all(now_ms, &mut state.brittle.borrow_mut(), statements);
+        follower.apply_brittle(told);
+    }
     if let Some((cursor, told)) = &response.suspects {
         state.suspects_cursor.replace(*cursor);
         state.suspects.replace(Registry::from_statements(state.clock.now_ms(), told));
@@ -208,3 +221,14 @@
         }
     }
 }
+
+/// Keeps what targets said, for when this daemon leads.
+fn record_all<'a, L: Limit + 'a>(
+    now_ms: u64,
+    known: &mut Statements<L>,
+    told: impl Iterator<Item = &'a TargetStatement<L>>,
+) {
+    for statement in told {
+        known.record_limit(&statement.life, statement.limit, statement.stated_at(now_ms));
+    }
+}
--- a/src/coordinator/leader.rs
+++ b/src/coordinator/leader.rs
@@ -1,5 +1,6 @@
 //! The leader of one term: tracks targets, sends orders to engines and updates followers.
 
+mod leases;
 mod orders;
 mod permits;
 mod routers;
@@ -34,6 +35,7 @@
 use crate::poison::registry::Registry;
 use crate::rate_limit::schedule::PermitSchedule;
 use crate::routes;
+use crate::slot_lease::ledger::SlotLedger;
 use crate::traffic::clock::Clock as WallClock;
 
 /// Interval between two checks for silent targets and routers.
@@ -83,6 +85,9 @@
     /// Permits for limited targets, and the number of changes of limits.
     permits: RefCell<PermitSchedule>,
     rate_limits_cursor: Cell<FeedCursor>,
+    /// Slots of brittle targets, and the number of changes of which are.
+    slots: RefCell<SlotLedger>,
+    brittle_cursor: Cell<FeedCursor>,
     /// What may crash targets, and the number of changes of it.
     suspects: RefCell<Registry>,
     suspects_cursor: Cell<FeedCursor>,
@@ -124,6 +129,8 @@
             loads: RefCell::new(LoadAggregator::new(term)),
             permits: RefCell::new(PermitSchedule::new(now_ms)),
             rate_limits_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
+            slots: RefCell::new(SlotLedger::new(now_ms)),
+            brittle_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
             suspects: RefCell::default(),
             suspects_cursor: Cell::new(FeedCursor { term, ..FeedCursor::default() }),
             software: RefCell::new(SoftwareState::new(FeedCursor {
--- a/src/coordinator/leader/updates.rs
+++ b/src/coordinator/leader/updates.rs
@@ -92,6 +92,7 @@
         self.feed.borrow().cursor() != watch.cursor
             || self.has_document_for(watch)
             || self.has_rate_limits_for(watch)
+            || self.has_brittle_for(watch)
             || self.has_suspects_for(watch)
             || self.has_mixed_services_for(watch)
     }
@@ -107,6 +108,11 @@
         self.rate_limits_cursor.get() != watch.rate_limits
     }
 
+    /// Whether a follower was told other targets to be brittle. Voters keep them for when they lead.
+    fn has_brittle_for(&self, watch: &WatchRequest) -> bool {
+        self.brittle_cursor.get() != watch.brittle
+    }
+
     /// Whether a follower was told something else of what may crash targets. Voters keep it for when
     /// they lead.
     fn has_suspects_for(&self, watch: &WatchRequest) -> bool {
@@ -144,6 +150,10 @@
                 let now_ms = self.context.clock.now_ms();
                 (self.rate_limits_cursor.get(), self.permits.borrow().statements(now_ms))
             }),
+            brittle: self.has_brittle_for(watch).then(|| {
+                let now_ms = self.context.clock.now_ms();
+                (self.brittle_cursor.get(), self.slots.borrow().news(now_ms))
+            }),
             suspects: self.has_suspects_for(watch).then(|| {
                 let now_ms = self.context.clock.now_ms();
                 (self.suspects_cursor.get(), self.suspects.borrow().statements(now_ms))
--- a/src/coordinator/message.rs
+++ b/src/coordinator/message.rs
@@ -15,6 +15,7 @@
 use crate::poison;
 use crate::rate_limit::message::{PermitAsk, PermitGrant, TargetStatement};
 use crate::routes;
+use crate::slot_lease::message::{BrittleNews, LeaseGrant, LeaseRequest};
 use crate::target::order;
 
 /// A request to a voter.
@@ -43,6 +44,8 @@
     /// Statements of targets on their rate limits, and the permits that a router wants. The leader
     /// answers.
     Permits(Vec<PermitAsk>),
+    /// What a router has and wants at brittle targets. The leader answers.
+    LeaseSlots(Box<LeaseRequest>),
     /// This voter stops: give its place to one that waits. The leader answers once that is done, or if
     /// nobody waits.
     Retire(VoterId),
@@ -75,6 +78,8 @@
     pub loads: feed::FeedCursor,
     /// Its position in the changes of rate limits.
     pub rate_limits: feed::FeedCursor,
+    /// Its position in the changes of which targets are brittle.
+    pub brittle: feed::FeedCursor,
     /// Its position in the changes of what may crash targets.
     pub suspects: feed::FeedCursor,
     /// Its position in the changes of the services with more than one software version.
@@ -115,6 +120,9 @@
     /// The leader's position in the changes of rate limits, and what all targets last said of
     /// theirs, if the follower is at another position.
     pub rate_limits: Option<(feed::FeedCursor, Vec<TargetStatement>)>,
+    /// The leader's position in the changes of which targets are brittle, and what all of them last said, if the
+    /// follower is at another position.
+    pub brittle: Option<(feed::FeedCursor, Vec<BrittleNews>)>,
     /// The leader's position in the changes of what may crash targets, and all of it, if the follower
     /// is at another position.
     pub suspects: Option<(feed::FeedCursor, Vec<poison::message::Statement>)>,
@@ -183,6 +191,8 @@
     LastOrder(LastOrder),
     /// To [`Request::Permits`].
     Permits(Vec<PermitGrant>),
+    /// To [`Request::LeaseSlots`].
+    LeasedSlots(Vec<LeaseGrant>),
     /// To [`Request::Poison`].
     Poison(poison::message::Permission),
     /// To [`Request::FindStreams`], in the order of the queries.
--- a/src/coordinator/run.rs
+++ b/src/coordinator/run.rs
@@ -19,6 +19,7 @@
 use crate::poison::message::Statement;
 use crate::rate_limit::message::TargetStatement;
 use crate::settings::vm;
+use crate::slot_lease::message::BrittleNews;
 use crate::web;
 use crate::web::server::{self, Phase};
 use crate::{routes, stop};
@@ -55,6 +56,8 @@
 
     fn apply_rate_limits(&self, _told: &[TargetStatement]) {}
 
+    fn apply_brittle(&self, _told: &[BrittleNews]) {}
+
     fn apply_suspects(&self, _told: &[Statement]) {}
 
     fn apply_mixed_services(&self, _cursor: feed::FeedCursor, _services: &[ServiceName]) {}
--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -253,6 +253,7 @@
         };
         let leader = Leader::start(now.term, context, &entries);
         leader.inherit_rate_limits(&self.following.rate_limits.borrow());
+        leader.inherit_brittle(&self.following.brittle.borrow());
         leader.inherit_suspects(&self.following.suspects.borrow());
         self.led_since_ms.set(self.config.clock.now_ms());
         self.membership_requests.borrow_mut().clear();
@@ -347,6 +348,10 @@
                 leader.record_usage(from, *usage);
                 Reply::Done
             }
+            Request::LeaseSlots(request) => match leader.answer_leases(from, &request) {
+                Some(grants) => Reply::LeasedSlots(grants),
+                None => Reply::NotLeader(None),
+            },
             Request::Permits(asks) => match leader.answer_permits(from, &asks) {
                 Some(grants) => Reply::Permits(grants),
                 None => Reply::NotLeader(None),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -115,6 +115,7 @@
             prompt_prefix: None,
             avoided_targets,
             continuation,
+            rank: self.route.rank,
             salt: 0,
         }
     }
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -11,6 +11,8 @@
 use crate::placement::swap::demand::RunningRequests;
 use crate::rate_limit::TargetLife;
 use crate::rate_limit::permits::{Gate, PermitId, PermitPool};
+use crate::slot_lease::message::{LeaseRequest, RankCount};
+use crate::slot_lease::pool::{self, InUse, LeasePool};
 
 pub use crate::gateway::choice::{TargetChoice, TargetQuery};
 
@@ -79,6 +81,16 @@
         self.own_requests + self.other_requests
     }
 
+    /// The incarnation of the target.
+    pub fn life(&self) -> TargetLife {
+        TargetLife { target: self.entry.target.clone(), incarnation: self.entry.incarnation }
+    }
+
+    /// Requests of this router at the target.
+    fn in_use(&self) -> InUse {
+        InUse { announced: self.entry.slots.max(1), running: self.own_requests }
+    }
+
     fn serves(&self, service: &ServiceName) -> bool {
         self.entry.services.first() == Some(service)
     }
@@ -118,6 +130,7 @@
     totals: loads::LoadTotals,
     availability: AvailabilityMap,
     permits: PermitPool,
+    leases: LeasePool,
 }
 
 impl Balancer {
@@ -125,8 +138,8 @@
     pub fn new(zone: Zone) -> Self {
         let cached_prompts = std::collections::VecDeque::new();
         let (totals, availability) = (loads::LoadTotals::default(), AvailabilityMap::default());
-        let permits = PermitPool::default();
-        Self { zone, targets: Vec::new(), cached_prompts, totals, availability, permits }
+        let (permits, leases) = (PermitPool::default(), LeasePool::default());
+        Self { zone, targets: Vec::new(), cached_prompts, totals, availability, permits, leases }
     }
 
     /// The rate limits of targets, and the permits of this router.
@@ -139,6 +152,31 @@
         &mut self.permits
     }
 
+    /// The brittle targets, and the slots that this router leases there.
+    pub fn leases(&self) -> &LeasePool {
+        &self.leases
+    }
+
+    /// The same, to be changed.
+    pub fn leases_mut(&mut self) -> &mut LeasePool {
+        &mut self.leases
+    }
+
+    /// What to ask the leader now about slots of brittle targets, while these requests wait for them.
+    pub fn take_lease_request(
+        &mut self,
+        now_ms: u64,
+        waiting: impl Fn(&TargetLife) -> Vec<RankCount>,
+    ) -> Option<LeaseRequest> {
+        let targets = &self.targets;
+        let in_use = |life: &TargetLife| {
+            let at = targets.binary_search_by(|known| known.entry.target.cmp(&life.target));
+            let known = at.ok().map(|at| &targets[at]);
+            known.filter(|known| known.life() == *life).map(KnownTarget::in_use).unwrap_or_default()
+        };
+        self.leases.take_request(now_ms, in_use, waiting)
+    }
+
     /// The targets, sorted by id.
     pub fn targets(&self) -> &[KnownTarget] {
         &self.targets
@@ -206,19 +244,55 @@
                 candidates.add_without_model();
                 continue;
             }
-            let availability =
-                self.availability.get(now_ms, &target.entry.target, target.entry.incarnation);
-            if let Availability::Paused { until_ms } = availability {
-                candidates.add_paused(until_ms);
-            } else if !target.has_room() || availability == (Availability::SlowStart { credits: 0 })
-            {
-                candidates.add_full();
-            } else {
+            self.add_candidate(&mut candidates, now_ms, at, query, permit_use);
+        }
+        candidates.choose()
+    }
+
+    /// Adds a target that could serve a request to its candidates.
+    fn add_candidate(
+        &self,
+        candidates: &mut Candidates,
+        now_ms: u64,
+        at: usize,
+        query: &TargetQuery<'_>,
+        permit_use: PermitUse<'_>,
+    ) {
+        let target = &self.targets[at];
+        let availability =
+            self.availability.get(now_ms, &target.entry.target, target.entry.incarnation);
+        if let Availability::Paused { until_ms } = availability {
+            return candidates.add_paused(until_ms);
+        }
+        if availability == (Availability::SlowStart { credits: 0 }) {
+            return candidates.add_full();
+        }
+        match self.lease_gate(now_ms, target, permit_use) {
+            pool::Gate::Unleased if !target.has_room() => candidates.add_full(),
+            pool::Gate::Unleased | pool::Gate::Open => {
                 let gate = self.gate(now_ms, &target.entry, permit_use);
                 candidates.add(at, self.cost(now_ms, target, query), gate);
             }
+            pool::Gate::Closed { ask_ms, rate_per_ms } => {
+                let claimed = claimed(permit_use, &target.life());
+                let cost = self.cost(now_ms, target, query);
+                candidates.add_unleased(at, cost, claimed, ask_ms, rate_per_ms);
+            }
         }
-        candidates.choose()
+    }
+
+    /// Whether this router has a free slot at a target, after the requests before this one.
+    fn lease_gate(
+        &self,
+        now_ms: u64,
+        target: &KnownTarget,
+        permit_use: PermitUse<'_>,
+    ) -> pool::Gate {
+        if self.leases.is_empty() {
+            return pool::Gate::Unleased;
+        }
+        let life = target.life();
+        self.leases.gate(now_ms, &life, target.in_use(), claimed(permit_use, &life))
     }
 
     /// Whether the rate limit of a target allows one more request, after those before it.
@@ -227,8 +301,7 @@
             return Gate::Unlimited;
         }
         let life = TargetLife { target: entry.target.clone(), incarnation: entry.incarnation };
-        let claimed = permit_use.claims.map_or(0, |claims| claims.get(&life).count);
-        self.permits.gate(now_ms, &life, claimed)
+        self.permits.gate(now_ms, &life, claimed(permit_use, &life))
     }
 
     /// Whether a target is leaving according to the table or to its own responses.
@@ -239,7 +312,7 @@
 
     /// Whether a request may still be sent to a target that was chosen earlier, with `permit` if
     /// it was limited then. The permit is used up. While the connection was opened, the target may
-    /// have reported that it is leaving, paused or limited.
+    /// have reported that it is leaving, paused or limited, or the lease of its slots may have run out.
     pub fn begin_send(
         &mut self,
         now_ms: u64,
@@ -250,6 +323,14 @@
         if !self.can_send(now_ms, target, incarnation) {
             return false;
         }
+        if let Some(at) = self.position(target)
+            && self.targets[at].entry.incarnation == incarnation
+        {
+            let known = &self.targets[at];
+            if !self.leases.may_send(now_ms, &known.life(), known.in_use()) {
+                return false;
+            }
+        }
         match permit {
             Some(permit) => self.permits.spend(now_ms, target, permit),
             None => self.permits.limit(target, incarnation).is_none(),
@@ -335,6 +416,7 @@
         match self.choose(now_ms, query) {
             TargetChoice::Selected(at) => self.targets[at].entry.target != *target,
             TargetChoice::AwaitPermit { .. }
+            | TargetChoice::AwaitSlot { .. }
             | TargetChoice::AllFull
             | TargetChoice::AllLimited { .. }
             | TargetChoice::AllPaused { .. }
@@ -501,3 +583,8 @@
         all.collect()
     }
 }
+
+/// Requests that count on a permit or a slot of a target before this one.
+fn claimed(permit_use: PermitUse<'_>, life: &TargetLife) -> u32 {
+    permit_use.claims.map_or(0, |claims| claims.get(life).count)
+}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -1,7 +1,7 @@
 //! Choice of a target among those that could serve a request.
 //!
 //! Worst-case load: a burst for a model whose targets are partly full, partly paused and partly
-//! limited. A limited target without a permit is chosen if it is the best one, and its permit is
+//! limited or brittle. A limited target without a permit is chosen if it is the best one, and its permit is
 //! asked for; the others take the rest.
 
 use super::continuation::Continuation;
@@ -23,6 +23,8 @@
     pub avoided_targets: &'a [TargetId],
     /// Which targets may continue the stream, if it has events already. The others do not count.
     pub continuation: &'a Continuation,
+    /// Its priority; 0 is served first.
+    pub rank: u8,
     /// Seed of the random part of the cost, so that routers that see equal loads choose different
     /// targets.
     pub salt: u64,
@@ -40,6 +42,17 @@
         /// Whether another target could take the request now.
         has_alternative: bool,
     },
+    /// The brittle target at this index can take the request with a leased slot, which has to be waited for. No
+    /// other target can take it now.
+    AwaitSlot {
+        /// The index of the target.
+        index: usize,
+        /// Requests of this router that get slots before it.
+        ahead: u32,
+        /// The time in which this router's share of the slots serves a request, in microseconds. 0 if it is not
+        /// known: it may get as many slots as it wants.
+        interval_us: u64,
+    },
     /// All targets that could serve the request are at their limit of requests in flight.
     AllFull,
     /// All targets that could serve the request are at their rate limit, or paused.
@@ -117,6 +130,37 @@
     first_clear: Option<(u64, usize)>,
     /// When the first pause ends.
     resumes_at_ms: Option<u64>,
+    unleased: Unleased,
+}
+
+/// Brittle targets at which this router has no free slot.
+#[derive(Debug, Default)]
+struct Unleased {
+    /// The cheapest one at which the leader may be asked for one now.
+    now: Option<(f64, usize)>,
+    /// The one at which the leader may be asked first.
+    later: Option<(u64, usize)>,
+    /// Requests that wait for a slot before this one, and that the slots serve in a millisecond.
+    claimed: u32,
+    rate_per_ms: f64,
+    /// Whether more slots may be had at one of them.
+    has_more: bool,
+}
+
+impl Unleased {
+    fn add(&mut self, now_ms: u64, index: usize, cost: f64, ask_ms: u64) {
+        match ask_ms <= now_ms {
+            true => keep_cheaper(&mut self.now, cost, index),
+            false => keep_earlier(&mut self.later, ask_ms, index),
+        }
+    }
+
+    fn choose(&self) -> Option<TargetChoice> {
+        let index = self.now.map(|(_, index)| index).or(self.later.map(|(_, index)| index))?;
+        let is_known = !self.has_more && self.rate_per_ms > 0.0;
+        let interval_us = if is_known { (1_000.0 / self.rate_per_ms) as u64 } else { 0 };
+        Some(TargetChoice::AwaitSlot { index, ahead: self.claimed, interval_us })
+    }
 }
 
 impl Candidates {
@@ -131,6 +175,7 @@
             scheduled: None,
             first_clear: None,
             resumes_at_ms: None,
+            unleased: Unleased::default(),
         }
     }
 
@@ -168,6 +213,23 @@
         }
     }
 
+    /// Adds a brittle target without a free slot, for which `claimed` requests wait before this one.
+    pub(super) fn add_unleased(
+        &mut self,
+        index: usize,
+        cost: f64,
+        claimed: u32,
+        ask_ms: u64,
+        rate_per_ms: Option<f64>,
+    ) {
+        self.has_target = true;
+        self.unleased.claimed += claimed;
+        self.unleased.rate_per_ms += rate_per_ms.unwrap_or_default();
+        self.unleased.has_more |= rate_per_ms.is_none();
+        // Requests that wait are spread over targets.
+        self.unleased.add(self.now_ms, index, cost + f64::from(claimed), ask_ms);
+    }
+
     pub(super) fn choose(self) -> TargetChoice {
         match (self.open, self.awaited) {
             (Some((open, _)), Some((awaited, index))) if self.may_await && awaited < open => {
@@ -182,6 +244,9 @@
         if let Some((_, index)) = self.scheduled {
             return TargetChoice::AwaitPermit { index, has_alternative: false };
         }
+        if let Some(choice) = self.unleased.choose() {
+            return choice;
+        }
         if self.is_any_full {
             return TargetChoice::AllFull;
         }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -10,6 +10,7 @@
 use crate::poison::message::Statement;
 use crate::rate_limit::message;
 use crate::routes::{self, index};
+use crate::slot_lease::message::BrittleNews;
 
 impl follow::Follower for RouterState {
     fn usage(&self) -> demand::RouterDemand {
@@ -51,6 +52,10 @@
         self.dispatch_waiting();
     }
 
+    fn apply_brittle(&self, told: &[BrittleNews]) {
+        self.apply_brittle_news(told);
+    }
+
     fn apply_mixed_services(&self, cursor: feed::FeedCursor, services: &[ServiceName]) {
         self.set_mixed_services(cursor, services);
     }
@@ -62,6 +67,7 @@
     fn handle_leader_change(&self) {
         self.discovery_since_ms.set(Some(self.now_ms()));
         self.balancer.borrow_mut().permits_mut().forget_told();
+        self.balancer.borrow_mut().leases_mut().forget_told();
         self.poison.borrow_mut().begin_leader();
         self.poison_observed.notify_one();
         self.recent_streams.borrow_mut().begin_leader();
@@ -79,6 +85,7 @@
         let mut balancer = self.balancer.borrow_mut();
         balancer.apply_load_totals(changes);
         balancer.permits_mut().set_routers(routers);
+        balancer.leases_mut().set_routers(routers);
         let has_untold = balancer.permits().has_untold();
         drop(balancer);
         if has_untold {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! their wait, [`retry`] and [`retry_budget`] decide about retries, and [`refusal`] builds error
 //! responses. [`proxy`] and the private modules perform the I/O.
 
+pub mod arrivals;
 mod attempt;
 pub mod availability;
 pub mod balancer;
@@ -15,6 +16,7 @@
 mod follower;
 mod forward;
 pub mod helpers;
+mod leases;
 mod origins;
 mod permits;
 mod poison;
@@ -40,7 +42,7 @@
 use http::{HeaderMap, StatusCode};
 
 use crate::ids::{ModelRef, TargetId};
-use crate::rate_limit;
+use crate::{rate_limit, slot_lease};
 
 pub use run::{Dependencies, client, handler, run};
 pub use state::RouterState;
@@ -136,6 +138,8 @@
     pub pause_ms: Option<u64>,
     /// The rate limit that the target names.
     pub rate_limit: rate_limit::Statement,
+    /// How many requests the target may turn away in a second before it falls over, if it is brittle.
+    pub brittle: slot_lease::Statement,
 }
 
 /// Reads requests and responses, and writes the headers of attempts.
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -8,18 +8,22 @@
 use crate::rate_limit::{TargetLife, message};
 
 impl RouterState {
-    /// The permits that waiting requests count on; `None` while no target is limited.
-    pub(super) fn permit_claims(&self) -> Option<PermitClaims> {
-        if self.balancer.borrow().permits().is_empty() {
+    /// The permits and slots that requests count on which are served before a new one of this rank; `None`
+    /// while no target is limited or brittle.
+    pub(super) fn permit_claims_before(&self, rank: u8) -> Option<PermitClaims> {
+        let balancer = self.balancer.borrow();
+        if balancer.permits().is_empty() && balancer.leases().is_empty() {
             return None;
         }
-        Some(self.queue.borrow().permit_claims())
+        Some(self.queue.borrow().permit_claims_before(rank))
     }
 
     pub(super) fn awaited_permit(&self, choice: TargetChoice) -> Option<AwaitedPermit> {
         let (index, has_alternative) = match choice {
             TargetChoice::AwaitPermit { index, has_alternative } => (index, has_alternative),
-            TargetChoice::AllLimited { index, .. } => (index, false),
+            TargetChoice::AwaitSlot { index, .. } | TargetChoice::AllLimited { index, .. } => {
+                (index, false)
+            }
             _ => return None,
         };
         let balancer = self.balancer.borrow();
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -95,8 +95,14 @@
     entries.into_iter().filter(|entry| chosen.contains(&entry.target)).cloned().collect()
 }
 
-/// Whether a target answers at all, be it with an error.
+/// Whether a target answers at all, be it with an error. A brittle one may have to turn a request away, so it only
+/// has to accept a connection.
 async fn probe(router: &RouterState, service: &ServiceName, entry: &TargetEntry) -> bool {
+    let brittle = router.balancer.borrow().leases().limit(&entry.target, entry.incarnation);
+    if brittle.is_some() {
+        let opened = client::Connection::open(router.own_ip, entry.address, PROBE_TIMEOUT_MS).await;
+        return opened.is_ok();
+    }
     let index = router.index();
     let health_path = index.as_ref().and_then(|index| {
         let service = index.document().service(service)?;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -26,6 +26,7 @@
 use crate::ids::{self, ServiceName, TargetId};
 use crate::poison::{ContentHash, Subject};
 use crate::routes::{self, Route, index};
+use crate::slot_lease::pool::Ending;
 use crate::web::client::Connection;
 use crate::web::server::Answer;
 use crate::web::{self, Body};
@@ -190,7 +191,9 @@
     if let Some(model) = routed.info.model.as_ref().filter(|_| is_counted) {
         router.record_arrival(model);
     }
-    router.budget.borrow_mut().record_request(router.now_ms(), &routed.service);
+    let (now_ms, rank) = (router.now_ms(), routed.route.rank);
+    router.arrival_rates.borrow_mut().record(now_ms, &routed.service, rank);
+    router.budget.borrow_mut().record_request(now_ms, &routed.service);
     events::emit(
         &routed.info.id,
         &RequestEvent::Admitted {
@@ -421,8 +424,14 @@
             body,
             sent_ms,
         }),
-        ResponseClass::NotRun => Err(AttemptFailure::NotRun),
-        ResponseClass::Misdirected => Err(AttemptFailure::Misdirected),
+        ResponseClass::NotRun => {
+            router.note_rejected(&mut reservation);
+            Err(AttemptFailure::NotRun)
+        }
+        ResponseClass::Misdirected => {
+            reservation.note_ended(Ending::NotRun);
+            Err(AttemptFailure::Misdirected)
+        }
         ResponseClass::Invalid => Err(AttemptFailure::InvalidResponse),
     }
 }
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -8,6 +8,7 @@
 use crate::ids::{ModelRef, ServiceName, TargetId};
 use crate::placement::swap::demand::WaitingRequests;
 use crate::rate_limit::TargetLife;
+use crate::slot_lease::message::RankCount;
 
 /// Identifies a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,14 +39,16 @@
     pub give_up_ms: u64,
     /// Whether it may wait for a permit although another target could take it.
     pub may_await: bool,
-    /// The limited target that it waits for.
+    /// Whether it was decided, while the wait for a slot of a brittle target was known, that it may wait.
+    pub is_judged: bool,
+    /// The limited or brittle target that it waits for.
     pub awaited: Option<AwaitedPermit>,
 }
 
-/// The permit that a waiting request counts on.
+/// The permit, or the slot of a brittle target, that a waiting request counts on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AwaitedPermit {
-    /// The target of the permit.
+    /// The target.
     pub life: TargetLife,
     /// Whether another target could take the request meanwhile.
     pub has_alternative: bool,
@@ -106,13 +109,35 @@
 
     /// The permits that waiting requests count on.
     pub fn permit_claims(&self) -> PermitClaims {
+        self.permit_claims_before(u8::MAX)
+    }
+
+    /// The permits that waiting requests count on which are served before a new one of this rank.
+    pub fn permit_claims_before(&self, rank: u8) -> PermitClaims {
         let mut claims = PermitClaims::default();
-        for awaited in self.waiters.iter().filter_map(|waiter| waiter.awaited.as_ref()) {
+        let before = self.waiters.iter().filter(|waiter| waiter.rank <= rank);
+        for awaited in before.filter_map(|waiter| waiter.awaited.as_ref()) {
             claims.add(awaited.life.clone(), !awaited.has_alternative);
         }
         claims
     }
 
+    /// The waiting requests that count on slots of a target, by rank.
+    pub fn waiting_by_rank(&self, life: &TargetLife) -> Vec<RankCount> {
+        let is_awaited = |waiter: &&WaitingRequest| {
+            waiter.awaited.as_ref().is_some_and(|awaited| awaited.life == *life)
+        };
+        let mut counts: Vec<RankCount> = Vec::new();
+        // They are in the order of their ranks.
+        for waiter in self.waiters.iter().filter(is_awaited) {
+            match counts.last_mut() {
+                Some(last) if last.rank == waiter.rank => last.count += 1,
+                _ => counts.push(RankCount { rank: waiter.rank, count: 1 }),
+            }
+        }
+        counts
+    }
+
     /// Number and urgency of waiting requests for each model, as input of placement.
     pub fn waiting_by_model(&self, now_ms: u64) -> Vec<WaitingRequests> {
         let mut waiting: Vec<WaitingRequests> = Vec::new();
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -65,6 +65,11 @@
         /// Time until one of them is expected to take a further request.
         opens_in_ms: u64,
     },
+    /// All targets that could serve the request are brittle, and this router's slots there are in use.
+    AllBrittle {
+        /// Time until they are expected to take a further request.
+        opens_in_ms: u64,
+    },
     /// Targets ended under this request, one after the other.
     CrashesTargets {
         /// Time for which it is refused.
@@ -100,6 +105,7 @@
             RefusalReason::NoFreeTarget => "no target was free in time",
             RefusalReason::AllPaused { .. } => "all targets ask to be left alone",
             RefusalReason::AllLimited { .. } => "all targets are at their rate limits",
+            RefusalReason::AllBrittle { .. } => "all targets are brittle and full",
             RefusalReason::CrashesTargets { .. } => "targets ended under it one after the other",
             RefusalReason::AwaitsTrial => "targets may have ended under it; it waits for a trial",
             RefusalReason::ShuttingDown => "the router stops",
@@ -118,6 +124,10 @@
             RefusalReason::AllLimited { opens_in_ms } => {
                 opens_in_ms..opens_in_ms + PERMIT_RETRY_SPREAD_MS
             }
+            RefusalReason::AllBrittle { opens_in_ms } => {
+                let first_ms = opens_in_ms.max(BUSY_RETRY_MS.start);
+                first_ms..first_ms + PERMIT_RETRY_SPREAD_MS
+            }
             RefusalReason::CrashesTargets { for_ms } => for_ms..for_ms + REOPENED_RETRY_SPREAD_MS,
             _ => BUSY_RETRY_MS,
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,6 +23,7 @@
 use crate::ids::{self, TargetId};
 use crate::poison::ANSWER_BEGUN_MS;
 use crate::routes::Kind;
+use crate::slot_lease::pool::Ending;
 use crate::web::{self, Body};
 
 /// Time without data after which a resumable stream is continued at another target.
@@ -50,7 +51,7 @@
     routed: &Rc<RoutedRequest>,
     response: TargetResponse,
 ) -> Result<http::Response<Body>, AttemptFailure> {
-    let TargetResponse { reservation, connection, head, body, sent_ms } = response;
+    let TargetResponse { mut reservation, connection, head, body, sent_ms } = response;
     let limit = Duration::from_millis(routed.remaining_ms(router));
     let bytes = match tokio::time::timeout(limit, web::begin(body, MAX_BUFFERED_BYTES)).await {
         Ok(Ok(web::BodyStart::Whole(bytes))) => bytes,
@@ -63,6 +64,7 @@
         Err(_) => return Err(AttemptFailure::TimedOut),
     };
     let now_ms = router.now_ms();
+    reservation.note_ended(Ending::Finished);
     router.pool.borrow_mut().put(
         now_ms,
         &reservation.target,
@@ -392,7 +394,8 @@
     /// Returns the connection to the pool after a complete response.
     fn return_connection(&mut self) {
         let Some(response) = self.response.take() else { return };
-        let TargetResponse { reservation, connection, head, .. } = response;
+        let TargetResponse { mut reservation, connection, head, .. } = response;
+        reservation.note_ended(Ending::Finished);
         self.router.balancer.borrow_mut().record_success(&reservation.target);
         self.router.pool.borrow_mut().put(
             self.router.now_ms(),
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -7,6 +7,7 @@
 use crate::membership::feed;
 use crate::rate_limit::TargetLife;
 use crate::rate_limit::permits::PermitId;
+use crate::slot_lease::pool::Ending;
 
 /// A request's slot at a target. Dropping it releases the slot to the next waiting request.
 pub(super) struct SlotReservation {
@@ -26,6 +27,8 @@
     pub(super) unread_tokens: u64,
     pub(super) started_ms: u64,
     pub(super) is_answered: bool,
+    /// How the request ends if nothing more becomes known of it.
+    pub(super) ending: Ending,
 }
 
 impl SlotReservation {
@@ -40,7 +43,16 @@
         let now_ms = router.now_ms();
         let permit = self.permit.take();
         let mut balancer = router.balancer.borrow_mut();
-        balancer.begin_send(now_ms, &self.target, self.incarnation, permit)
+        let may_send = balancer.begin_send(now_ms, &self.target, self.incarnation, permit);
+        if may_send {
+            self.ending = Ending::Abandoned;
+        }
+        may_send
+    }
+
+    /// Records that the target has ended its work on the request: with a whole answer, or without having run it.
+    pub(super) fn note_ended(&mut self, ending: Ending) {
+        self.ending = ending;
     }
 
     /// Records that the target has started its response.
@@ -74,13 +86,21 @@
         let Some(router) = self.router.upgrade() else { return };
         let mut balancer = router.balancer.borrow_mut();
         balancer.finish_request(&self.target, self.incarnation, self.model.as_ref());
+        let now_ms = router.now_ms();
+        let took_ms = now_ms.saturating_sub(self.started_ms);
+        balancer.leases_mut().record_end(now_ms, &self.life(), took_ms, self.ending);
         if let Some(permit) = self.permit.take() {
             balancer.permits_mut().release(&self.target, permit);
         }
         if !self.is_answered {
             balancer.record_no_answer(self.started_ms, &self.target, self.incarnation);
         }
+        let is_leased = !balancer.leases().is_empty();
         drop(balancer);
+        if is_leased {
+            // Another router may wait for the slot.
+            router.slots_wanted.notify_one();
+        }
         router.dispatch_waiting();
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,7 +11,9 @@
 
 use super::proxy::RequestSource;
 use super::state::RouterState;
-use super::{Error, RequestProtocol, Result, forward, origins, poison, proxy, retry_budget};
+use super::{
+    Error, RequestProtocol, Result, forward, leases, origins, poison, proxy, retry_budget,
+};
 use crate::clock::BootClock;
 use crate::coordinator::client::VoterClient;
 use crate::coordinator::message::{Reply, Request};
@@ -85,6 +87,7 @@
     tokio::task::spawn_local(report_demand(Rc::clone(&client), Rc::clone(&router)));
     tokio::task::spawn_local(ask_permits(Rc::clone(&client), Rc::clone(&router)));
     tokio::task::spawn_local(serve_permits(Rc::clone(&router)));
+    tokio::task::spawn_local(leases::ask_slots(Rc::clone(&client), Rc::clone(&router)));
     tokio::task::spawn_local(origins::ask_origins(Rc::clone(&client), Rc::clone(&router)));
     tokio::task::spawn_local(origins::report_streams(Rc::clone(&client), Rc::clone(&router)));
     router.voters.replace(Some(client));
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -50,7 +50,8 @@
         discovery_ms: router.discovery_ms(),
     });
     let give_up_ms = since_ms + limit_ms;
-    if is_hopeless(reason, give_up_ms) {
+    let is_late = router.is_slot_late(reason, &routed.service, routed.route.rank, give_up_ms);
+    if is_hopeless(reason, give_up_ms) || is_late == Some(true) {
         return Err(refusal_reason(router, &query, reason));
     }
     let choice = wait_in_queue(router, routed, &query, reason, give_up_ms).await?;
@@ -64,6 +65,7 @@
         TargetChoice::AllLimited { clears_at_ms, .. } => clears_at_ms > give_up_ms,
         TargetChoice::Selected(_)
         | TargetChoice::AwaitPermit { .. }
+        | TargetChoice::AwaitSlot { .. }
         | TargetChoice::AllFull
         | TargetChoice::NoReplica
         | TargetChoice::NoTarget => false,
@@ -90,6 +92,7 @@
         respond_by_ms: routed.arrived_ms + routed.route.latency_target_ms,
         give_up_ms,
         may_await: matches!(reason, TargetChoice::AwaitPermit { .. }),
+        is_judged: false,
         awaited: None,
     };
     let wait_ms = give_up_ms.saturating_sub(router.now_ms());
@@ -115,6 +118,13 @@
         TargetChoice::AllPaused { resumes_at_ms } => {
             RefusalReason::AllPaused { resumes_in_ms: resumes_at_ms.saturating_sub(now_ms) }
         }
+        TargetChoice::AwaitSlot { index, interval_us, .. } => {
+            let mut balancer = router.balancer.borrow_mut();
+            let life = balancer.target(index).life();
+            let return_ms =
+                balancer.leases_mut().next_return_ms(now_ms, &life, interval_us / 1_000);
+            RefusalReason::AllBrittle { opens_in_ms: return_ms.saturating_sub(now_ms) }
+        }
         TargetChoice::AllLimited { .. } | TargetChoice::AwaitPermit { .. } => {
             match router.balancer.borrow_mut().next_return_ms(now_ms, query) {
                 Some(return_ms) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::{Notify, oneshot, watch};
 
+use super::arrivals::ArrivalRates;
 use super::balancer::{Balancer, TargetChoice, TargetQuery};
 use super::choice::{PermitClaims, PermitUse};
 use super::helpers::Helpers;
@@ -27,6 +28,7 @@
 use crate::rate_limit::permits::PermitPool;
 use crate::rate_limit::statements::StatedAt;
 use crate::routes::index;
+use crate::slot_lease::pool::{Ending, LeasePool};
 use crate::web;
 
 /// Upper bound of the memory for request bodies: the VM of a router has little memory.
@@ -51,6 +53,8 @@
     /// Reads request bodies within a memory limit.
     pub(super) body_reader: web::intake::Intake,
     pub(super) queue: RefCell<RequestQueue>,
+    /// How often requests come.
+    pub(super) arrival_rates: RefCell<ArrivalRates>,
     senders: RefCell<Vec<(WaiterId, ReservationSender)>>,
     arrivals: RefCell<Vec<(ModelRef, u32)>>,
     pub(super) last_update_ms: Cell<Option<u64>>,
@@ -64,6 +68,8 @@
     pub(super) permits_wanted: Notify,
     /// Notified when a permit may start earlier than was known.
     pub(super) permits_changed: Notify,
+    /// Notified when the leader should be asked for slots of brittle targets.
+    pub(super) slots_wanted: Notify,
     /// Requests that may crash targets, as far as this router knows.
     pub(super) poison: RefCell<View>,
     /// Notified when there is something to report of such requests.
@@ -205,7 +211,7 @@
         prompt_tokens: u64,
         may_await: bool,
     ) -> Result<SlotReservation, TargetChoice> {
-        let claims = self.permit_claims();
+        let claims = self.permit_claims_before(query.rank);
         let permit_use = PermitUse { claims: claims.as_ref(), may_await };
         let choice = self.balancer.borrow().choose_with(self.now_ms(), query, permit_use);
         match choice {
@@ -237,6 +243,7 @@
             unread_tokens: prompt_tokens,
             started_ms,
             is_answered: false,
+            ending: Ending::NotRun,
         }
     }
 
@@ -276,6 +283,7 @@
         if is_permit_awaited {
             self.permits_wanted.notify_one();
             self.permits_changed.notify_one();
+            self.slots_wanted.notify_one();
         }
         let reservation = reservation.await;
         drop(guard);
@@ -298,6 +306,7 @@
                 prompt_prefix: waiter.prompt_prefix,
                 avoided_targets: &waiter.avoided_targets,
                 continuation: &waiter.continuation,
+                rank: waiter.rank,
                 salt: self.salt.get(),
             };
             let permit_use = PermitUse { claims: Some(&claims), may_await: waiter.may_await };
@@ -317,7 +326,14 @@
                 {
                     Some(Err(choice))
                 }
+                TargetChoice::AwaitSlot { .. } if !waiter.is_judged => {
+                    let (service, rank) = (&waiter.service, waiter.rank);
+                    let is_late = self.is_slot_late(choice, service, rank, waiter.give_up_ms);
+                    waiter.is_judged = is_late.is_some();
+                    (is_late == Some(true)).then_some(Err(choice))
+                }
                 TargetChoice::AwaitPermit { .. }
+                | TargetChoice::AwaitSlot { .. }
                 | TargetChoice::AllFull
                 | TargetChoice::AllLimited { .. }
                 | TargetChoice::NoReplica
@@ -326,6 +342,7 @@
         });
         if is_permit_wanted {
             self.permits_wanted.notify_one();
+            self.slots_wanted.notify_one();
         }
         for (waiter, reservation) in served {
             let mut senders = self.senders.borrow_mut();
@@ -353,6 +370,7 @@
         let mut balancer = self.balancer.borrow_mut();
         let is_changed = balancer.permits_mut().record(at.read_ms, &life, notice.rate_limit, at);
         drop(balancer);
+        self.note_brittle(target, incarnation, notice.brittle, at);
         if is_changed {
             log::info!(
                 target_id:% = target, life = incarnation.0,
@@ -418,6 +436,7 @@
     match choice {
         TargetChoice::Selected(_) => "a target is free",
         TargetChoice::AwaitPermit { .. } => "a permit for a limited target is asked for",
+        TargetChoice::AwaitSlot { .. } => "a slot of a brittle target is asked for",
         TargetChoice::AllFull => "all targets are full",
         TargetChoice::AllLimited { .. } => "all targets are at their rate limits",
         TargetChoice::AllPaused { .. } => "all targets ask to be left alone",
@@ -462,6 +481,7 @@
     pub fn build(self) -> Rc<RouterState> {
         let mut balancer = Balancer::new(self.zone.clone());
         *balancer.permits_mut() = PermitPool::new(rand::random());
+        *balancer.leases_mut() = LeasePool::new(rand::random());
         Rc::new_cyclic(|own| RouterState {
             own: Weak::clone(own),
             own_ip: self.own_ip,
@@ -474,6 +494,7 @@
             pool: RefCell::default(),
             body_reader: web::intake::Intake::new(MAX_BODIES_BYTES),
             queue: RefCell::default(),
+            arrival_rates: RefCell::default(),
             senders: RefCell::default(),
             arrivals: RefCell::default(),
             last_update_ms: Cell::new(None),
@@ -482,6 +503,7 @@
             demand_changed: Notify::new(),
             permits_wanted: Notify::new(),
             permits_changed: Notify::new(),
+            slots_wanted: Notify::new(),
             poison: RefCell::default(),
             poison_observed: Notify::new(),
             standings_changed: Notify::new(),
--- a/src/gateway/wait_limit.rs
+++ b/src/gateway/wait_limit.rs
@@ -48,12 +48,26 @@
         TargetChoice::AllPaused { .. } => 0,
         TargetChoice::Selected(_)
         | TargetChoice::AwaitPermit { .. }
+        | TargetChoice::AwaitSlot { .. }
         | TargetChoice::AllFull
         | TargetChoice::AllLimited { .. }
         | TargetChoice::NoReplica => limit_ms,
     }
 }
 
+/// How long a request is expected to wait for a slot of a brittle target: behind `ahead` others, where one is served
+/// each `interval_us`, and behind more urgent ones that come meanwhile. `None` if that is not known.
+pub fn expected_slot_wait_ms(ahead: u32, interval_us: u64, urgent_per_ms: f64) -> Option<u64> {
+    if interval_us == 0 {
+        return None;
+    }
+    let rate_per_ms = 1_000.0 / interval_us as f64 - urgent_per_ms;
+    if rate_per_ms <= 0.0 {
+        return Some(u64::MAX);
+    }
+    Some((f64::from(ahead + 1) / rate_per_ms) as u64)
+}
+
 /// Time that a request may wait for the first document, given its total time.
 pub fn max_document_wait_ms(total_ms: u64) -> u64 {
     share_ms(total_ms, DOCUMENT_WAIT_SHARE).min(DISCOVERY_MS)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod routes;
 pub mod routing;
 pub mod settings;
+pub mod slot_lease;
 pub mod stand_in;
 pub mod stop;
 pub mod storage;
--- a/src/rate_limit/message.rs
+++ b/src/rate_limit/message.rs
@@ -3,24 +3,24 @@
 //! Times are sent as ages, because the clocks of daemons differ.
 
 use super::TargetLife;
-use super::statements::{StatedAt, Statements};
+use super::statements::{Limit, StatedAt, Statements};
 use crate::units::PerSecond;
 
 /// The last statement of a target that names a limit, or did.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct TargetStatement {
+pub struct TargetStatement<L = PerSecond> {
     /// The target.
     pub life: TargetLife,
     /// Its limit; `None` if it names none any more.
-    pub limit: Option<PerSecond>,
+    pub limit: Option<L>,
     /// Time since the request was sent to which it responded.
     pub sent_age_ms: u64,
     /// Time since the head of that response was read.
     pub read_age_ms: u64,
 }
 
-impl TargetStatement {
+impl<L> TargetStatement<L> {
     /// When the statement was made, by the clock of the receiver.
     pub fn stated_at(&self, now_ms: u64) -> StatedAt {
         StatedAt {
@@ -58,9 +58,9 @@
     pub clears_in_ms: u64,
 }
 
-impl Statements {
+impl<L: Limit> Statements<L> {
     /// What a target last said, for another daemon.
-    pub(super) fn to_message(&self, now_ms: u64, life: &TargetLife) -> TargetStatement {
+    pub fn to_message(&self, now_ms: u64, life: &TargetLife) -> TargetStatement<L> {
         let StatedAt { sent_ms, read_ms } = self.stated_at(life).unwrap_or_default();
         TargetStatement {
             life: life.clone(),
@@ -71,7 +71,7 @@
     }
 
     /// What all targets last said, for another daemon.
-    pub fn to_messages(&self, now_ms: u64) -> Vec<TargetStatement> {
+    pub fn to_messages(&self, now_ms: u64) -> Vec<TargetStatement<L>> {
         self.lives().map(|life| self.to_message(now_ms, life)).collect()
     }
 }
--- a/src/rate_limit/mod.rs
+++ b/src/rate_limit/mod.rs
@@ -34,16 +34,16 @@
 /// Part of a limit by which it must have changed to be told to all routers.
 const WORTH_TELLING: f64 = 0.1;
 
-/// What the head of a response says about the rate limit of its target.
+/// What the head of a response says about a limit of its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Statement {
+pub enum Statement<L = PerSecond> {
     /// Nothing can be concluded: the head is not of this target or cannot be read.
     #[default]
     Unknown,
     /// The target names no limit.
     Unlimited,
-    /// The target takes this many requests a second from all routers together.
-    Limited(PerSecond),
+    /// The target names this limit: of requests a second from all routers together, if it is a rate.
+    Limited(L),
 }
 
 impl Statement {
--- a/src/rate_limit/statements.rs
+++ b/src/rate_limit/statements.rs
@@ -1,13 +1,27 @@
-//! What targets last said about their rate limits.
+//! What targets last said about a limit of theirs.
 //!
 //! Responses overtake each other: one that was written before a limit may be read after one that
 //! names it. A statement was made at some time between the request and the read of the response.
 //! Of two whose order this leaves open, the stricter one holds.
 
+use std::fmt;
+
 use super::{Statement, TargetLife};
 use crate::ids::{Incarnation, TargetId};
 use crate::units::PerSecond;
 
+/// A limit that a target names in its responses.
+pub trait Limit: Copy + PartialEq + fmt::Debug {
+    /// Rises the less the limit allows.
+    fn strictness(self) -> f64;
+}
+
+impl Limit for PerSecond {
+    fn strictness(self) -> f64 {
+        -self.0
+    }
+}
+
 /// Upper bound of targets whose statements are kept. The one that was heard the longest ago is
 /// dropped first.
 pub const MAX_TARGETS: usize = 4_096;
@@ -22,20 +36,26 @@
 }
 
 #[derive(Clone, Debug)]
-struct Entry {
+struct Entry<L> {
     life: TargetLife,
     /// `None`: the target named a limit before and does no longer.
-    limit: Option<PerSecond>,
+    limit: Option<L>,
     at: StatedAt,
 }
 
 /// The last statements of targets that have ever named a limit, sorted by target.
-#[derive(Clone, Debug, Default)]
-pub struct Statements {
-    entries: Vec<Entry>,
+#[derive(Clone, Debug)]
+pub struct Statements<L = PerSecond> {
+    entries: Vec<Entry<L>>,
 }
 
-impl Statements {
+impl<L> Default for Statements<L> {
+    fn default() -> Self {
+        Self { entries: Vec::new() }
+    }
+}
+
+impl<L: Limit> Statements<L> {
     /// Whether no target has ever named a limit.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -47,7 +67,7 @@
     }
 
     /// The limit of this incarnation of a target, if it names one.
-    pub fn limit(&self, target: &TargetId, incarnation: Incarnation) -> Option<PerSecond> {
+    pub fn limit(&self, target: &TargetId, incarnation: Incarnation) -> Option<L> {
         let entry = &self.entries[self.position(target).ok()?];
         entry.limit.filter(|_| entry.life.incarnation == incarnation)
     }
@@ -59,7 +79,7 @@
     }
 
     /// Records a statement. Returns whether the limit of this incarnation changed.
-    pub fn record(&mut self, life: &TargetLife, statement: Statement, at: StatedAt) -> bool {
+    pub fn record(&mut self, life: &TargetLife, statement: Statement<L>, at: StatedAt) -> bool {
         match statement {
             Statement::Unknown => false,
             Statement::Unlimited => self.record_limit(life, None, at),
@@ -68,12 +88,7 @@
     }
 
     /// Records that a target named this limit, or none. Returns whether the limit changed.
-    pub fn record_limit(
-        &mut self,
-        life: &TargetLife,
-        limit: Option<PerSecond>,
-        at: StatedAt,
-    ) -> bool {
+    pub fn record_limit(&mut self, life: &TargetLife, limit: Option<L>, at: StatedAt) -> bool {
         let place = match self.position(&life.target) {
             Ok(place) => place,
             Err(_) if limit.is_none() => return false,
@@ -110,7 +125,7 @@
     pub fn replace(
         &mut self,
         life: &TargetLife,
-        limit: Option<PerSecond>,
+        limit: Option<L>,
         at: StatedAt,
         until_ms: u64,
     ) -> bool {
@@ -142,6 +157,6 @@
 }
 
 /// Rises the fewer requests a limit allows.
-fn strictness(limit: Option<PerSecond>) -> f64 {
-    limit.map_or(f64::NEG_INFINITY, |limit| -limit.0)
+fn strictness<L: Limit>(limit: Option<L>) -> f64 {
+    limit.map_or(f64::NEG_INFINITY, Limit::strictness)
 }
--- a/tests/brittle_support/mod.rs
+++ b/tests/brittle_support/mod.rs
@@ -255,36 +255,41 @@
 
     /// Presses on all routers and returns what came of it.
     pub async fn press(&self, load: Load, length: Duration) -> Vec<Try> {
-        let end = Instant::now() + length;
-        let press_one = |(number, to): (usize, SocketAddr)| {
-            tokio::task::spawn_local(async move {
-                let mut random = StdRng::seed_from_u64(number as u64);
-                let mut open = Vec::new();
-                for turn in 0.. {
-                    if Instant::now() >= end {
-                        break;
-                    }
-                    for one in 0..load.at_once {
-                        let path = load.paths[(number + turn + one) % load.paths.len()];
-                        open.push(tokio::task::spawn_local(first_try(to, path)));
-                    }
-                    // As callers come that know nothing of each other, unless many come at once everywhere.
-                    let draw = -random.random_range(f64::EPSILON..1.0).ln();
-                    let share = if load.at_once > 1 { 1.0 } else { draw };
-                    tokio::time::sleep(load.pause.mul_f64(share)).await;
+        press(self.fleet.callers(), load, length).await
+    }
+}
+
+/// Presses on these routers and returns what came of it.
+pub async fn press(routers: Vec<SocketAddr>, load: Load, length: Duration) -> Vec<Try> {
+    let end = Instant::now() + length;
+    let press_one = |(number, to): (usize, SocketAddr)| {
+        tokio::task::spawn_local(async move {
+            let mut random = StdRng::seed_from_u64(number as u64);
+            let mut open = Vec::new();
+            for turn in 0.. {
+                if Instant::now() >= end {
+                    break;
                 }
-                open
-            })
-        };
-        let asking: Vec<_> = self.fleet.callers().into_iter().enumerate().map(press_one).collect();
-        let mut tries = Vec::new();
-        for one in asking {
-            for open in one.await.unwrap() {
-                tries.push(open.await.unwrap());
+                for one in 0..load.at_once {
+                    let path = load.paths[(number + turn + one) % load.paths.len()];
+                    open.push(tokio::task::spawn_local(first_try(to, path)));
+                }
+                // As callers come that know nothing of each other, unless many come at once everywhere.
+                let draw = -random.random_range(f64::EPSILON..1.0).ln();
+                let share = if load.at_once > 1 { 1.0 } else { draw };
+                tokio::time::sleep(load.pause.mul_f64(share)).await;
             }
+            open
+        })
+    };
+    let asking: Vec<_> = routers.into_iter().enumerate().map(press_one).collect();
+    let mut tries = Vec::new();
+    for one in asking {
+        for open in one.await.unwrap() {
+            tries.push(open.await.unwrap());
         }
-        tries
     }
+    tries
 }
 
 /// How callers press on each router.
--- a/tests/brittle_targets.rs
+++ b/tests/brittle_targets.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use brittle_support::{BrittleFleet, Load, NOTICE, Traits, Try};
+use brittle_support::{BrittleFleet, Load, NOTICE, Traits, Try, press};
 use gateway_support::on_one_thread;
 
 const ROUTERS: usize = 6;
@@ -25,6 +25,8 @@
 const STEADY: Load = Load { paths: PATHS, at_once: 1, pause: Duration::from_millis(33) };
 /// The same number, in waves.
 const WAVES: Load = Load { paths: PATHS, at_once: 30, pause: Duration::from_millis(1_000) };
+/// The same as [`STEADY`], with streams.
+const MIXED: Load = Load { paths: &["/order/x", "/look/x", "/draft/x"], ..STEADY };
 /// How long callers press after [`NOTICE`].
 const PRESSED: Duration = Duration::from_secs(13);
 /// Share of what targets have room for that is served at least.
@@ -90,15 +92,62 @@
 
 /// All routers get many requests at the same moment, before they know of those of the others.
 #[test]
-#[ignore = "known red: issue 37"]
 fn brittle_targets_stand_while_callers_come_in_waves() {
     on_one_thread(check_pressed("brittle-waves", WAVES, TRAITS));
 }
 
 /// Targets that have fewer places than they announce, and let nobody wait.
 #[test]
-#[ignore = "known red: issue 37"]
 fn brittle_targets_stand_that_announce_more_than_they_can_take() {
     let traits = Traits { places: 3, waiting: 0, ..TRAITS };
     on_one_thread(check_pressed("brittle-few", STEADY, traits));
 }
+
+/// Presses with streams among the requests while `disturb` runs, and returns the tries after the targets became
+/// brittle.
+async fn press_disturbed(
+    brittle: &mut BrittleFleet,
+    disturb: impl AsyncFnOnce(&mut fleet_support::Fleet),
+) -> Vec<Try> {
+    brittle.set_brittle(true);
+    let pressing = press(brittle.fleet.callers(), MIXED, NOTICE + PRESSED);
+    let disturbing = async {
+        tokio::time::sleep(NOTICE + Duration::from_secs(1)).await;
+        disturb(&mut brittle.fleet).await;
+    };
+    futures::join!(pressing, disturbing).0
+}
+
+/// All leases are lost with the leader, and the next one begins with an empty ledger.
+#[test]
+fn brittle_targets_stand_while_the_leader_is_lost() {
+    on_one_thread(async {
+        let mut brittle = BrittleFleet::start("brittle-leader", ROUTERS, TARGETS, TRAITS).await;
+        let tries = press_disturbed(&mut brittle, async |fleet| {
+            let leader = fleet.leader().await;
+            fleet.kill_voter(leader, Duration::from_millis(500)).await;
+        })
+        .await;
+        summary("leader", &brittle, &tries);
+        assert!(brittle.falls() <= allowed(TARGETS), "{} falls", brittle.falls());
+        assert!(brittle.most_runs() <= 1, "a request that may run once ran twice");
+    });
+}
+
+/// A router is killed with requests under way, another one stands still and goes on with leases that have run out.
+#[test]
+fn brittle_targets_stand_while_routers_end_and_pause() {
+    on_one_thread(async {
+        let mut brittle = BrittleFleet::start("brittle-routers", ROUTERS, TARGETS, TRAITS).await;
+        let tries = press_disturbed(&mut brittle, async |fleet| {
+            fleet.routers[2].signal("STOP");
+            fleet.kill_routers(0..2, Duration::from_millis(500)).await;
+            tokio::time::sleep(Duration::from_millis(1_000)).await;
+            fleet.routers[2].signal("CONT");
+        })
+        .await;
+        summary("routers", &brittle, &tries);
+        assert!(brittle.falls() <= allowed(TARGETS), "{} falls", brittle.falls());
+        assert!(brittle.most_runs() <= 1, "a request that may run once ran twice");
+    });
+}
--- a/tests/coordinator_leader.rs
+++ b/tests/coordinator_leader.rs
@@ -175,7 +175,7 @@
 fn watch_request(cursor: FeedCursor) -> WatchRequest {
     let routes = Some(Version(3));
     let loads = FeedCursor::default();
-    let (rate_limits, suspects, mixed_services) = (loads, loads, loads);
+    let (rate_limits, brittle, suspects, mixed_services) = (loads, loads, loads, loads);
     let usage = RouterDemand::default();
     WatchRequest {
         is_router: true,
@@ -183,6 +183,7 @@
         cursor,
         loads,
         rate_limits,
+        brittle,
         suspects,
         mixed_services,
         streams_told: mixed_services,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -49,11 +49,13 @@
         prompt_prefix: None,
         avoided_targets,
         continuation: &Continuation::Unbound,
+        rank: 0,
         salt: 1,
     };
     match balancer.choose(now_ms, &query) {
         TargetChoice::Selected(at) => Some(balancer.target(at).entry.target.to_string()),
         TargetChoice::AwaitPermit { .. }
+        | TargetChoice::AwaitSlot { .. }
         | TargetChoice::AllFull
         | TargetChoice::AllLimited { .. }
         | TargetChoice::AllPaused { .. }
@@ -91,6 +93,7 @@
             prompt_prefix: None,
             avoided_targets: &[],
             continuation: &Continuation::Unbound,
+            rank: 0,
             salt,
         };
         if let TargetChoice::Selected(at) = balancer.choose(0, &query) {
@@ -168,6 +171,7 @@
         prompt_prefix: None,
         avoided_targets: &[],
         continuation: &Continuation::Unbound,
+        rank: 0,
         salt: 1,
     };
     assert_eq!(balancer.choose(0, &query), TargetChoice::NoReplica);
@@ -189,6 +193,7 @@
         prompt_prefix: None,
         avoided_targets: &[],
         continuation: &Continuation::Unbound,
+        rank: 0,
         salt: 1,
     };
     let shown = [entry("t1", "a", 6)];
@@ -254,6 +259,7 @@
         let waiter = WaitingRequest {
             give_up_ms: u64::MAX,
             may_await: false,
+            is_judged: false,
             awaited: None,
             id: queue.next_id(),
             service: service(),
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -146,6 +146,7 @@
             prompt_prefix: None,
             avoided_targets: &[],
             continuation: &Continuation::Unbound,
+            rank: 0,
             salt: 1,
         };
         let (target, incarnation) = ("a".parse().unwrap(), Incarnation(1));
--- a/tests/gateway_pauses.rs
+++ b/tests/gateway_pauses.rs
@@ -114,6 +114,7 @@
         prompt_prefix: None,
         avoided_targets: &[],
         continuation: &Continuation::Unbound,
+        rank: 0,
         salt: 1,
     };
     balancer.choose(now_ms, &query)
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -50,6 +50,8 @@
 pub struct Seen {
     /// The heads of requests.
     pub heads: Vec<String>,
+    /// Probes.
+    pub probes: u32,
     /// Connections that the router closed during a response.
     pub closed_by_router: u32,
     /// Connections that the target closed while they were idle.
@@ -112,6 +114,7 @@
     while let Some(head) = read_request(&mut stream).await {
         if header(&head, "host").as_deref() == Some("probe") {
             // Not a request of a caller: the router looks whether this target can be reached.
+            seen.borrow_mut().probes += 1;
             if stream.write_all(HEALTHY.as_bytes()).await.is_err() {
                 return;
             }
