Tests: heads of responses that are cut off (report of another operator, shown not to happen)

The report: a target stopped in the middle of its answer's head and closed; callers got a 200 with an empty or short body, framed as whole.

--- a/tests/target_http.rs
+++ b/tests/target_http.rs
@@ -97,7 +97,8 @@
 }
 
 /// Accepts one connection, sends `text` and closes it.
-async fn serve_once(text: &'static str) -> SocketAddr {
+async fn serve_once(text: impl Into<String>) -> SocketAddr {
+    let text = text.into();
     let listener = tokio::net::TcpListener::bind((LOOPBACK, 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -110,6 +111,23 @@
     address
 }
 
+/// Wherever the target stops in the head and closes the connection.
+#[tokio::test]
+async fn a_head_that_is_cut_off_is_no_answer() {
+    let length = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r";
+    let chunked =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r";
+    let endless = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r";
+    for head in [length, chunked, endless] {
+        for at in 0..=head.len() {
+            let address = serve_once(&head[..at]).await;
+            let error = adapter(address).call(attempt("/v1/completions", "{}")).await;
+            let error = error.err().unwrap_or_else(|| panic!("after {:?}", &head[..at]));
+            assert_eq!(error.current_context().written, call::Written::Maybe, "{:?}", &head[..at]);
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_truncated_response_is_never_reported_as_complete() {
     let cases = [
