A router that is about to exit sends and forwards nothing new

Callers would see: requests that reach a router in the last 3 s of its stop are begun at a target, or at another router, and cut off with it, though they could have gone elsewhere. Cause: the time before the exit in which nothing is sent any more held for requests that wait in the queue alone, not for those that found a free slot, and not for those that are forwarded.

--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -21,7 +21,7 @@
 use super::state::RouterState;
 use super::{
     AttemptOptions, ConnectionUse, RequestInfo, ResponseClass, forward, origins, poison, reach,
-    relay, wait_limit,
+    relay, slot, wait_limit,
 };
 use crate::ids::{self, ServiceName, TargetId};
 use crate::poison::{ContentHash, Subject};
@@ -215,11 +215,16 @@
     routed: Rc<RoutedRequest>,
 ) -> http::Response<Body> {
     loop {
-        if forward::is_due(&router, &routed)
+        if !router.exits_in(slot::SEND_CUTOFF_MS)
+            && forward::is_due(&router, &routed)
             && let ForwardOutcome::Answered(response) = forward::forward(&router, &routed).await
         {
             return response;
         }
+        if router.exits_in(slot::SEND_CUTOFF_MS) {
+            let failure = retry::request_failure(routed.possible_runs.get(), false);
+            return routed.give_up(&router, failure, RefusalReason::ShuttingDown);
+        }
         let was_lost = router.reach.borrow().is_lost(&routed.service);
         if was_lost && routed.is_forwarded && routed.possible_runs.get() == 0 {
             // Another router may reach targets.
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -12,9 +12,9 @@
 use super::wait_limit;
 use crate::rate_limit;
 
-/// No request is sent to a target when the process exits in less than this: most streams would be
+/// No request is sent to a target or another router when the process exits in less than this: most streams would be
 /// cut off, and the caller still has time to retry elsewhere.
-const SEND_CUTOFF_MS: u64 = 3_000;
+pub(super) const SEND_CUTOFF_MS: u64 = 3_000;
 
 /// Reserves a slot at a target, at once or after a wait in the queue. The wait is limited by the
 /// time from `since_ms`.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -177,6 +177,12 @@
         tokio::time::sleep(Duration::from_millis(remaining_ms)).await;
     }
 
+    /// Whether the process exits in `margin_ms` or less.
+    pub(super) fn exits_in(&self, margin_ms: u64) -> bool {
+        let exit_at_ms = *self.exit_at_ms.borrow();
+        exit_at_ms.is_some_and(|at_ms| at_ms.saturating_sub(margin_ms) <= self.now_ms())
+    }
+
     /// Waits until all targets of a service are out of reach.
     pub(super) async fn wait_until_lost(&self, service: &ServiceName) {
         loop {
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -149,3 +149,29 @@
         assert!(shares.iter().all(|share| (10..=30).contains(share)), "{shares:?}");
     });
 }
+
+/// A stopping router sends nothing new to targets when it is about to exit, since that would be cut off. The same
+/// holds for what it forwards.
+#[test]
+fn a_router_that_is_about_to_exit_forwards_no_request() {
+    on_one_thread(async {
+        let mut partitioned = PartitionedFleet::start("forward-stop", 2, 3).await;
+        let router = &mut partitioned.fleet.routers[0];
+        router.signal("TERM");
+        router.exit_code().await;
+        let text = std::fs::read_to_string(&router.settings).unwrap();
+        std::fs::write(&router.settings, text.replace("limit_s = 12", "limit_s = 5")).unwrap();
+        router.start();
+        partitioned.set_paths(0..1, 0..3, PathMode::Reset);
+        let router = &partitioned.fleet.routers[0];
+        let to = router.callers();
+        until("the router forwards", async || status(&look(to, "probe").await) == 200).await;
+        router.signal("TERM");
+        // It still takes connections, and exits in less than 3 s.
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        let headers = "Attempt-Id: order-late\r\nDeadline-Ms: 5000\r\n";
+        let answer = ask(to, "POST", "/order/slow", headers, "b").await;
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert_eq!(count(router, "order-late", "forwarded"), 0);
+    });
+}
