A caller that leaves while the leader names routers holds up nobody else

Callers saw: at a router that reaches no target, all requests of a service got no answer, for good, once the caller had left whose request was asking the leader for routers. Found by reading: the question was marked as being asked, and the mark went only when it was answered; the request is dropped with its caller.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -123,15 +123,30 @@
             return;
         }
         if router.helpers.borrow_mut().begin_asking(router.now_ms(), service) {
-            let named = ask_leader(router, service).await;
-            router.helpers.borrow_mut().end_asking(router.now_ms(), service, named);
-            router.helpers_changed.notify_waiters();
+            let mut question = HelperQuestion { router, service, named: None };
+            question.named = ask_leader(router, service).await;
             return;
         }
         changed.await;
     }
 }
 
+/// A question to the leader. Dropping it ends the question, also if the request that asks is dropped because its
+/// caller left.
+struct HelperQuestion<'a> {
+    router: &'a RouterState,
+    service: &'a ServiceName,
+    named: Option<Vec<SocketAddr>>,
+}
+
+impl Drop for HelperQuestion<'_> {
+    fn drop(&mut self) {
+        let (now_ms, named) = (self.router.now_ms(), self.named.take());
+        self.router.helpers.borrow_mut().end_asking(now_ms, self.service, named);
+        self.router.helpers_changed.notify_waiters();
+    }
+}
+
 async fn ask_leader(router: &RouterState, service: &ServiceName) -> Option<Vec<SocketAddr>> {
     let client: Rc<VoterClient> = router.voters.borrow().clone()?;
     let query = HelperQuery { service: service.clone(), zone: router.zone.clone() };
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -175,3 +175,22 @@
         assert_eq!(count(router, "order-late", "forwarded"), 0);
     });
 }
+
+/// The request that asks the leader for routers ends with its caller while others wait for the answer.
+#[test]
+fn requests_are_forwarded_after_a_caller_left_while_the_leader_was_asked() {
+    on_one_thread(async {
+        let partitioned = start_cut("forward-left", 2, 0..1).await;
+        let to = partitioned.fleet.routers[0].callers();
+        assert_eq!(status(&look(to, "before").await), 200);
+        partitioned.fleet.set_paths_from(0, PathMode::Delayed(150));
+        // What the leader said is no longer used.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let left = tokio::time::timeout(Duration::from_millis(70), look(to, "left")).await;
+        assert!(left.is_err(), "it left before it was answered");
+        partitioned.fleet.set_paths_from(0, PathMode::Open);
+        let answers = futures::future::join_all((0..20).map(|_| look(to, "after"))).await;
+        let statuses: Vec<u16> = answers.iter().map(|answer| status(answer)).collect();
+        assert_eq!(statuses, vec![200; 20]);
+    });
+}
