Requests that nobody can take are refused at once while no router is named

Callers saw: at a router that reaches neither targets nor a leader, 36 and 37 of 40 requests that came together had no answer half a second after their time was over. Cause: each request waited until it was its own turn to ask the leader, 300 ms each, one after the other; and then it went on trying targets that were known to be out of reach. Now the answer to one question is the answer to all that wait for it (twice at most, in case the caller who asked has left), and a request that certainly has not run is refused if its targets are out of reach and no router takes it.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -84,14 +84,13 @@
         let chosen = router.helpers.borrow().choose(router.now_ms(), &routed.service, &tried);
         let Some(helper) = chosen else { break };
         tried.push(helper);
-        match send_to(router, routed, helper).await {
+        let sent_ms = router.now_ms();
+        let outcome = send_to(router, routed, helper).await;
+        record_outcome(router, routed, helper, sent_ms, &outcome);
+        match outcome {
             HelperOutcome::Answered(response) => return ForwardOutcome::Answered(response),
-            HelperOutcome::NotRun(response) => {
-                router.helpers.borrow_mut().record_failure(router.now_ms(), helper);
-                refusal = response.or(refusal);
-            }
+            HelperOutcome::NotRun(response) => refusal = response.or(refusal),
             HelperOutcome::Failed(failure) => {
-                router.helpers.borrow_mut().record_failure(router.now_ms(), helper);
                 if !may_repeat(router, routed) {
                     let response = routed.give_up(router, failure, RefusalReason::HelperFailed);
                     return ForwardOutcome::Answered(response);
@@ -105,6 +104,32 @@
     }
 }
 
+/// Logs and counts what a router made of a request, and passes it over for a time if it did not answer.
+fn record_outcome(
+    router: &RouterState,
+    routed: &RoutedRequest,
+    helper: SocketAddr,
+    sent_ms: u64,
+    outcome: &HelperOutcome,
+) {
+    let failure = match outcome {
+        HelperOutcome::Answered(_) => None,
+        HelperOutcome::NotRun(_) => Some(RequestFailure::NotRun),
+        HelperOutcome::Failed(failure) => Some(*failure),
+    };
+    let name = failure.map_or("answered", events::request_failure_name);
+    metrics::counter!("fescuebay_forward_outcomes_total", "outcome" => name).increment(1);
+    let Some(failure) = failure else { return };
+    let now_ms = router.now_ms();
+    router.helpers.borrow_mut().record_failure(now_ms, helper);
+    let event = RequestEvent::AttemptFailed {
+        target: &helper.ip().to_string(),
+        failure: events::request_failure_name(failure),
+        elapsed_ms: now_ms.saturating_sub(sent_ms),
+    };
+    events::emit(&routed.info.id, &event);
+}
+
 /// Notes that a router may have run a request, and whether it may be sent to another one.
 fn may_repeat(router: &RouterState, routed: &RoutedRequest) -> bool {
     routed.possible_runs.set(routed.possible_runs.get() + 1);
@@ -113,9 +138,10 @@
         && router.budget.borrow_mut().try_take(router.now_ms(), &routed.service)
 }
 
-/// Asks the leader which routers reach targets of a service, unless it has said so lately.
+/// Asks the leader which routers reach targets of a service, unless it has said so lately. If another request is
+/// asking, this one waits for the answer, and for another one in case the caller of the first has left.
 async fn find_helpers(router: &Rc<RouterState>, service: &ServiceName) {
-    loop {
+    for _ in 0..2 {
         let changed = router.helpers_changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
@@ -300,7 +326,9 @@
 
 impl Drop for ForwardedUse {
     fn drop(&mut self) {
-        self.0.forwarded_requests.set(self.0.forwarded_requests.get() - 1);
+        let handled = self.0.forwarded_requests.get() - 1;
+        self.0.forwarded_requests.set(handled);
+        metrics::gauge!("fescuebay_forwarded_requests").set(handled as f64);
     }
 }
 
@@ -315,6 +343,7 @@
         return Answer::Send(refusal::refuse_unsent(&id, RefusalReason::TooManyForwarded, 0));
     }
     router.forwarded_requests.set(handled + 1);
+    metrics::gauge!("fescuebay_forwarded_requests").set((handled + 1) as f64);
     let forwarded_use = ForwardedUse(Rc::clone(&router));
     let answer = proxy::handle_request(router, request, RequestSource::Router).await;
     match answer {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -226,8 +226,8 @@
             return routed.give_up(&router, failure, RefusalReason::ShuttingDown);
         }
         let was_lost = router.reach.borrow().is_lost(&routed.service);
-        if was_lost && routed.is_forwarded && routed.possible_runs.get() == 0 {
-            // Another router may reach targets.
+        if was_lost && routed.possible_runs.get() == 0 {
+            // Nobody could take it, or it was forwarded by a router that may know another one.
             return routed.give_up(&router, RequestFailure::NotRun, RefusalReason::OutOfReach);
         }
         let reserving = poison::reserve_permitted(&router, &routed, routed.arrived_ms);
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -17,6 +17,9 @@
 use roles_support::{Vm, ask, send};
 use tokio::io::AsyncReadExt as _;
 
+/// The time of [`look`], and half a second.
+const IN_TIME: Duration = Duration::from_millis(2_000);
+
 /// A fleet in which these routers reach no target and know it.
 async fn start_cut(name: &str, routers: usize, cut: std::ops::Range<usize>) -> PartitionedFleet {
     let partitioned = PartitionedFleet::start(name, routers, 3).await;
@@ -194,3 +197,18 @@
         assert_eq!(statuses, vec![200; 20]);
     });
 }
+
+/// Nobody names routers while there is no leader: each request is answered in its time.
+#[test]
+fn requests_that_wait_for_a_lost_leader_to_name_routers_are_refused_in_time() {
+    on_one_thread(async {
+        let partitioned = start_cut("forward-leader", 2, 0..1).await;
+        let to = partitioned.fleet.routers[0].callers();
+        partitioned.fleet.set_paths_from(0, PathMode::Silent);
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        let in_time = |_| tokio::time::timeout(IN_TIME, look(to, "alone"));
+        let answers = futures::future::join_all((0..40).map(in_time)).await;
+        let late = answers.iter().filter(|answer| answer.is_err()).count();
+        assert_eq!(late, 0, "of 40 requests with 1.5 s each");
+    });
+}
