A service is in reach although the few targets that were probed first have all ended

Cause: a round of probes asked three targets, and counted the service as out of reach when these three did not answer.

Change: a round asks three targets first, and all others (256 at most) once these have failed or were silent for half of a probe's time. Out of reach, it asks three each half second, and those first that were not tried yet, so a new target or a new life of one is found at once. A target's life is named in one place, `TargetEntry::life`.

Conclusion: mended; a silent partition is noticed 0.2 s later than before where a service has more than three targets.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -83,7 +83,7 @@
 
     /// The incarnation of the target.
     pub fn life(&self) -> TargetLife {
-        TargetLife { target: self.entry.target.clone(), incarnation: self.entry.incarnation }
+        self.entry.life()
     }
 
     /// Requests of this router at the target.
@@ -300,7 +300,7 @@
         if self.permits.is_empty() {
             return Gate::Unlimited;
         }
-        let life = TargetLife { target: entry.target.clone(), incarnation: entry.incarnation };
+        let life = entry.life();
         self.permits.gate(now_ms, &life, claimed(permit_use, &life))
     }
 
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -5,7 +5,7 @@
 use super::queue::AwaitedPermit;
 use super::reservation::SlotReservation;
 use super::state::RouterState;
-use crate::rate_limit::{TargetLife, message};
+use crate::rate_limit::message;
 
 impl RouterState {
     /// The permits and slots that requests count on which are served before a new one of this rank; `None`
@@ -28,7 +28,7 @@
         };
         let balancer = self.balancer.borrow();
         let entry = &balancer.target(index).entry;
-        let life = TargetLife { target: entry.target.clone(), incarnation: entry.incarnation };
+        let life = entry.life();
         Some(AwaitedPermit { life, has_alternative })
     }
 
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -4,17 +4,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt as _};
 use http_body_util::Full;
 
 use super::AttemptOptions;
-use super::reach::{ProbeStep, ReachChange};
+use super::reach::{FIRST_PROBES, ProbeStep, ReachChange};
 use super::state::RouterState;
-use crate::ids::{ServiceName, TargetId};
+use crate::ids::ServiceName;
 use crate::membership::table::{Standing, TargetEntry};
+use crate::rate_limit::TargetLife;
 use crate::web::{self, client};
 
 /// Timeout of one probe.
 const PROBE_TIMEOUT_MS: u64 = 400;
+/// Time without an answer to the first probes of a round after which the others are sent.
+const FIRST_PROBES_WAIT: Duration = Duration::from_millis(PROBE_TIMEOUT_MS / 2);
 /// Largest response to a probe, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
@@ -26,7 +30,7 @@
     }
 
     /// Records that an attempt at a target failed as if it were out of reach, and probes others.
-    pub(super) fn note_unreached(self: &Rc<Self>, service: &ServiceName, target: &TargetId) {
+    pub(super) fn note_unreached(self: &Rc<Self>, service: &ServiceName, target: TargetLife) {
         let mut reach = self.reach.borrow_mut();
         reach.record_failure(service, target);
         if reach.begin_probing(service) {
@@ -71,18 +75,31 @@
 
 async fn run_round(router: &Rc<RouterState>, service: &ServiceName, round: usize) {
     let entries = probed_entries(router, service, round);
-    let answers = entries.iter().map(|entry| probe(router, service, entry));
-    let answers = futures::future::join_all(answers).await;
-    metrics::counter!("fescuebay_probes_total").increment(answers.len() as u64);
-    if answers.contains(&true) {
+    if any_answers(router, service, &entries).await {
         return router.note_reached(service);
     }
-    let (now_ms, probed) = (router.now_ms(), entries.len());
-    let change = router.reach.borrow_mut().end_round(now_ms, service, probed);
+    let probed = entries.iter().map(TargetEntry::life).collect();
+    let change = router.reach.borrow_mut().end_round(router.now_ms(), service, probed);
     router.apply_reach_change(service, change);
 }
 
-/// The entries of the targets that a round probes.
+/// Probes the first few targets, and the others as soon as these are known or likely not to answer.
+async fn any_answers(router: &RouterState, service: &ServiceName, entries: &[TargetEntry]) -> bool {
+    let (first, others) = entries.split_at(entries.len().min(FIRST_PROBES));
+    let send = |entry| {
+        metrics::counter!("fescuebay_probes_total").increment(1);
+        probe(router, service, entry)
+    };
+    let mut probes: FuturesUnordered<_> = first.iter().map(send).collect();
+    let first_answers = probes.by_ref().any(std::future::ready);
+    if tokio::time::timeout(FIRST_PROBES_WAIT, first_answers).await == Ok(true) {
+        return true;
+    }
+    probes.extend(others.iter().map(send));
+    probes.any(std::future::ready).await
+}
+
+/// The entries of the targets that a round probes, in this order.
 fn probed_entries(router: &RouterState, service: &ServiceName, round: usize) -> Vec<TargetEntry> {
     let balancer = router.balancer.borrow();
     let is_meant = |entry: &&TargetEntry| {
@@ -90,9 +107,10 @@
     };
     let entries: Vec<&TargetEntry> =
         balancer.targets().iter().map(|target| &target.entry).filter(is_meant).collect();
-    let targets = entries.iter().map(|entry| entry.target.clone()).collect();
-    let chosen = router.reach.borrow().choose_probed(service, round, targets);
-    entries.into_iter().filter(|entry| chosen.contains(&entry.target)).cloned().collect()
+    let lives = entries.iter().map(|entry| entry.life()).collect();
+    let chosen = router.reach.borrow_mut().choose_probed(service, round, lives);
+    let find = |life: &TargetLife| entries.iter().find(|entry| entry.life() == *life);
+    chosen.iter().filter_map(find).map(|entry| (*entry).clone()).collect()
 }
 
 /// Whether a target answers at all, be it with an error. A brittle one may have to turn a request away, so it only
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -25,6 +25,7 @@
 };
 use crate::ids::{self, ServiceName, TargetId};
 use crate::poison::{ContentHash, Subject};
+use crate::rate_limit::TargetLife;
 use crate::routes::{self, Route, index};
 use crate::slot_lease::pool::Ending;
 use crate::web::client::Connection;
@@ -371,7 +372,7 @@
     let connected = connect(router, routed, &reservation).await;
     if connected.is_err() {
         routed.unsent_attempts.set(routed.unsent_attempts.get() + 1);
-        router.note_unreached(&routed.service, &reservation.target);
+        router.note_unreached(&routed.service, reservation.life());
     }
     let (mut connection, connection_use) = connected?;
     if !reservation.begin_send() {
@@ -405,13 +406,13 @@
     let timeout =
         Duration::from_millis(response_timeout_ms(router, routed, &reservation, remaining_ms));
     let answering = tokio::time::timeout(timeout, connection.send(request));
-    let response = match unless_lost(router, routed, &reservation.target, answering).await? {
+    let response = match unless_lost(router, routed, reservation.life(), answering).await? {
         Ok(Ok(response)) => response,
         Ok(Err(web::Error::Connect)) => return Err(AttemptFailure::NotSent),
         Ok(Err(web::Error::Malformed)) => return Err(AttemptFailure::InvalidResponse),
         Ok(Err(web::Error::TooLarge)) => return Err(AttemptFailure::TooLarge),
         Ok(Err(_)) => {
-            router.note_unreached(&routed.service, &reservation.target);
+            router.note_unreached(&routed.service, reservation.life());
             return Err(AttemptFailure::ConnectionClosed);
         }
         Err(_) => return Err(AttemptFailure::TimedOut),
@@ -446,7 +447,7 @@
 async fn unless_lost<T>(
     router: &Rc<RouterState>,
     routed: &RoutedRequest,
-    target: &TargetId,
+    target: TargetLife,
     answering: impl Future<Output = T>,
 ) -> Result<T, AttemptFailure> {
     tokio::pin!(answering);
@@ -495,7 +496,7 @@
     let opened = tokio::select! {
         opened = &mut opening => opened,
         () = tokio::time::sleep(SLOW_CONNECT) => {
-            router.note_unreached(&routed.service, &reservation.target);
+            router.note_unreached(&routed.service, reservation.life());
             opening.await
         }
     };
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -4,16 +4,19 @@
 //! routers still reach it. Connections to targets hang or are reset, or old ones live on while new ones are
 //! refused. One target that is silent for a second, or that has ended, must not look the same.
 //!
-//! A failed attempt is a reason to probe a few targets. If none of them answers, and no other answer has come
-//! meanwhile, the service is out of reach. It is in reach again with the first answer, so no request of a
-//! caller is sent as a probe.
+//! A failed attempt is a reason to probe a few targets, and all others soon after if none of these answers: a
+//! few may have ended together. If none answers at all, the service is out of reach. It is in reach again with
+//! the first answer, so no request of a caller is sent as a probe.
 
-use crate::ids::{ServiceName, TargetId};
+use crate::ids::ServiceName;
+use crate::rate_limit::TargetLife;
 
 /// Time without an answer after which an attempt is a reason to probe.
 pub const SILENT_MS: u64 = 700;
-/// Number of targets in a round of probes.
-pub const PROBED_TARGETS: usize = 3;
+/// Number of targets that a round probes first.
+pub const FIRST_PROBES: usize = 3;
+/// Most targets that one round probes, so that a router opens no more connections at once.
+pub const MAX_PROBES: usize = 256;
 /// Time between the starts of two rounds of probes.
 const ROUND_INTERVAL_MS: u64 = 500;
 
@@ -22,8 +25,8 @@
 struct ServiceReach {
     service: ServiceName,
     heard_ms: Option<u64>,
-    /// Targets at which attempts failed since the last answer.
-    failed: Vec<TargetId>,
+    /// Lives of targets at which attempts or probes failed since the last answer, sorted.
+    tried: Vec<TargetLife>,
     lost_since_ms: Option<u64>,
     round_began_ms: Option<u64>,
     /// Whether a task probes its targets.
@@ -35,7 +38,13 @@
 impl ServiceReach {
     /// Whether there is a reason to probe.
     fn has_reason(&self) -> bool {
-        !self.failed.is_empty() || self.lost_since_ms.is_some()
+        !self.tried.is_empty() || self.lost_since_ms.is_some()
+    }
+
+    fn note_tried(&mut self, target: TargetLife) {
+        if let Err(at) = self.tried.binary_search(&target) {
+            self.tried.insert(at, target);
+        }
     }
 }
 
@@ -93,7 +102,7 @@
     pub fn record_answer(&mut self, now_ms: u64, service: &ServiceName) -> ReachChange {
         let known = self.entry(service);
         known.heard_ms = Some(now_ms);
-        known.failed.clear();
+        known.tried.clear();
         match known.lost_since_ms.take() {
             Some(since_ms) => ReachChange::Regained { after_ms: now_ms.saturating_sub(since_ms) },
             None => ReachChange::Unchanged,
@@ -102,11 +111,8 @@
 
     /// Records that a target could not be connected to, broke a connection before it answered, or has not
     /// answered for [`SILENT_MS`].
-    pub fn record_failure(&mut self, service: &ServiceName, target: &TargetId) {
-        let known = self.entry(service);
-        if !known.failed.contains(target) {
-            known.failed.push(target.clone());
-        }
+    pub fn record_failure(&mut self, service: &ServiceName, target: TargetLife) {
+        self.entry(service).note_tried(target);
     }
 
     /// Whether a task has to begin to probe the service: there is a reason, and none does so yet.
@@ -131,31 +137,41 @@
         ProbeStep::Probe { round: known.rounds }
     }
 
-    /// Ends a round in which `probed` targets were probed and none of them answered.
-    pub fn end_round(&mut self, now_ms: u64, service: &ServiceName, probed: usize) -> ReachChange {
+    /// Ends a round in which all these targets were probed and none of them answered.
+    pub fn end_round(
+        &mut self,
+        now_ms: u64,
+        service: &ServiceName,
+        probed: Vec<TargetLife>,
+    ) -> ReachChange {
         let known = self.entry(service);
         let was_heard = known.heard_ms >= known.round_began_ms;
-        if probed == 0 || was_heard || known.lost_since_ms.is_some() {
+        if probed.is_empty() || was_heard {
+            return ReachChange::Unchanged;
+        }
+        probed.into_iter().for_each(|target| known.note_tried(target));
+        if known.lost_since_ms.is_some() {
             return ReachChange::Unchanged;
         }
         known.lost_since_ms = Some(now_ms);
         ReachChange::Lost
     }
 
-    /// Chooses the targets of a round among those of the service, first those that did not fail.
+    /// Chooses the targets of a round among those of the service: first those that were not tried since the last
+    /// answer, so also new ones. Once the service is out of reach, a round probes no more than the first few.
     pub fn choose_probed(
-        &self,
+        &mut self,
         service: &ServiceName,
         round: usize,
-        mut targets: Vec<TargetId>,
-    ) -> Vec<TargetId> {
-        let failed = self.find(service).map(|known| known.failed.as_slice()).unwrap_or_default();
+        mut targets: Vec<TargetLife>,
+    ) -> Vec<TargetLife> {
+        let known = self.entry(service);
         if !targets.is_empty() {
-            let first = (round * PROBED_TARGETS) % targets.len();
+            let first = (round * FIRST_PROBES) % targets.len();
             targets.rotate_left(first);
         }
-        targets.sort_by_key(|target| failed.contains(target));
-        targets.truncate(PROBED_TARGETS);
+        targets.sort_by_key(|target| known.tried.binary_search(target).is_ok());
+        targets.truncate(if known.lost_since_ms.is_some() { FIRST_PROBES } else { MAX_PROBES });
         targets
     }
 
@@ -171,7 +187,7 @@
                 let known = ServiceReach {
                     service: service.clone(),
                     heard_ms: None,
-                    failed: Vec::new(),
+                    tried: Vec::new(),
                     lost_since_ms: None,
                     round_began_ms: None,
                     is_probed: false,
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -5,6 +5,7 @@
 use crate::ids::{
     Incarnation, ModelRef, Sequence, ServiceName, SoftwareVersion, TargetId, Version, Zone,
 };
+use crate::rate_limit::TargetLife;
 use crate::target::order::Kind;
 
 /// Whether a target may receive new requests.
@@ -101,6 +102,11 @@
 }
 
 impl TargetEntry {
+    /// The incarnation of the target that the entry is about.
+    pub fn life(&self) -> TargetLife {
+        TargetLife { target: self.target.clone(), incarnation: self.incarnation }
+    }
+
     fn change_replicas(&mut self, removed: &[Replica], added: &[Replica]) {
         self.replicas.retain(|held| !removed.contains(held));
         self.replicas.extend_from_slice(added);
--- a/src/routing/engine/permits.rs
+++ b/src/routing/engine/permits.rs
@@ -70,8 +70,7 @@
     }
 
     fn life(&self, index: u32) -> TargetLife {
-        let entry = self.table.entry(index);
-        TargetLife { target: entry.target.clone(), incarnation: entry.incarnation }
+        self.table.entry(index).life()
     }
 
     /// Requests that count on a permit of a target and arrived before the request of this number.
--- a/src/traffic/permits.rs
+++ b/src/traffic/permits.rs
@@ -13,8 +13,7 @@
 
 /// The target of an attempt.
 pub(super) fn target_life(start: &AttemptStart) -> TargetLife {
-    let entry = start.table.entry(start.target_index);
-    TargetLife { target: entry.target.clone(), incarnation: entry.incarnation }
+    start.table.entry(start.target_index).life()
 }
 
 impl TrafficState {
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -4,21 +4,26 @@
 
 use fescuebay::coordinator::routers::{HelperQuery, MAX_HELPERS, RouterContact, choose_helpers};
 use fescuebay::gateway::helpers::{Helpers, REFRESH_MS};
-use fescuebay::gateway::reach::{PROBED_TARGETS, ProbeStep, ReachChange, Reachability};
-use fescuebay::ids::{DaemonId, ServiceName, TargetId};
+use fescuebay::gateway::reach::{FIRST_PROBES, ProbeStep, ReachChange, Reachability};
+use fescuebay::ids::{DaemonId, Incarnation, ServiceName};
 use fescuebay::membership::feed::FeedCursor;
+use fescuebay::rate_limit::TargetLife;
 
 fn service(name: &str) -> ServiceName {
     name.parse().unwrap()
 }
 
-fn target(number: usize) -> TargetId {
-    format!("t{number}").parse().unwrap()
+fn target(number: usize) -> TargetLife {
+    TargetLife { target: format!("t{number}").parse().unwrap(), incarnation: Incarnation(1) }
+}
+
+fn targets(numbers: std::ops::Range<usize>) -> Vec<TargetLife> {
+    numbers.map(target).collect()
 }
 
 /// Fails an attempt and takes the step of a round of probes.
 fn begin_round(reach: &mut Reachability, now_ms: u64, app: &ServiceName) {
-    reach.record_failure(app, &target(0));
+    reach.record_failure(app, target(0));
     reach.begin_probing(app);
     assert!(matches!(reach.next_step(now_ms, app), ProbeStep::Probe { .. }));
 }
@@ -29,12 +34,12 @@
     assert!(!reach.begin_probing(&app), "there is no reason to probe");
     begin_round(&mut reach, 1_000, &app);
     assert!(!reach.is_lost(&app), "one failure is none of all targets");
-    assert_eq!(reach.end_round(1_400, &app, 3), ReachChange::Lost);
+    assert_eq!(reach.end_round(1_400, &app, targets(0..3)), ReachChange::Lost);
     assert_eq!(reach.lost_services(), std::slice::from_ref(&app));
     assert!(!reach.is_lost(&service("other")));
     assert_eq!(reach.next_step(1_400, &app), ProbeStep::Wait { ms: 100 });
     assert!(matches!(reach.next_step(1_500, &app), ProbeStep::Probe { .. }));
-    assert_eq!(reach.end_round(1_900, &app, 3), ReachChange::Unchanged);
+    assert_eq!(reach.end_round(1_900, &app, targets(0..3)), ReachChange::Unchanged);
     assert_eq!(reach.record_answer(2_000, &app), ReachChange::Regained { after_ms: 600 });
     assert!(!reach.is_lost(&app));
     assert_eq!(reach.next_step(2_000, &app), ProbeStep::Stop);
@@ -47,45 +52,65 @@
     let (mut reach, app) = (Reachability::default(), service("app"));
     begin_round(&mut reach, 1_000, &app);
     reach.record_answer(1_200, &app);
-    assert_eq!(reach.end_round(1_400, &app, 3), ReachChange::Unchanged);
+    assert_eq!(reach.end_round(1_400, &app, targets(0..3)), ReachChange::Unchanged);
     assert!(!reach.is_lost(&app));
     assert_eq!(reach.next_step(1_500, &app), ProbeStep::Stop);
     // A table without targets shows nothing of paths.
     begin_round(&mut reach, 2_000, &app);
-    assert_eq!(reach.end_round(2_400, &app, 0), ReachChange::Unchanged);
+    assert_eq!(reach.end_round(2_400, &app, Vec::new()), ReachChange::Unchanged);
     assert!(!reach.is_lost(&app));
 }
 
 #[test]
 fn one_task_at_a_time_probes_a_service() {
     let (mut reach, app) = (Reachability::default(), service("app"));
-    reach.record_failure(&app, &target(0));
+    reach.record_failure(&app, target(0));
     assert!(reach.begin_probing(&app));
-    reach.record_failure(&app, &target(1));
+    reach.record_failure(&app, target(1));
     assert!(!reach.begin_probing(&app));
     reach.record_answer(1, &app);
     assert_eq!(reach.next_step(2, &app), ProbeStep::Stop);
-    reach.record_failure(&app, &target(1));
+    reach.record_failure(&app, target(1));
     assert!(reach.begin_probing(&app));
 }
 
+/// Some targets that are probed may all have ended, while others serve.
 #[test]
-fn a_round_probes_targets_that_did_not_fail_and_each_round_others() {
+fn a_round_probes_all_targets_and_first_those_that_did_not_fail() {
     let (mut reach, app) = (Reachability::default(), service("app"));
-    let all: Vec<TargetId> = (0..9).map(target).collect();
-    reach.record_failure(&app, &target(3));
+    reach.record_failure(&app, target(3));
+    let mut chosen = reach.choose_probed(&app, 1, targets(0..70));
+    assert_eq!(chosen.len(), 70);
+    assert_eq!(chosen.last(), Some(&target(3)));
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert_eq!(chosen.len(), 70);
+    assert_eq!(reach.choose_probed(&app, 1, vec![target(3)]), [target(3)]);
+    assert!(reach.choose_probed(&app, 1, Vec::new()).is_empty());
+}
+
+#[test]
+fn rounds_out_of_reach_probe_a_few_targets_and_first_those_never_tried() {
+    let (mut reach, app) = (Reachability::default(), service("app"));
+    begin_round(&mut reach, 1_000, &app);
+    assert_eq!(reach.end_round(1_400, &app, targets(0..9)), ReachChange::Lost);
+    let again = TargetLife { incarnation: Incarnation(2), ..target(4) };
+    let later: Vec<TargetLife> =
+        targets(0..4).into_iter().chain([again.clone()]).chain(targets(5..10)).collect();
+    for round in 2..5 {
+        let chosen = reach.choose_probed(&app, round, later.clone());
+        assert_eq!(chosen.len(), FIRST_PROBES);
+        assert!(chosen.contains(&again) && chosen.contains(&target(9)), "{chosen:?}");
+    }
     let mut probed = Vec::new();
-    for round in 1..=3 {
-        let chosen = reach.choose_probed(&app, round, all.clone());
-        assert_eq!(chosen.len(), PROBED_TARGETS);
-        assert!(!chosen.contains(&target(3)), "{chosen:?}");
-        probed.extend(chosen);
+    for round in 2..6 {
+        let chosen = reach.choose_probed(&app, round, targets(0..9));
+        probed.extend(chosen.clone());
+        assert_eq!(reach.end_round(1_500, &app, chosen), ReachChange::Unchanged);
     }
     probed.sort_unstable();
     probed.dedup();
-    assert!(probed.len() >= 8, "{probed:?}");
-    assert_eq!(reach.choose_probed(&app, 1, vec![target(3)]), [target(3)]);
-    assert!(reach.choose_probed(&app, 1, Vec::new()).is_empty());
+    assert_eq!(probed.len(), 9, "each round probes others: {probed:?}");
 }
 
 fn contact(number: usize, zone: &str, lost: &[&str]) -> RouterContact {
