A router that cannot send a forwarded request refuses it at once

Change: after two attempts that could not be sent, a forwarded request is refused; the refusal says that it was not run, and the router that forwarded it asks another.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,7 +44,7 @@
 use crate::ids::{ModelRef, TargetId};
 use crate::{rate_limit, slot_lease};
 
-pub use run::{Dependencies, client, handler, run};
+pub use run::{Dependencies, client, forwarded_handler, handler, run};
 pub use state::RouterState;
 
 /// The step at which a router failed.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -45,8 +45,6 @@
 const MIN_RESPONSE_TIMEOUT_MS: u64 = 60;
 /// Requests that are still unanswered get an error response this long before the process exits.
 const RESPONSE_CUTOFF_MS: u64 = 250;
-/// Pause before a request is retried after a target declined to run it.
-const RETRY_PAUSE_MS: u64 = 15;
 
 /// Why a request has no route and no service.
 enum NotRouted {
@@ -227,9 +225,11 @@
             return routed.give_up(&router, failure, RefusalReason::ShuttingDown);
         }
         let was_lost = router.reach.borrow().is_lost(&routed.service);
-        if was_lost && routed.possible_runs.get() == 0 {
+        let is_for_another = routed.is_forwarded && forward::has_no_path(&routed);
+        if is_for_another || (was_lost && routed.possible_runs.get() == 0) {
             // Nobody could take it, or it was forwarded by a router that may know another one.
-            return routed.give_up(&router, RequestFailure::NotRun, RefusalReason::OutOfReach);
+            let failure = retry::request_failure(routed.possible_runs.get(), false);
+            return routed.give_up(&router, failure, RefusalReason::OutOfReach);
         }
         let reserving = poison::reserve_permitted(&router, &routed, routed.arrived_ms);
         let reserved = tokio::select! {
@@ -265,7 +265,7 @@
             AttemptFailure::NotRun | AttemptFailure::Misdirected | AttemptFailure::NotSent
         );
         if is_immediate {
-            tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+            tokio::time::sleep(Duration::from_millis(retry::RETRY_PAUSE_MS)).await;
         }
     }
 }
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -64,6 +64,11 @@
     GiveUp(RequestFailure),
 }
 
+/// Attempts that could not be sent to targets after which a router leaves a request to another one.
+pub const MAX_UNSENT_ATTEMPTS: u32 = 2;
+/// Pause after an attempt that no target has run.
+pub const RETRY_PAUSE_MS: u64 = 15;
+
 /// How a request fails without a response of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestFailure {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -95,7 +95,12 @@
     tokio::task::spawn_local(sweep(Rc::clone(&router)));
     serve_readiness(ready, &router, phases.clone());
     let serving = tokio::task::spawn_local(futures::future::join(
-        serve_requests(forwarded, Rc::clone(&router), forwarded_handler(&router), phases.clone()),
+        serve_requests(
+            forwarded,
+            Rc::clone(&router),
+            forwarded_handler(Rc::clone(&router)),
+            phases.clone(),
+        ),
         serve_requests(callers, Rc::clone(&router), handler(Rc::clone(&router)), phases),
     ));
     log::info!("router {} serves callers", daemon_at(settings.vm.ip));
@@ -147,8 +152,7 @@
 }
 
 /// The handler of requests that other routers forward.
-fn forwarded_handler(router: &Rc<RouterState>) -> server::Handler {
-    let router = Rc::clone(router);
+pub fn forwarded_handler(router: Rc<RouterState>) -> server::Handler {
     Rc::new(move |request| Box::pin(forward::handle_forwarded(Rc::clone(&router), request)))
 }
 
