Attempts that cannot be sent are few until a long deadline

Cause: after an attempt that could not be sent, the next one followed 15 ms later until the deadline; where the only target with a model stays out of reach for seconds, that is hundreds of connections and log lines for each request.

Change: the pause doubles with each such attempt, up to 240 ms. An attempt that a target turned down is not one of them: its pause stays at 15 ms.

Conclusion: mended.

--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -265,7 +265,8 @@
             AttemptFailure::NotRun | AttemptFailure::Misdirected | AttemptFailure::NotSent
         );
         if is_immediate {
-            tokio::time::sleep(Duration::from_millis(retry::RETRY_PAUSE_MS)).await;
+            let pause_ms = retry::retry_pause_ms(routed.unsent_attempts.get());
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 }
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -67,7 +67,15 @@
 /// Attempts that could not be sent to targets after which a router leaves a request to another one.
 pub const MAX_UNSENT_ATTEMPTS: u32 = 2;
 /// Pause after an attempt that no target has run.
-pub const RETRY_PAUSE_MS: u64 = 15;
+const RETRY_PAUSE_MS: u64 = 15;
+/// How often the pause doubles at most.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Pause before the next attempt, after this many that could not be sent. It grows, as a target that is the
+/// only one for the request may stay out of reach for seconds.
+pub fn retry_pause_ms(unsent_attempts: u32) -> u64 {
+    RETRY_PAUSE_MS << unsent_attempts.saturating_sub(1).min(MAX_DOUBLINGS)
+}
 
 /// How a request fails without a response of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -7,7 +7,7 @@
 use fescuebay::gateway::continuation::Continuation;
 use fescuebay::gateway::queue::{RequestQueue, WaitingRequest};
 use fescuebay::gateway::retry::{
-    AttemptFailure, FailedAttempt, RequestFailure, RetryDecision, decide_retry,
+    AttemptFailure, FailedAttempt, RequestFailure, RetryDecision, decide_retry, retry_pause_ms,
 };
 use fescuebay::gateway::retry_budget::{RetryBudget, RetryBudgetSettings};
 use fescuebay::ids::{Incarnation, ModelRef, ServiceName, TargetId};
@@ -252,6 +252,23 @@
     }
 }
 
+/// The only target for a request may be out of reach for seconds.
+#[test]
+fn attempts_that_cannot_be_sent_are_few_until_a_long_deadline() {
+    let (mut now_ms, mut unsent) = (0, 0);
+    while now_ms < 10_000 {
+        unsent += 1;
+        now_ms += retry_pause_ms(unsent);
+    }
+    assert!(unsent < 60, "{unsent} attempts");
+    assert_eq!(
+        retry_pause_ms(0),
+        retry_pause_ms(1),
+        "a target that declined is no path that is lost"
+    );
+    assert!(retry_pause_ms(u32::MAX) <= 250, "a target that is back is found soon");
+}
+
 #[test]
 fn the_queue_serves_by_rank_and_then_by_arrival() {
     let mut queue = RequestQueue::default();
