A target that asked for a pause, or names a limit, gets no probes as requests

Cause: a router whose attempts fail probes targets with requests at their health path, also those that had asked to be left alone, that leave, or that name a rate limit.

Change: such a target, like a brittle one, is only connected to.

Before: the test sees 3 probes at a paused target.

Conclusion: mended.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -349,6 +349,14 @@
         }
     }
 
+    /// Whether a target may be sent a request that no caller waits for: it is neither brittle, nor paused or
+    /// leaving, nor does it name a rate limit.
+    pub fn may_probe(&self, now_ms: u64, target: &TargetId, incarnation: Incarnation) -> bool {
+        self.can_send(now_ms, target, incarnation)
+            && self.leases.limit(target, incarnation).is_none()
+            && self.permits.limit(target, incarnation).is_none()
+    }
+
     /// Records that a target asked for no requests for `pause_ms`. Returns whether the restriction
     /// changed.
     pub fn record_pause(
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -113,11 +113,12 @@
     chosen.iter().filter_map(find).map(|entry| (*entry).clone()).collect()
 }
 
-/// Whether a target answers at all, be it with an error. A brittle one may have to turn a request away, so it only
-/// has to accept a connection.
+/// Whether a target answers at all, be it with an error. One that limits what it takes only has to accept a
+/// connection.
 async fn probe(router: &RouterState, service: &ServiceName, entry: &TargetEntry) -> bool {
-    let brittle = router.balancer.borrow().leases().limit(&entry.target, entry.incarnation);
-    if brittle.is_some() {
+    let may_probe =
+        router.balancer.borrow().may_probe(router.now_ms(), &entry.target, entry.incarnation);
+    if !may_probe {
         let opened = client::Connection::open(router.own_ip, entry.address, PROBE_TIMEOUT_MS).await;
         return opened.is_ok();
     }
--- a/tests/gateway_pauses.rs
+++ b/tests/gateway_pauses.rs
@@ -54,6 +54,26 @@
     });
 }
 
+/// A failure at another target is a reason to probe, but not with requests at one that wants none.
+#[test]
+fn a_paused_target_gets_no_probes() {
+    on_one_thread(async {
+        let a = ScriptedTarget::start("a", vec![pause(), ok("early")]).await;
+        let router = Router::start(vec![a.entry("app", &[])]).await;
+        assert_eq!(status(&router.request("GET", "/safe/x", "", "").await), 503);
+        let ended = TargetEntry {
+            target: name("ended"),
+            address: "127.0.0.1:9".parse().unwrap(),
+            ..a.entry("app", &[])
+        };
+        router.set_targets(vec![a.entry("app", &[]), ended]);
+        for _ in 0..3 {
+            router.request("GET", "/safe/x", "Deadline-Ms: 300\r\n", "").await;
+        }
+        assert_eq!((a.requests(), a.seen.borrow().probes), (1, 0));
+    });
+}
+
 /// Guards against sending the remaining requests of a burst to a paused target: more callers at the
 /// same time than the target has slots.
 #[test]
