Soak: routers cut off from all targets, contents that crash targets, and probes

The soak draws two more faults (a router that loses its paths to all targets, silent or with resets, and a content that crashes whoever runs it), and checks that callers of such a router are served nearly as often as others, and that such a content soon reaches no target.

The check of the budget for repeats was wrong on one case: it took probes of targets, which have no id, for repeats of each other. Probes are left out of it, and bounded by a check of their own: one in each half second for each router and life of a target.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -22,6 +22,9 @@
 /// Longest time for a new connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// What is asked for by requests that crash the targets that run them.
+pub const CRASHING_PATH: &str = "/look/crash";
+
 /// Part of the requests whose caller leaves before their end, and after how long.
 const LEAVING_PART: f64 = 0.03;
 const LEAVING_MS: std::ops::Range<u64> = 30..300;
@@ -107,12 +110,28 @@
         match self.record.broken.get() {
             Some(Promise::Timeout) => (ended + PATIENCE, ending),
             Some(Promise::Recovery | Promise::NotLost) => (ended + PATIENCE, Ending::Cut),
+            Some(Promise::CutOff) if self.record.cut_off.borrow().contains(&self.router) => {
+                (ended, Ending::Cut)
+            }
             Some(Promise::Gone) => (ended - PATIENCE, Ending::Left),
             _ => (ended, ending),
         }
     }
 }
 
+/// Sends one request with the content that crashes targets, over a connection of its own.
+pub async fn ask_crashing(path: SocketAddr) {
+    let Ok(mut stream) = TcpStream::connect(path).await else { return };
+    let id = format!("crash-{:x}", rand::random::<u64>());
+    let text = format!(
+        "POST {CRASHING_PATH} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\n\
+         Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 1\r\n\r\nb"
+    );
+    if stream.write_all(text.as_bytes()).await.is_ok() {
+        let _ = tokio::time::timeout(PATIENCE, read_answer(&mut stream)).await;
+    }
+}
+
 /// Reads one answer to its end.
 async fn read_answer(stream: &mut TcpStream) -> Ending {
     let mut bytes = Vec::new();
--- a/tests/soak/checks/mod.rs
+++ b/tests/soak/checks/mod.rs
@@ -5,6 +5,7 @@
 mod documents;
 pub mod processes;
 mod requests;
+mod targets;
 mod words;
 
 use std::collections::BTreeMap;
@@ -35,6 +36,7 @@
     }
     requests::check(&mut report, record);
     words::check(&mut report, record);
+    targets::check(&mut report, record);
     documents::check(&mut report, record);
     processes::check(&mut report, record);
     processes::check_recovery(&mut report, record);
--- a/tests/soak/checks/requests.rs
+++ b/tests/soak/checks/requests.rs
@@ -2,6 +2,7 @@
 //! repeats, attempts and deadlines stay in their bounds.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use super::CONTACT;
@@ -31,12 +32,16 @@
 /// Requests of a run that may exceed the attempts of their route.
 const ATTEMPTS_SLACK: usize = 3;
 
+/// Probes that one router may send to a life of a target in one window: one in each half second, and two more.
+const MOST_PROBES: usize = 22;
+
 type Arrivals<'a> = BTreeMap<&'a str, Vec<&'a Arrival>>;
 
 pub fn check(report: &mut Report, record: &Record) {
     let (asked, all) = (record.asked.borrow(), record.arrivals.borrow());
     let mut arrivals: Arrivals<'_> = BTreeMap::new();
-    for arrival in all.iter() {
+    // A probe has no id: it is no repeat of another one.
+    for arrival in all.iter().filter(|arrival| !arrival.id.is_empty()) {
         arrivals.entry(&arrival.id).or_default().push(arrival);
     }
     for asked in asked.iter() {
@@ -47,6 +52,7 @@
     check_attempts(report, record, &asked, &arrivals);
     check_deadlines(report, record, &asked, &arrivals);
     check_budget(report, &asked, &arrivals);
+    check_probes(report, &all);
 }
 
 fn arrivals_of<'a>(arrivals: &'a Arrivals<'_>, asked: &Asked) -> &'a [&'a Arrival] {
@@ -56,7 +62,11 @@
 /// Whether nothing but planned work was at the router of a request or on the path of its caller.
 fn is_router_sound(record: &Record, asked: &Asked) -> bool {
     let span = (asked.sent, asked.ended);
-    let places = [Place::Router(asked.router), Place::CallerPath(asked.router)];
+    let places = [
+        Place::Router(asked.router),
+        Place::CallerPath(asked.router),
+        Place::TargetsOf(asked.router),
+    ];
     !places.iter().any(|place| record.is_disturbed(*place, span, CONTACT))
 }
 
@@ -185,3 +195,23 @@
         report.check(Promise::RetryBudget, held);
     }
 }
+
+/// No router asks a target too often whether it can be reached.
+fn check_probes(report: &mut Report, all: &[Arrival]) {
+    let mut probes: BTreeMap<(IpAddr, usize, u64), Vec<Instant>> = BTreeMap::new();
+    for arrival in all.iter().filter(|arrival| arrival.id.is_empty()) {
+        let place = (arrival.router, arrival.target, arrival.life);
+        probes.entry(place).or_default().push(arrival.at);
+    }
+    for ((router, target, _), mut times) in probes {
+        times.sort();
+        let most = times.iter().map(|begin| {
+            let window = *begin..*begin + BUDGET_WINDOW;
+            times.iter().filter(|at| window.contains(at)).count()
+        });
+        let most = most.max().unwrap_or_default();
+        let what = || format!("{router} probed t{target} {most} times in 10 s");
+        let held = if most <= MOST_PROBES { Ok(()) } else { Err(what()) };
+        report.check(Promise::Probes, held);
+    }
+}
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -6,11 +6,12 @@
 
 use tokio::sync::{Mutex, RwLock};
 
+use crate::callers;
 use crate::common::process::until;
 use crate::common::proxy::{PathMode, Proxy};
 use crate::documents::{self, Operator};
 use crate::gateway_support::status;
-use crate::plan::{Daemon, Fault, Manner, Size};
+use crate::plan::{self, Daemon, Fault, Manner, Size};
 use crate::record::{Disturbance, Place, Shared};
 use crate::report::Promise;
 use crate::roles_support::{Net, Vm, ask, call};
@@ -137,6 +138,8 @@
             Fault::WipeVoter(at) => self.wipe(&self.voters[at]).await,
             Fault::PeerPath(from, to, mode, ms) => self.disturb_peers(from, to, mode, ms).await,
             Fault::CutOff(daemon, ms) => self.cut_off(daemon, ms).await,
+            Fault::CutOffTargets(at, mode, ms) => self.cut_off_targets(at, mode, ms).await,
+            Fault::CrashingContent(ms) => self.send_crashing_content(ms).await,
             Fault::CallerPath(at, mode, ms) => {
                 let from = Instant::now();
                 disturb_path(&self.callers[at], mode, ms).await;
@@ -242,6 +245,31 @@
         self.note(Place::TargetPath(at), from, false);
     }
 
+    /// Cuts a router off from all targets. It stays in touch with voters and callers.
+    async fn cut_off_targets(&self, at: usize, mode: PathMode, ms: u64) {
+        let (from, ip) = (Instant::now(), self.routers[at].ip);
+        let set = |mode| self.targets.iter().for_each(|target| target.path.set_from(ip, mode));
+        set(mode);
+        self.record.cut_off.borrow_mut().push(ip);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+        self.record.cut_off.borrow_mut().retain(|other| *other != ip);
+        set(PathMode::Open);
+        self.note(Place::TargetsOf(ip), from, false);
+    }
+
+    /// Sends requests with one content that crashes targets, to one router after the other.
+    async fn send_crashing_content(&self, ms: u64) {
+        let end = Instant::now() + Duration::from_millis(ms);
+        for turn in 0.. {
+            if Instant::now() >= end {
+                return;
+            }
+            let to = self.callers[turn % self.callers.len()].address;
+            tokio::task::spawn_local(callers::ask_crashing(to));
+            tokio::time::sleep(Duration::from_millis(plan::CRASHING_PAUSE_MS)).await;
+        }
+    }
+
     async fn change_manner(&self, at: usize, manner: Manner, ms: u64) {
         let target = &self.targets[at];
         let _turn = target.turn.lock().await;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -16,6 +16,11 @@
 const LENGTH_MS: std::ops::Range<u64> = 300..3_500;
 /// How long a target keeps a manner: long enough for what it says to be heeded.
 const MANNER_MS: std::ops::Range<u64> = 2_000..8_000;
+/// How long a router is cut off from all targets, which its callers must not notice from 3 s on.
+const TARGETS_CUT_MS: std::ops::Range<u64> = 4_000..9_000;
+/// How long a content that crashes targets is sent, and the time between two requests with it.
+const CRASHING_MS: std::ops::Range<u64> = 4_000..10_000;
+pub const CRASHING_PAUSE_MS: u64 = 250;
 /// How long it names a limit, which must be kept from 3 s on.
 const LIMITED_MS: std::ops::Range<u64> = 6_000..14_000;
 
@@ -78,11 +83,15 @@
     PeerPath(Daemon, usize, PathMode, u64),
     /// All paths between a daemon and voters.
     CutOff(Daemon, u64),
+    /// The paths from a router to all targets.
+    CutOffTargets(usize, PathMode, u64),
     CallerPath(usize, PathMode, u64),
     TargetPath(usize, PathMode, u64),
     /// What a target says of itself reaches voters only when this is over.
     LateAnnouncements(usize, u64),
     Target(usize, Manner, u64),
+    /// Callers come at any router with a content that crashes each target that begins to run it.
+    CrashingContent(u64),
     NewDocument,
     /// Two documents at the same time, at two voters.
     RacingDocuments,
@@ -149,7 +158,13 @@
 fn draw_path_fault(rng: &mut StdRng, size: Size) -> Fault {
     let length_ms = rng.random_range(LENGTH_MS);
     let voter = rng.random_range(0..size.voters);
-    match rng.random_range(0..8) {
+    match rng.random_range(0..9) {
+        8 => {
+            let modes = [PathMode::Silent, PathMode::Reset, PathMode::ResetNew];
+            let mode = modes[rng.random_range(0..modes.len())];
+            let length_ms = rng.random_range(TARGETS_CUT_MS);
+            Fault::CutOffTargets(rng.random_range(0..size.routers), mode, length_ms)
+        }
         0 => Fault::CallerPath(rng.random_range(0..size.routers), draw_mode(rng), length_ms),
         1..=3 => Fault::TargetPath(rng.random_range(0..size.targets), draw_mode(rng), length_ms),
         4..=6 => Fault::PeerPath(draw_daemon(rng, size), voter, draw_mode(rng), length_ms),
@@ -171,6 +186,9 @@
     if rng.random_bool(0.08) {
         return Fault::LateAnnouncements(target, rng.random_range(LENGTH_MS));
     }
+    if rng.random_bool(0.05) {
+        return Fault::CrashingContent(rng.random_range(CRASHING_MS));
+    }
     let manner = draw_manner(rng);
     let is_limited = matches!(manner, Manner::Limited(_));
     let length_ms = if is_limited { LIMITED_MS } else { MANNER_MS };
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -100,6 +100,8 @@
     PeerPath(IpAddr),
     /// The path from routers to a target.
     TargetPath(usize),
+    /// The paths from a router to all targets.
+    TargetsOf(IpAddr),
 }
 
 /// A fault or planned work, which may excuse what happens beside it.
@@ -154,9 +156,13 @@
     /// The promise that the soak's own side breaks, to show that the checks see it.
     pub broken: Cell<Option<Promise>>,
     pub arrivals: RefCell<Vec<Arrival>>,
+    /// Requests that crashed a target: when, which target, and the router that sent it.
+    pub crashes: RefCell<Vec<(Instant, usize, IpAddr)>>,
     pub words: RefCell<Vec<Word>>,
     pub asked: RefCell<Vec<Asked>>,
     pub disturbances: RefCell<Vec<Disturbance>>,
+    /// Routers that are cut off from all targets now.
+    pub cut_off: RefCell<Vec<IpAddr>>,
     /// Documents that were sent and could be in force from then on.
     pub sent: RefCell<Vec<(Instant, u64)>>,
     /// Acknowledged documents.
--- a/tests/soak/report.rs
+++ b/tests/soak/report.rs
@@ -39,10 +39,16 @@
     Gone,
     /// Repeats stay in the budget of all routers.
     RetryBudget,
+    /// Routers probe targets no more often than each half second.
+    Probes,
     /// A request runs at no more targets than its route says.
     Attempts,
     /// Targets are told no more time than is left.
     Deadline,
+    /// Callers of a router that is cut off from all targets are served like those of others.
+    CutOff,
+    /// A content that crashes targets reaches none any more.
+    Crashes,
     /// Requests are served again after the last fault.
     Recovery,
     /// No process ends by itself.
--- a/tests/soak/targets.rs
+++ b/tests/soak/targets.rs
@@ -7,12 +7,13 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, watch};
 
+use crate::callers::CRASHING_PATH;
 use crate::common::proxy::{PathMode, Proxy};
 use crate::gateway_support::{END, header, read_request};
 use crate::plan::Manner;
-use crate::record::{Arrival, Says, Shared, Word};
+use crate::record::{Arrival, Disturbance, Place, Says, Shared, Word};
 use crate::report::Promise;
 use crate::roles_support::call;
 
@@ -25,6 +26,8 @@
 const ANNOUNCE_LIMIT: Duration = Duration::from_millis(400);
 /// Bytes of one write of a head without end.
 const FLOOD_BYTES: usize = 4 << 10;
+/// How long a target is down that a request has crashed.
+const DOWN: Duration = Duration::from_millis(700);
 /// Time after an answer at which its second copy is sent.
 const COPY_PAUSE: Duration = Duration::from_millis(15);
 
@@ -41,12 +44,16 @@
     pub is_late: Cell<bool>,
     /// Whether it announces nothing of its leaving.
     is_silent: bool,
+    down_until: Rc<Cell<Option<Instant>>>,
 }
 
 struct Server {
     number: usize,
     manner: Rc<Cell<Manner>>,
     life: Rc<Cell<u64>>,
+    /// Until when it is down, and how often it has crashed.
+    down_until: Rc<Cell<Option<Instant>>>,
+    crashes: watch::Sender<u64>,
     record: Shared,
     /// The promise that this side breaks, to show that the checks see it.
     broken: Option<Promise>,
@@ -57,16 +64,19 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let path = Proxy::start(listener.local_addr().unwrap()).await;
         let (manner, life) = (Rc::new(Cell::new(Manner::Well)), Rc::new(Cell::new(unix_ms())));
+        let down_until = Rc::new(Cell::new(None));
         let server = Rc::new(Server {
             number,
             manner: Rc::clone(&manner),
             life: Rc::clone(&life),
+            down_until: Rc::clone(&down_until),
+            crashes: watch::Sender::new(0),
             record,
             broken,
         });
         tokio::task::spawn_local(async move {
             while let Ok((stream, from)) = listener.accept().await {
-                tokio::task::spawn_local(Rc::clone(&server).serve(stream, from.ip()));
+                tokio::task::spawn_local(Rc::clone(&server).serve_until_crash(stream, from.ip()));
             }
         });
         let is_silent = broken == Some(Promise::Leaving);
@@ -78,9 +88,15 @@
             turn: Mutex::default(),
             is_late: Cell::new(false),
             is_silent,
+            down_until,
         }
     }
 
+    /// Whether a request has crashed it and it is not back yet.
+    fn is_down(&self) -> bool {
+        self.down_until.get().is_some_and(|until| Instant::now() < until)
+    }
+
     /// Whether nothing that it says of itself reaches voters now.
     fn is_unheard(&self) -> bool {
         self.is_late.get() || self.manner.get() == Manner::LeavingUnheard
@@ -119,8 +135,34 @@
 }
 
 impl Server {
-    async fn serve(self: Rc<Self>, mut stream: TcpStream, router: IpAddr) {
-        while let Some(head) = read_request(&mut stream).await {
+    /// Serves a connection. A crash resets it, and the target accepts none while it is down.
+    async fn serve_until_crash(self: Rc<Self>, mut stream: TcpStream, router: IpAddr) {
+        let mut crashes = self.crashes.subscribe();
+        let is_down = self.down_until.get().is_some_and(|until| Instant::now() < until);
+        if !is_down {
+            tokio::select! {
+                () = self.serve(&mut stream, router) => return,
+                _ = crashes.changed() => {}
+            }
+        }
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+
+    /// A request that crashes whoever runs it has begun: the target is down, and comes back with a new life.
+    fn crash(&self, router: IpAddr) {
+        let now = Instant::now();
+        self.record.crashes.borrow_mut().push((now, self.number, router));
+        let from = now;
+        let place = Place::Target(self.number);
+        let disturbance = Disturbance { place, from, to: now + DOWN, is_planned: false };
+        self.record.disturbances.borrow_mut().push(disturbance);
+        self.down_until.set(Some(now + DOWN));
+        self.life.set(unix_ms().max(self.life.get() + 1));
+        self.crashes.send_modify(|count| *count += 1);
+    }
+
+    async fn serve(&self, stream: &mut TcpStream, router: IpAddr) {
+        while let Some(head) = read_request(stream).await {
             let id = header(&head, "attempt-id").unwrap_or_default();
             let manner = self.manner.get();
             let is_meant =
@@ -134,8 +176,15 @@
                 }
                 continue;
             }
+            if is_run && head.contains(CRASHING_PATH) {
+                self.crash(router);
+                return std::future::pending().await;
+            }
+            if self.broken == Some(Promise::Crashes) {
+                self.record.crashes.borrow_mut().push((Instant::now(), self.number, router));
+            }
             let said = self.say(router, manner);
-            match self.answer(&mut stream, &head, &id, &said, manner).await {
+            match self.answer(stream, &head, &id, &said, manner).await {
                 Ok(true) => {}
                 Ok(false) | Err(_) => return,
             }
@@ -154,6 +203,7 @@
             is_run: is_run || self.broken == Some(Promise::NotRunIsTrue),
         };
         let copies = match self.broken {
+            Some(Promise::Probes) if id.is_empty() => 100,
             Some(Promise::AtMostOnce | Promise::RetryBudget | Promise::Attempts) => 2,
             _ => 1,
         };
@@ -284,7 +334,7 @@
 pub async fn announce(voters: Vec<SocketAddr>, targets: Rc<Vec<Rc<Target>>>) {
     let mut held: Vec<(Rc<Target>, String, String)> = Vec::new();
     for sequence in 1_u64.. {
-        for target in targets.iter() {
+        for target in targets.iter().filter(|target| !target.is_down()) {
             let (path, word) = target.announcement(sequence);
             if target.is_unheard() {
                 held.push((Rc::clone(target), path, word));
