A target that serves is found soon among many that ended

Cause: the pause after an attempt that could not be sent doubled with each one, also where the next one is for another target.

Change: the pause grows only with attempts at a target at which one could not be sent before.

Conclusion: mended; one target that stays out of reach is tried as seldom as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use super::continuation::Continuation;
 use super::refusal::{self, RefusalReason};
 use super::reservation::SlotReservation;
-use super::retry::RequestFailure;
+use super::retry::{RequestFailure, UnsentAttempts};
 use super::state::RouterState;
 use super::{RequestInfo, poison};
 use crate::ids::{ServiceName, SoftwareVersion, TargetId};
@@ -42,8 +42,8 @@
     pub continuation: std::cell::RefCell<Continuation>,
     /// Number of attempts that a target may have run.
     pub possible_runs: std::cell::Cell<u32>,
-    /// Number of attempts that could not be sent to a target.
-    pub unsent_attempts: std::cell::Cell<u32>,
+    /// Attempts that could not be sent to a target.
+    pub unsent_attempts: std::cell::RefCell<UnsentAttempts>,
     /// Whether another router sent it, so that it stays here.
     pub is_forwarded: bool,
     /// Number of attempts that were sent.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -69,7 +69,7 @@
 
 /// Whether attempts at the targets that could serve a request cannot be sent, although others may be in reach.
 pub(super) fn has_no_path(routed: &RoutedRequest) -> bool {
-    routed.unsent_attempts.get() >= retry::MAX_UNSENT_ATTEMPTS
+    routed.unsent_attempts.borrow().count() >= retry::MAX_UNSENT_ATTEMPTS
 }
 
 /// Forwards a request to a router that reaches targets.
@@ -227,7 +227,7 @@
         &RequestEvent::Forwarded {
             router: &name,
             is_lost: router.reach.borrow().is_lost(&routed.service),
-            unsent_attempts: routed.unsent_attempts.get(),
+            unsent_attempts: routed.unsent_attempts.borrow().count(),
             elapsed_ms: routed.elapsed_ms(router),
         },
     );
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -132,7 +132,7 @@
         continuation: RefCell::new(continuation),
         possible_runs: Cell::new(0),
         attempts: Cell::new(0),
-        unsent_attempts: Cell::new(0),
+        unsent_attempts: RefCell::default(),
         is_forwarded: false,
         is_engine,
         document_version: index.document().version,
@@ -266,7 +266,7 @@
             AttemptFailure::NotRun | AttemptFailure::Misdirected | AttemptFailure::NotSent
         );
         if is_immediate {
-            let pause_ms = retry::retry_pause_ms(routed.unsent_attempts.get());
+            let pause_ms = routed.unsent_attempts.borrow().pause_ms();
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
@@ -373,7 +373,7 @@
 ) -> Result<TargetResponse, AttemptFailure> {
     let connected = connect(router, routed, &reservation).await;
     if connected.is_err() {
-        routed.unsent_attempts.set(routed.unsent_attempts.get() + 1);
+        routed.unsent_attempts.borrow_mut().record(reservation.life());
         router.note_unreached(&routed.service, reservation.life());
     }
     let (mut connection, connection_use) = connected?;
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -1,5 +1,6 @@
 //! Decides whether a request is retried after a failed attempt.
 
+use crate::rate_limit::TargetLife;
 use crate::routes::Kind;
 
 /// Why an attempt failed.
@@ -71,10 +72,34 @@
 /// How often the pause doubles at most.
 const MAX_DOUBLINGS: u32 = 4;
 
-/// Pause before the next attempt, after this many that could not be sent. It grows, as a target that is the
-/// only one for the request may stay out of reach for seconds.
-pub fn retry_pause_ms(unsent_attempts: u32) -> u64 {
-    RETRY_PAUSE_MS << unsent_attempts.saturating_sub(1).min(MAX_DOUBLINGS)
+/// The attempts of one request that could not be sent.
+#[derive(Clone, Debug, Default)]
+pub struct UnsentAttempts {
+    /// Whom they were for, sorted.
+    lives: Vec<TargetLife>,
+    /// Those for a target for which one had failed before.
+    repeated: u32,
+}
+
+impl UnsentAttempts {
+    /// Records an attempt at this target.
+    pub fn record(&mut self, life: TargetLife) {
+        match self.lives.binary_search(&life) {
+            Ok(_) => self.repeated += 1,
+            Err(at) => self.lives.insert(at, life),
+        }
+    }
+
+    /// The number of attempts.
+    pub fn count(&self) -> u32 {
+        self.lives.len() as u32 + self.repeated
+    }
+
+    /// Pause before the next attempt, in milliseconds. It grows with attempts at the same targets, which may stay
+    /// out of reach for seconds; another target is tried soon.
+    pub fn pause_ms(&self) -> u64 {
+        RETRY_PAUSE_MS << self.repeated.min(MAX_DOUBLINGS)
+    }
 }
 
 /// How a request fails without a response of a target.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -7,11 +7,12 @@
 use fescuebay::gateway::continuation::Continuation;
 use fescuebay::gateway::queue::{RequestQueue, WaitingRequest};
 use fescuebay::gateway::retry::{
-    AttemptFailure, FailedAttempt, RequestFailure, RetryDecision, decide_retry, retry_pause_ms,
+    AttemptFailure, FailedAttempt, RequestFailure, RetryDecision, UnsentAttempts, decide_retry,
 };
 use fescuebay::gateway::retry_budget::{RetryBudget, RetryBudgetSettings};
 use fescuebay::ids::{Incarnation, ModelRef, ServiceName, TargetId};
 use fescuebay::membership::table::{Replica, Standing, TargetEntry};
+use fescuebay::rate_limit::TargetLife;
 use fescuebay::routes::Kind;
 use fescuebay::target::order;
 use proptest::prelude::*;
@@ -252,21 +253,33 @@
     }
 }
 
+fn life(number: u64) -> TargetLife {
+    TargetLife { target: format!("t{number}").parse().unwrap(), incarnation: Incarnation(1) }
+}
+
 /// The only target for a request may be out of reach for seconds.
 #[test]
 fn attempts_that_cannot_be_sent_are_few_until_a_long_deadline() {
-    let (mut now_ms, mut unsent) = (0, 0);
+    let (mut now_ms, mut unsent) = (0, UnsentAttempts::default());
+    let first_ms = unsent.pause_ms();
     while now_ms < 10_000 {
-        unsent += 1;
-        now_ms += retry_pause_ms(unsent);
+        unsent.record(life(1));
+        now_ms += unsent.pause_ms();
     }
-    assert!(unsent < 60, "{unsent} attempts");
-    assert_eq!(
-        retry_pause_ms(0),
-        retry_pause_ms(1),
-        "a target that declined is no path that is lost"
-    );
-    assert!(retry_pause_ms(u32::MAX) <= 250, "a target that is back is found soon");
+    assert!(unsent.count() < 60, "{unsent:?}");
+    assert!(unsent.pause_ms() <= 250, "a target that is back is found soon");
+    assert!(first_ms < 20, "a target that declined is no path that is lost");
+}
+
+/// Most targets may have ended a moment ago, while their places in the table are still there.
+#[test]
+fn a_target_that_serves_is_found_soon_among_many_that_ended() {
+    let (mut now_ms, mut unsent) = (0, UnsentAttempts::default());
+    for number in 0..50 {
+        unsent.record(life(number));
+        now_ms += unsent.pause_ms();
+    }
+    assert!(now_ms < 1_000, "{now_ms} ms for 50 targets");
 }
 
 #[test]
