Tests: the sound target among odd announcements goes on announcing itself

The test repeated one announcement under the same number, which is no sign of life, so the target was gone by silence two seconds later, and the last request depended on how soon it came. A target that is sound counts its announcements on. What is asked of the router stays.

--- a/tests/odd_announcements.rs
+++ b/tests/odd_announcements.rs
@@ -143,8 +143,11 @@
             }
         }
         let after = ScriptedTarget::start("sound-2", ok()).await;
+        // A target that is sound goes on announcing itself.
+        let mut sequence = 1;
         until("a later target is followed", async || {
-            announce(&voters[1], "app", &after, 2).await;
+            sequence += 1;
+            announce(&voters[1], "app", &after, sequence).await;
             serves("b").await;
             after.requests() > 0
         })
@@ -155,6 +158,7 @@
         }
         assert_eq!(router.ended(), None, "the router has ended");
         tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(announce(&voters[1], "app", &after, sequence + 1).await, 200);
         assert!(serves("c").await, "the router serves on");
     });
 }
