A forwarded request is served by the one target among many that has not ended

Cause: a router that helps refused a forwarded request after two attempts that could not be sent, also when it had not tried others.

Change: a forwarded request is refused once a target would be tried a second time, so when this router has nobody else. Two unsent attempts remain the reason to forward at all.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,7 +19,7 @@
 use super::events::{self, RequestEvent};
 use super::proxy::RequestSource;
 use super::refusal::{self, RefusalReason};
-use super::retry::{self, RequestFailure};
+use super::retry::RequestFailure;
 use super::state::RouterState;
 use super::{ConnectionUse, ResponseClass, proxy, relay};
 use crate::coordinator::message::{Reply, Request};
@@ -30,6 +30,9 @@
 use crate::web::server::Answer;
 use crate::web::{self, Body};
 
+/// Attempts that could not be sent to targets after which a request is forwarded, although others may reach
+/// some.
+const MAX_UNSENT_ATTEMPTS: u32 = 2;
 /// Routers that are tried for one request.
 const MAX_HELPERS_TRIED: usize = 3;
 /// Timeout of opening a connection to another router.
@@ -64,12 +67,8 @@
     let may_run = routed.possible_runs.get() == 0
         || (routed.route.kind.is_repeatable() && routed.has_attempts_left());
     let is_lost = router.reach.borrow().is_lost(&routed.service);
-    may_run && !routed.is_forwarded && (is_lost || has_no_path(routed))
-}
-
-/// Whether attempts at the targets that could serve a request cannot be sent, although others may be in reach.
-pub(super) fn has_no_path(routed: &RoutedRequest) -> bool {
-    routed.unsent_attempts.borrow().count() >= retry::MAX_UNSENT_ATTEMPTS
+    let is_unsent = routed.unsent_attempts.borrow().count() >= MAX_UNSENT_ATTEMPTS;
+    may_run && !routed.is_forwarded && (is_lost || is_unsent)
 }
 
 /// Forwards a request to a router that reaches targets.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -226,7 +226,7 @@
             return routed.give_up(&router, failure, RefusalReason::ShuttingDown);
         }
         let was_lost = router.reach.borrow().is_lost(&routed.service);
-        let is_for_another = routed.is_forwarded && forward::has_no_path(&routed);
+        let is_for_another = routed.is_forwarded && routed.unsent_attempts.borrow().has_tried_all();
         if is_for_another || (was_lost && routed.possible_runs.get() == 0) {
             // Nobody could take it, or it was forwarded by a router that may know another one.
             let failure = retry::request_failure(routed.possible_runs.get(), false);
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -65,8 +65,6 @@
     GiveUp(RequestFailure),
 }
 
-/// Attempts that could not be sent to targets after which a router leaves a request to another one.
-pub const MAX_UNSENT_ATTEMPTS: u32 = 2;
 /// Pause after an attempt that no target has run.
 const RETRY_PAUSE_MS: u64 = 15;
 /// How often the pause doubles at most.
@@ -95,6 +93,11 @@
         self.lives.len() as u32 + self.repeated
     }
 
+    /// Whether one was for a target for which another had failed: this router has no other target left to try.
+    pub fn has_tried_all(&self) -> bool {
+        self.repeated > 0
+    }
+
     /// Pause before the next attempt, in milliseconds. It grows with attempts at the same targets, which may stay
     /// out of reach for seconds; another target is tried soon.
     pub fn pause_ms(&self) -> u64 {
--- a/tests/gateway_forwarded.rs
+++ b/tests/gateway_forwarded.rs
@@ -18,6 +18,8 @@
 const REQUESTS: usize = 200;
 /// Repeats that a router may send which has taken no request of a caller.
 const SLACK: usize = 50;
+/// Targets that have ended.
+const ENDED: usize = 10;
 /// Time after which the target that nobody reaches at first takes requests.
 const OUT_OF_REACH: Duration = Duration::from_secs(1);
 
@@ -99,3 +101,22 @@
         assert!((1..=SLACK).contains(&repeats), "{repeats} repeats");
     });
 }
+
+/// Most targets may have ended a moment ago: one that the router that helps has not tried yet may serve.
+#[test]
+fn a_forwarded_request_is_served_by_the_one_target_among_many_that_has_not_ended() {
+    on_one_thread(async {
+        let sound = ScriptedTarget::start("sound", vec![Action::Write(answer("200 OK", "x"))]);
+        let sound = sound.await;
+        let ended = |number: usize| TargetEntry {
+            target: format!("ended-{number}").parse().unwrap(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            ..sound.entry("app", &[])
+        };
+        let mut entries: Vec<TargetEntry> = (0..ENDED).map(ended).collect();
+        entries.push(sound.suspect_entry("app", &[]));
+        let router = Router::start(entries).await;
+        let answer = forward(serve_forwarded(&router), "/safe/x", "").await;
+        assert_eq!(status(&answer), 200, "{answer}");
+    });
+}
