--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -102,6 +103,15 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
+        # Errors that the processes logged go into the record; the rest is removed.
+        for name in sorted(os.listdir(self.folder)):
+            if name.endswith(".log"):
+                with open(f"{self.folder}/{name}", errors="replace") as log:
+                    errors = [line.strip()[:400] for line in log if '"level":"error"' in line]
+                for line in errors[:10]:
+                    self.record.line(f"logged by {name.removesuffix('.log')}: {line}")
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def call(ip, port, method, path, body=b"", headers=(), timeout_s=1.0, host="control", source=None):
