--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A machine with running streams loses power, and a release begins before their callers return."""
+"""A change of the configuration splits a route, and a machine with streams that began before is killed."""
 
 import asyncio
 import os
@@ -11,8 +11,9 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RELEASE = os.environ.get("RELEASE", "1") != "0"
-SERVICE, MODEL, HOST, PREFIX = "huvo11a", "daka510000", "ficu95.example", "/pufi791/"
+SPLIT = os.environ.get("SPLIT", "1") != "0"
+SERVICE, OTHER_SERVICE, MODEL = "huvo11a", "wuno96b", "daka510000"
+HOST, PREFIX = "ficu95.example", "/pufi791/"
 ROUTE = {"name": "r-contrato", "host": HOST, "pathPrefix": PREFIX, "kind": "streaming", "timeoutMs": 25000,
          "targetLatencyMs": 2500, "priority": 1, "service": SERVICE, "maxAttempts": 2, "stickySessions": True,
          "resumable": True, "gapTargetMs": 300}
@@ -22,13 +23,23 @@
 # 150 events of 4 tokens, the largest answer of the sheet, on busy runners.
 EVENTS, EVENT_GAP_S = 150, 0.1
 STREAMS = 16
-CONTACT_S = 3.0
-DARK_S = 3.5
+CONFIG_APPLY_S = 2.0
+
+
+def configuration(version, split):
+    """The route to one service, or split over two."""
+    route = dict(ROUTE)
+    if split:
+        del route["service"]
+        route["trafficSplit"] = [{"service": SERVICE, "weight": 90}, {"service": OTHER_SERVICE, "weight": 10}]
+    document = standins.document(version, SERVICE, [MODEL], route)
+    document["services"].append({**document["services"][0], "name": OTHER_SERVICE})
+    return document
 
 
 async def case(record):
     machines = standins.Machines(record)
-    runners, forwarder = [], None
+    runners = []
     try:
         for number, ip in enumerate(machines.voters):
             machines.start("voter", ip, standins.ZONES[number % 3])
@@ -36,53 +47,34 @@
         for number, ip in enumerate(routers):
             machines.start("router", ip, standins.ZONES[number % 3])
         lost, others = routers[0], routers[1:]
-        await standins.Operator(record, machines.voters).put(
-            standins.document(7, SERVICE, [MODEL], ROUTE))
-
-        async def add_runner(number, version):
+        operator = standins.Operator(record, machines.voters)
+        await operator.put(configuration(7, False))
+        for number in range(6):
+            service = SERVICE if number < 4 else OTHER_SERVICE
             runner = standins.Runner(
-                record, machines.voters, f"{machines.net}.{31 + number}", f"i-7f3a91c{number}", SERVICE,
-                standins.ZONES[number % 3], version, [MODEL], [MODEL], EVENTS, EVENT_GAP_S)
+                record, machines.voters, f"{machines.net}.{31 + number}", f"i-7f3a91c{number}", service,
+                standins.ZONES[number % 3], "v1", [MODEL], [MODEL], EVENTS, EVENT_GAP_S)
             runners.append(runner)
             await runner.start()
-            return runner
-
-        old = [await add_runner(number, "v1") for number in range(4)]
         await standins.wait_until_ready(routers)
         await asyncio.sleep(5)
 
-        # The platform passes connections of clients on to the machine.
-        entry = standins.Forwarder((f"{machines.net}.50", standins.CALLERS), (lost, standins.CALLERS))
-        await entry.start()
         clients = f"{machines.net}.60"
         streams = [standins.Stream(number, MODEL, HOST, PREFIX + "2f") for number in range(STREAMS)]
-        tasks = [asyncio.create_task(follow(record, stream, f"{machines.net}.50", others, clients))
-                 for stream in streams]
-        await asyncio.sleep(3)
+        tasks = [asyncio.create_task(follow(record, stream, lost, others, clients)) for stream in streams]
+        await asyncio.sleep(2)
         if any(stream.events == 0 for stream in streams):
             raise standins.CannotRun("a stream did not begin")
-
+        await operator.put(configuration(11, SPLIT))
+        await asyncio.sleep(CONFIG_APPLY_S + 1)
         if TROUBLE:
-            record.line(f"the machine {lost} loses power")
-            entry.fall_silent(clients)
+            record.line(f"the machine {lost} is killed")
             machines.kill(lost)
-        await asyncio.sleep(1)
-        release = None
-        if RELEASE:
-            # One runner is replaced: the new one starts first, the old one drains.
-            await add_runner(4, "v2")
-            release = asyncio.create_task(replace(old[3]))
-        await asyncio.sleep(DARK_S - 1)
-        if TROUBLE:
-            record.line(f"the machine {lost} is back")
+            await asyncio.sleep(0.5)
             machines.start("router", lost, standins.ZONES[0])
         fresh = [standins.Stream(100 + number, MODEL, HOST, PREFIX + "2f") for number in range(STREAMS)]
-        await asyncio.sleep(CONTACT_S + 2)
-        # New streams at the same machines, in the time in which the callers of the lost ones return.
         begun = await asyncio.gather(*(begin(record, stream, others, clients) for stream in fresh))
         await asyncio.gather(*tasks)
-        if release:
-            await release
         return judge(record, streams, sum(begun))
     finally:
         machines.end()
@@ -90,11 +82,6 @@
             runner.stop()
 
 
-async def replace(runner):
-    await asyncio.sleep(1)
-    await runner.leave(2.5)
-
-
 async def begin(record, stream, routers, clients):
     """Whether a new stream begins at its first try."""
     await asyncio.sleep(random.uniform(0, 4))
@@ -106,8 +93,8 @@
 
 
 async def follow(record, stream, first, others, clients):
-    """A client: it takes a stream that has fallen silent or was broken off up again at another machine, and comes
-    back as it is told, a few times."""
+    """A client: it takes a stream that was broken off or fell silent up again at another machine, and comes back as
+    it is told, a few times."""
     deadline = time.monotonic() + DEADLINE_S
     how = await stream.attempt(record, first, deadline, MAX_GAP_S, clients)
     for _ in range(3):
@@ -117,10 +104,8 @@
         before = stream.events
         how = await stream.attempt(record, random.choice(others), deadline, MAX_GAP_S, clients)
         stream.went_on |= stream.events > before or stream.complete
-        if how == "refused":
-            await asyncio.sleep(min(stream.retry_after_s, (deadline - time.monotonic()) / 3))
-        else:
-            await asyncio.sleep(0.2)
+        pause_s = min(stream.retry_after_s, (deadline - time.monotonic()) / 3) if how == "refused" else 0.2
+        await asyncio.sleep(max(pause_s, 0))
 
 
 def judge(record, streams, begun):
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the power loss.
-# RELEASE=0: without the release.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no machine is killed.
+# SPLIT=0: the configuration changes, but the route is not split.
 cd "$(dirname "$0")" || exit 2
-exec python3 case.py
+PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,4 @@
-"""In the middle of a release, the only runner that holds some rare models is lost for good, and the callers of its
-streams take them up again."""
+"""A machine with running streams loses power, and a release begins before their callers return."""
 
 import asyncio
 import os
@@ -12,10 +11,8 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Without a release, the replaced runner has the version of the others.
 RELEASE = os.environ.get("RELEASE", "1") != "0"
-SERVICE, HOST, PREFIX = "huvo11a", "ficu95.example", "/pufi791/"
-RARE, BUSY = ["rada7437b5", "ravo486f6a", "gopu49ded4"], "daka510000"
+SERVICE, MODEL, HOST, PREFIX = "huvo11a", "daka510000", "ficu95.example", "/pufi791/"
 ROUTE = {"name": "r-contrato", "host": HOST, "pathPrefix": PREFIX, "kind": "streaming", "timeoutMs": 25000,
          "targetLatencyMs": 2500, "priority": 1, "service": SERVICE, "maxAttempts": 2, "stickySessions": True,
          "resumable": True, "gapTargetMs": 300}
@@ -24,74 +21,95 @@
 DEADLINE_S = 25.0
 # 150 events of 4 tokens, the largest answer of the sheet, on busy runners.
 EVENTS, EVENT_GAP_S = 150, 0.1
-STREAMS = 18
-# One new stream of some rare model each 0.7 s: so few that one replica of each is enough.
-ARRIVAL_S = 0.7
+STREAMS = 16
+CONTACT_S = 3.0
+DARK_S = 3.5
 
 
 async def case(record):
     machines = standins.Machines(record)
-    runners = []
+    runners, forwarder = [], None
     try:
         for number, ip in enumerate(machines.voters):
             machines.start("voter", ip, standins.ZONES[number % 3])
         routers = [f"{machines.net}.{11 + n}" for n in range(8)]
         for number, ip in enumerate(routers):
             machines.start("router", ip, standins.ZONES[number % 3])
-        clients = f"{machines.net}.60"
+        lost, others = routers[0], routers[1:]
         await standins.Operator(record, machines.voters).put(
-            standins.document(7, SERVICE, [*RARE, BUSY], ROUTE))
-        # The busy model is on many runners, the rare ones are on one.
-        for number in range(4):
-            # The last one has been replaced in place already; its disk still holds copies of the rare models.
-            is_new = number == 3
-            models = RARE if number == 0 else [BUSY]
+            standins.document(7, SERVICE, [MODEL], ROUTE))
+
+        async def add_runner(number, version):
             runner = standins.Runner(
                 record, machines.voters, f"{machines.net}.{31 + number}", f"i-7f3a91c{number}", SERVICE,
-                standins.ZONES[number % 3], "v2" if is_new and RELEASE else "v1", models,
-                [*RARE, BUSY] if is_new else models, EVENTS, EVENT_GAP_S)
+                standins.ZONES[number % 3], version, [MODEL], [MODEL], EVENTS, EVENT_GAP_S)
             runners.append(runner)
             await runner.start()
-            if number == 2:
-                await asyncio.sleep(2)
+            return runner
+
+        old = [await add_runner(number, "v1") for number in range(4)]
         await standins.wait_until_ready(routers)
-        await asyncio.sleep(6)
+        await asyncio.sleep(5)
 
-        streams = [standins.Stream(number, RARE[number % 3], HOST, PREFIX + "2f") for number in range(STREAMS)]
-        tasks = []
-        for stream in streams:
-            tasks.append(asyncio.create_task(follow(record, stream, routers, clients)))
-            await asyncio.sleep(ARRIVAL_S)
+        # The platform passes connections of clients on to the machine.
+        entry = standins.Forwarder((f"{machines.net}.50", standins.CALLERS), (lost, standins.CALLERS))
+        await entry.start()
+        clients = f"{machines.net}.60"
+        streams = [standins.Stream(number, MODEL, HOST, PREFIX + "2f") for number in range(STREAMS)]
+        tasks = [asyncio.create_task(follow(record, stream, f"{machines.net}.50", others, clients))
+                 for stream in streams]
+        await asyncio.sleep(3)
         if any(stream.events == 0 for stream in streams):
             raise standins.CannotRun("a stream did not begin")
+
+        if TROUBLE:
+            record.line(f"the machine {lost} loses power")
+            entry.fall_silent(clients)
+            machines.kill(lost)
+        await asyncio.sleep(1)
+        release = None
+        if RELEASE:
+            # One runner is replaced: the new one starts first, the old one drains.
+            await add_runner(4, "v2")
+            release = asyncio.create_task(replace(old[3]))
+        await asyncio.sleep(DARK_S - 1)
         if TROUBLE:
-            record.line(f"runner {runners[0].id} is lost for good")
-            runners[0].stop()
-        others = [standins.Stream(100 + number, BUSY, HOST, PREFIX + "2f") for number in range(STREAMS)]
-        begun = await asyncio.gather(*(begin(record, stream, routers, clients) for stream in others))
+            record.line(f"the machine {lost} is back")
+            machines.start("router", lost, standins.ZONES[0])
+        fresh = [standins.Stream(100 + number, MODEL, HOST, PREFIX + "2f") for number in range(STREAMS)]
+        await asyncio.sleep(CONTACT_S + 2)
+        # New streams at the same machines, in the time in which the callers of the lost ones return.
+        begun = await asyncio.gather(*(begin(record, stream, others, clients) for stream in fresh))
         await asyncio.gather(*tasks)
-        return judge(record, streams, begun)
+        if release:
+            await release
+        return judge(record, streams, sum(begun))
     finally:
         machines.end()
         for runner in runners:
             runner.stop()
 
 
+async def replace(runner):
+    await asyncio.sleep(1)
+    await runner.leave(2.5)
+
+
 async def begin(record, stream, routers, clients):
     """Whether a new stream begins at its first try."""
-    await asyncio.sleep(random.uniform(0, 15))
+    await asyncio.sleep(random.uniform(0, 4))
     deadline = time.monotonic() + DEADLINE_S
-    await stream.attempt(record, random.choice(routers), deadline, MAX_GAP_S, clients)
+    task = asyncio.create_task(stream.attempt(record, random.choice(routers), deadline, MAX_GAP_S, clients))
+    await asyncio.wait([task], timeout=2.5)
+    task.cancel()
     return stream.events > 0
 
 
-async def follow(record, stream, routers, clients):
-    """A client: it takes a stream that was broken off or fell silent up again at another machine, and comes back as
-    it is told, a few times."""
+async def follow(record, stream, first, others, clients):
+    """A client: it takes a stream that has fallen silent or was broken off up again at another machine, and comes
+    back as it is told, a few times."""
     deadline = time.monotonic() + DEADLINE_S
-    first = random.choice(routers)
     how = await stream.attempt(record, first, deadline, MAX_GAP_S, clients)
-    others = [router for router in routers if router != first]
     for _ in range(3):
         if how == "complete" or time.monotonic() + 0.5 > deadline or not stream.events:
             return
@@ -99,8 +117,10 @@
         before = stream.events
         how = await stream.attempt(record, random.choice(others), deadline, MAX_GAP_S, clients)
         stream.went_on |= stream.events > before or stream.complete
-        pause_s = min(stream.retry_after_s, (deadline - time.monotonic()) / 3) if how == "refused" else 0.2
-        await asyncio.sleep(max(pause_s, 0))
+        if how == "refused":
+            await asyncio.sleep(min(stream.retry_after_s, (deadline - time.monotonic()) / 3))
+        else:
+            await asyncio.sleep(0.2)
 
 
 def judge(record, streams, begun):
@@ -109,12 +129,12 @@
     taken_up = [stream for stream in streams if stream.taken_up]
     went_on = [stream for stream in taken_up if stream.went_on]
     record.line(f"streams: {len(streams)}, complete {sum(s.complete for s in streams)}, taken up {len(taken_up)}, "
-                f"went on {len(went_on)}; new streams that began: {sum(begun)} of {len(begun)}")
-    if sum(begun) < len(begun) / 2:
+                f"went on {len(went_on)}; new streams that began: {begun} of {STREAMS}")
+    if begun < STREAMS / 2:
         raise standins.CannotRun("new streams did not begin")
     if len(taken_up) < 12:
         return False
-    return len(went_on) / len(taken_up) < 0.5 * sum(begun) / len(begun)
+    return len(went_on) / len(taken_up) < 0.5 * begun / STREAMS
 
 
 standins.main(case, FOLDER)
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no runner is lost.
-# RELEASE=0: without the release, so that all runners have one version.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the power loss.
+# RELEASE=0: without the release.
 cd "$(dirname "$0")" || exit 2
-exec python3 case.py
+PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
