A stream goes on after its route was split and its router was lost

Cause: a router told the leader only of streams that several writers could have begun at their begin. When the route is split later, the leader is asked who began them, and the only process that knew is gone. Evidence: the leader logs "nobody told who began a stream" with 0 remembered at each try; with the route split from the start all go on.

Ruled out: that the routers look up the wrong services (streams told of before go on after a split), and that the leader is not reached (each query was answered).

Change: routers tell of every resumable stream, as before ahead of its first event where several writers can have begun it, else in relaxed batches (100 ms, 2 ms more for each router: at most 500 reports a second at the leader). Messages are unchanged, so builds of both kinds work together. A stream whose route was moved meanwhile goes on at a service of the route that has targets of its version; before, it went on at whatever version that service had.

Weighed and left: taking silence of routers for the only writer of before. A late report would join streams.

A check changed: "the leader is told of streams only where several versions or services can have begun them" asserted the fault. It is replaced by one that every stream is told of, and which of them before their first event.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -6,7 +6,7 @@
 use crate::coordinator::loads;
 use crate::gateway::availability::{Availability, AvailabilityMap};
 use crate::gateway::choice::{Candidates, PermitUse};
-use crate::ids::{Incarnation, ModelRef, ServiceName, TargetId, Zone};
+use crate::ids::{Incarnation, ModelRef, ServiceName, SoftwareVersion, TargetId, Zone};
 use crate::membership::table::{Standing, TargetEntry};
 use crate::placement::swap::demand::RunningRequests;
 use crate::rate_limit::TargetLife;
@@ -182,6 +182,14 @@
         &self.targets
     }
 
+    /// Whether a service has targets of a software version.
+    pub fn has_software(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
+        self.targets.iter().any(|target| {
+            target.entry.software.as_ref() == Some(software)
+                && target.entry.services.contains(service)
+        })
+    }
+
     /// The target at an index returned by [`Balancer::choose`].
     pub fn target(&self, index: usize) -> &KnownTarget {
         &self.targets[index]
--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -3,9 +3,11 @@
 //! Worst-case load: two software versions of a service serve side by side, and many streams break off at
 //! once. What two versions write does not fit together, and targets do not check it.
 
-use crate::ids::SoftwareVersion;
+use crate::ids::{ServiceName, SoftwareVersion};
 use crate::membership::table::TargetEntry;
+use crate::origins::message::Writer;
 use crate::rate_limit::TargetLife;
+use crate::routes::{Route, index};
 
 /// The targets that may write the next events of a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -65,3 +67,16 @@
         }
     }
 }
+
+/// Chooses the service that continues a stream: the one that began it, if the route still leads there. Else the
+/// route has changed since, and one of its services that has targets of the writer's version. `None` if there is none.
+pub fn choose_service<'a>(
+    route: &'a Route,
+    writer: &Writer,
+    draw: u64,
+    has_software: impl Fn(&ServiceName) -> bool,
+) -> Option<&'a ServiceName> {
+    let own = index::destination_among(route, draw, |share| share.service == writer.service);
+    let other = || index::destination_among(route, draw, |share| has_software(&share.service));
+    own.or_else(other).map(|share| &share.service)
+}
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -81,7 +81,7 @@
     fn apply_loads(&self, routers: u32, changes: &loads::LoadChanges) {
         self.last_update_ms.set(Some(self.now_ms()));
         self.budget.borrow_mut().set_routers(routers);
-        self.set_report_pause(routers);
+        self.set_report_pauses(routers);
         let mut balancer = self.balancer.borrow_mut();
         balancer.apply_load_totals(changes);
         balancer.permits_mut().set_routers(routers);
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -16,6 +16,7 @@
 use crate::membership::feed::FeedCursor;
 use crate::origins::StreamKey;
 use crate::origins::message::{Origin, OriginQuery, Writer};
+use crate::origins::recent::ReportTime;
 use crate::routes::Route;
 
 /// Pause before the leader is told of streams, so that a burst causes one message.
@@ -23,6 +24,11 @@
 /// The pause grows by one millisecond for each of this many routers, up to the upper bound.
 const ROUTERS_PER_MS: u64 = 8;
 const MAX_REPORT_PAUSE_MS: u64 = 50;
+/// Pause before the leader is told of streams that one writer alone can have begun. The pause grows by the time
+/// for each router, so that the leader gets no more than 500 such reports a second.
+const MIN_RELAXED_PAUSE_MS: u64 = 100;
+const RELAXED_PAUSE_PER_ROUTER_MS: u64 = 2;
+const MAX_RELAXED_PAUSE_MS: u64 = 1_000;
 /// Longest time for which the first event of a stream is held back until the leader knows who wrote it.
 /// Beyond it, the stream can't be continued if this router is lost before that.
 const MAX_TELL_WAIT: Duration = Duration::from_millis(80);
@@ -74,7 +80,7 @@
         elapsed_ms: router.now_ms().saturating_sub(arrived_ms),
     };
     events::emit(&info.id, &event);
-    check_allowed(route, writer.ok_or(RefusalReason::UnknownOrigin)?)
+    writer.ok_or(RefusalReason::UnknownOrigin)
 }
 
 /// Asks the leader until it knows the stream or the time is up. Also returns how often it was asked.
@@ -95,12 +101,6 @@
     }
 }
 
-/// The service may not be one of the route any more.
-fn check_allowed(route: &Route, writer: Writer) -> Result<Writer, RefusalReason> {
-    let is_allowed = route.destinations.iter().any(|share| share.service == writer.service);
-    if is_allowed { Ok(writer) } else { Err(RefusalReason::NoTargetOfVersion) }
-}
-
 /// Asks the leader together with other requests; `None` if none answered.
 async fn ask(router: &RouterState, query: OriginQuery) -> Option<Origin> {
     let (answer, answered) = oneshot::channel();
@@ -138,23 +138,26 @@
 /// Tells the leader of streams that began here.
 pub(super) async fn report_streams(client: Rc<VoterClient>, router: Rc<RouterState>) {
     loop {
-        router.streams_begun.notified().await;
-        tokio::time::sleep(Duration::from_millis(router.report_pause_ms.get())).await;
-        while router.recent_streams.borrow().has_report() {
-            let begun = router.recent_streams.borrow_mut().take_report();
-            let streams_told = router.recent_streams.borrow().told_after_report();
-            let report = StreamReport { begun, streams_told };
-            if tell(&client, &report).await {
-                router.recent_streams.borrow_mut().confirm_report();
-                router.streams_told.notify_waiters();
-            } else {
-                router.recent_streams.borrow_mut().put_back();
-                tokio::time::sleep(REPORT_RETRY_PAUSE).await;
-            }
+        router.wait_until_report_is_due().await;
+        report_once(&client, &router).await;
+        while router.next_report_time() == Some(ReportTime::BeforeFirstEvent) {
+            report_once(&client, &router).await;
         }
     }
 }
 
+async fn report_once(client: &VoterClient, router: &RouterState) {
+    let begun = router.recent_streams.borrow_mut().take_report();
+    let streams_told = router.recent_streams.borrow().told_after_report();
+    if tell(client, &StreamReport { begun, streams_told }).await {
+        router.recent_streams.borrow_mut().confirm_report();
+        router.streams_told.notify_waiters();
+    } else {
+        router.recent_streams.borrow_mut().put_back();
+        tokio::time::sleep(REPORT_RETRY_PAUSE).await;
+    }
+}
+
 async fn tell(client: &VoterClient, report: &StreamReport) -> bool {
     let request = Request::RecordStreams(report.clone());
     match client.ask_leader(&request, REPORT_TIMEOUT_MS, REPORT_TIMEOUT_MS).await {
@@ -168,7 +171,8 @@
 }
 
 impl RouterState {
-    /// Remembers who writes the first events of a stream, and tells the leader if others can have.
+    /// Remembers who writes the first events of a stream. Returns once the leader was told if others can have
+    /// written them.
     pub(super) async fn tell_begun_stream(
         &self,
         route: &Route,
@@ -181,21 +185,48 @@
         let writer = Writer { service: service.clone(), software: software.clone() };
         let is_split = route.destinations.len() > 1;
         let now_ms = self.now_ms();
-        if !self.recent_streams.borrow_mut().record(now_ms, stream, writer, is_split) {
+        let report_time = self.recent_streams.borrow_mut().record(now_ms, stream, writer, is_split);
+        self.streams_begun.notify_one();
+        if report_time == ReportTime::Soon {
             return;
         }
-        self.streams_begun.notify_one();
         if tokio::time::timeout(MAX_TELL_WAIT, self.wait_until_told(stream)).await.is_err() {
             metrics::counter!("fescuebay_streams_begun_untold_total").increment(1);
         }
     }
 
+    fn next_report_time(&self) -> Option<ReportTime> {
+        self.recent_streams.borrow().next_report_time()
+    }
+
+    /// Waits until the leader has to be told of streams, and collects further ones meanwhile.
+    async fn wait_until_report_is_due(&self) {
+        let mut relaxed_until = None;
+        loop {
+            match self.next_report_time() {
+                None => self.streams_begun.notified().await,
+                Some(ReportTime::BeforeFirstEvent) => {
+                    return tokio::time::sleep(self.report_pauses.get().urgent).await;
+                }
+                Some(ReportTime::Soon) => {
+                    let until = *relaxed_until.get_or_insert_with(|| {
+                        tokio::time::Instant::now() + self.report_pauses.get().relaxed
+                    });
+                    let begun = self.streams_begun.notified();
+                    if tokio::time::timeout_at(until, begun).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
     async fn wait_until_told(&self, stream: StreamKey) {
         loop {
             let told = self.streams_told.notified();
             tokio::pin!(told);
             told.as_mut().enable();
-            if self.recent_streams.borrow().is_told(stream) {
+            if self.recent_streams.borrow().can_begin(stream) {
                 return;
             }
             told.await;
@@ -210,8 +241,29 @@
     }
 
     /// The more routers there are, the longer each of them collects streams.
-    pub(super) fn set_report_pause(&self, routers: u32) {
-        let pause_ms = u64::from(routers) / ROUTERS_PER_MS;
-        self.report_pause_ms.set(pause_ms.clamp(MIN_REPORT_PAUSE_MS, MAX_REPORT_PAUSE_MS));
+    pub(super) fn set_report_pauses(&self, routers: u32) {
+        self.report_pauses.set(ReportPauses::of(u64::from(routers)));
+    }
+}
+
+/// How long a router collects streams before it tells the leader of them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportPauses {
+    /// If their first events wait for it.
+    urgent: Duration,
+    /// If nothing waits for it.
+    relaxed: Duration,
+}
+
+impl ReportPauses {
+    /// The pauses of each of this many routers.
+    pub(super) fn of(routers: u64) -> Self {
+        let urgent_ms = (routers / ROUTERS_PER_MS).clamp(MIN_REPORT_PAUSE_MS, MAX_REPORT_PAUSE_MS);
+        let relaxed_ms = (routers * RELAXED_PAUSE_PER_ROUTER_MS)
+            .clamp(MIN_RELAXED_PAUSE_MS, MAX_RELAXED_PAUSE_MS);
+        Self {
+            urgent: Duration::from_millis(urgent_ms),
+            relaxed: Duration::from_millis(relaxed_ms),
+        }
     }
 }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -20,8 +20,8 @@
 use super::retry::{self, AttemptFailure, FailedAttempt, RequestFailure, RetryDecision};
 use super::state::RouterState;
 use super::{
-    AttemptOptions, ConnectionUse, RequestInfo, ResponseClass, forward, origins, poison, reach,
-    relay, slot, wait_limit,
+    AttemptOptions, ConnectionUse, RequestInfo, ResponseClass, continuation, forward, origins,
+    poison, reach, relay, slot, wait_limit,
 };
 use crate::ids::{self, ServiceName, TargetId};
 use crate::poison::{ContentHash, Subject};
@@ -149,7 +149,7 @@
     }
 }
 
-/// Chooses the service of a request: at random by the shares of the route, but the one that began the
+/// Chooses the service of a request: at random by the shares of the route, but one that can continue the
 /// stream if the caller takes one up again.
 async fn choose_service(
     router: &RouterState,
@@ -158,6 +158,7 @@
     arrived_ms: u64,
     deadline_ms: u64,
 ) -> Result<(ServiceName, Continuation), RefusalReason> {
+    let draw = rand::rng().random();
     if route.kind.is_resumable() && info.last_event_id.is_some() {
         let writer = tokio::select! {
             writer = origins::find_writer(router, route, info, arrived_ms, deadline_ms) => writer?,
@@ -165,9 +166,13 @@
                 return Err(RefusalReason::ShuttingDown);
             }
         };
-        return Ok((writer.service, Continuation::of(Some(writer.software))));
+        let balancer = router.balancer.borrow();
+        let has_software = |service: &ServiceName| balancer.has_software(service, &writer.software);
+        let service = continuation::choose_service(route, &writer, draw, has_software)
+            .ok_or(RefusalReason::NoTargetOfVersion)?
+            .clone();
+        return Ok((service, Continuation::of(Some(writer.software))));
     }
-    let draw = rand::rng().random();
     let destination = index::destination(route, draw).ok_or(RefusalReason::NoService)?;
     Ok((destination.service.clone(), Continuation::Unbound))
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -95,7 +95,7 @@
     /// Notified when the leader was told of streams.
     pub(super) streams_told: Notify,
     /// How long streams are collected before the leader is told.
-    pub(super) report_pause_ms: Cell<u64>,
+    pub(super) report_pauses: Cell<origins::ReportPauses>,
     /// Requests that wait to learn who began their streams.
     pub(super) origin_queries: RefCell<Vec<origins::WaitingQuery>>,
     /// Notified when the leader should be asked.
@@ -522,7 +522,7 @@
             recent_streams: RefCell::default(),
             streams_begun: Notify::new(),
             streams_told: Notify::new(),
-            report_pause_ms: Cell::default(),
+            report_pauses: Cell::new(origins::ReportPauses::of(1)),
             origin_queries: RefCell::default(),
             origins_wanted: Notify::new(),
             voters: RefCell::default(),
--- a/src/origins/mod.rs
+++ b/src/origins/mod.rs
@@ -1,10 +1,10 @@
 //! Which software version wrote the first events of a stream that a caller takes up again.
 //!
 //! A caller takes up a broken stream at any router, also at one that has just started, and names its request
-//! that brought the first events. While one software version alone has served, that says enough. Else routers
-//! tell the leader of each stream that begins ([`recent`]), and the leader and the other voters remember it
-//! ([`store`]). Whoever takes a stream up asks the leader. A stream of which nothing is known is refused: what
-//! two versions write does not fit together.
+//! that brought the first events. Routers tell the leader of each stream that begins ([`recent`]), and the leader and
+//! the other voters remember it ([`store`]). Whoever takes a stream up asks the leader. While one software version
+//! alone has served, that says enough of a stream that nobody told of. Else it is refused: what two versions write
+//! does not fit together.
 //!
 //! Worst-case load: all routers are killed at once while two versions serve, and the callers of all streams
 //! return within a second.
--- a/src/routes/index.rs
+++ b/src/routes/index.rs
@@ -50,9 +50,19 @@
 
 /// Selects a destination by the random number `draw`, in proportion to the weights.
 pub fn destination(route: &Route, draw: u64) -> Option<&Destination> {
-    let total: u64 = route.destinations.iter().map(|destination| destination.weight).sum();
+    destination_among(route, draw, |_| true)
+}
+
+/// Selects one of the destinations that are meant, in proportion to their weights.
+pub fn destination_among(
+    route: &Route,
+    draw: u64,
+    is_meant: impl Fn(&Destination) -> bool,
+) -> Option<&Destination> {
+    let meant = || route.destinations.iter().filter(|destination| is_meant(destination));
+    let total: u64 = meant().map(|destination| destination.weight).sum();
     let mut remaining = draw.checked_rem(total)?;
-    route.destinations.iter().find(|destination| {
+    meant().find(|destination| {
         let is_drawn = remaining < destination.weight;
         remaining = remaining.saturating_sub(destination.weight);
         is_drawn
--- /dev/null
+++ b/tests/stream_changes.rs
@@ -0,0 +1,119 @@
+//! Streams whose routers are lost around a change: of their route, or of the software versions that serve. Their
+//! callers take them up at other routers, which have to know who began them.
+
+mod common;
+mod fleet_support;
+mod gateway_support;
+mod roles_support;
+mod stream_support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet_support::Fleet;
+use gateway_support::on_one_thread;
+use roles_support::call;
+use stream_support::{DOCUMENT, PATH, StreamTarget, Summary, start_targets, take_all};
+
+const CONFIG: &str = "/api/config";
+const STREAMS: usize = 80;
+/// Time between the begins of two streams.
+const PAUSE: Duration = Duration::from_millis(5);
+/// Time after the first begin at which all streams are under way.
+const ALL_BEGUN: Duration = Duration::from_millis(550);
+/// Time in which a change reaches all routers.
+const APPLIED: Duration = Duration::from_millis(150);
+const DOWN: Duration = Duration::from_millis(400);
+/// Streams that are taken up again at least, so that a share of them says something.
+const MIN_TAKEN_UP: usize = 12;
+
+/// The document with these destinations of its route.
+fn document(version: u32, destinations: &str) -> String {
+    let version = format!(r#""version":{version},"#);
+    DOCUMENT
+        .replace(r#""version":5,"#, &version)
+        .replace(r#""service":"llm","maxAttempts""#, &format!(r#"{destinations},"maxAttempts""#))
+        .replace(r#"[{"name":"llm"}]"#, r#"[{"name":"llm"},{"name":"other"}]"#)
+}
+
+/// The route leads to the service `llm` alone.
+const ONE: &str = r#""service":"llm""#;
+/// The route leads to the service `other` alone.
+const MOVED: &str = r#""service":"other""#;
+const SPLIT: &str =
+    r#""trafficSplit":[{"service":"llm","weight":90},{"service":"other","weight":10}]"#;
+/// A fleet whose route leads to the service `llm`, next to targets of the service `other`.
+async fn start(name: &str, llm: &[Rc<StreamTarget>], other: &[Rc<StreamTarget>]) -> Fleet {
+    let announced = llm.iter().map(|target| target.announced());
+    let others = other.iter().map(|target| target.announced_in("other"));
+    let announced = announced.chain(others).collect();
+    Fleet::start(name, 4, &document(5, ONE), announced, PATH).await
+}
+
+async fn start_others(software: &'static str) -> Vec<Rc<StreamTarget>> {
+    let mut targets = Vec::new();
+    for number in 0..3 {
+        targets.push(StreamTarget::start(&format!("other-{number}"), software).await);
+    }
+    targets
+}
+
+async fn put(fleet: &Fleet, document: &str) {
+    let voter = fleet.voters[0].control();
+    common::process::until("a document is taken", async || {
+        call(voter, "PUT", CONFIG, document).await == 200
+    })
+    .await;
+}
+
+/// Streams run at all routers, their route becomes another one, and two of the routers are killed.
+async fn change_and_kill(fleet: &mut Fleet, changed: &str) -> Summary {
+    let callers = fleet.callers();
+    let (stories, ()) = futures::join!(take_all(&callers, STREAMS, PAUSE), async {
+        tokio::time::sleep(ALL_BEGUN).await;
+        put(fleet, changed).await;
+        tokio::time::sleep(APPLIED).await;
+        fleet.kill_routers(0..2, DOWN).await;
+    });
+    let summary = Summary::of(&stories);
+    println!("{summary:?}");
+    assert!(summary.taken_up >= MIN_TAKEN_UP, "{summary:?}");
+    assert_eq!(summary.disordered, 0, "{summary:?}");
+    assert_eq!(summary.joined, 0, "{summary:?}");
+    summary
+}
+
+/// Guards against streams that are refused because their route leads to two services now, and nobody was told
+/// of them when it led to one.
+#[test]
+fn a_stream_goes_on_after_its_route_was_split_and_its_router_killed() {
+    on_one_thread(async {
+        let (targets, others) = (start_targets(&["v1"; 3]).await, start_others("w1").await);
+        let mut fleet = start("changes-split", &targets, &others).await;
+        let summary = change_and_kill(&mut fleet, &document(6, SPLIT)).await;
+        assert!(summary.goes_on_well(), "{summary:?}");
+    });
+}
+
+/// Guards against streams that are refused because the service that began them is not one of their route any more.
+#[test]
+fn a_stream_goes_on_where_its_route_has_moved_to_a_service_of_the_same_version() {
+    on_one_thread(async {
+        let (targets, others) = (start_targets(&["v1"; 3]).await, start_others("v1").await);
+        let mut fleet = start("changes-moved", &targets, &others).await;
+        let summary = change_and_kill(&mut fleet, &document(6, MOVED)).await;
+        assert!(summary.goes_on_well(), "{summary:?}");
+    });
+}
+
+/// Guards against streams that go on at another version, since it is the only one of the service of their route now.
+#[test]
+fn a_stream_is_not_joined_where_its_route_has_moved_to_a_service_of_another_version() {
+    on_one_thread(async {
+        let (targets, others) = (start_targets(&["v1"; 3]).await, start_others("w1").await);
+        let mut fleet = start("changes-joined", &targets, &others).await;
+        // The route goes, and one of another name takes its requests.
+        let wider = document(6, MOVED).replace("\"draft\"", "\"all\"").replace("/draft/", "/");
+        change_and_kill(&mut fleet, &wider).await;
+    });
+}
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -6,7 +6,7 @@
 use fescuebay::ids::{Sequence, ServiceName, SoftwareVersion, Term};
 use fescuebay::membership::feed::FeedCursor;
 use fescuebay::origins::message::{BegunStreams, Writer};
-use fescuebay::origins::recent::RecentStreams;
+use fescuebay::origins::recent::{RecentStreams, ReportTime};
 use fescuebay::origins::store::OriginStore;
 use fescuebay::origins::{REMEMBER_MS, StreamKey};
 
@@ -72,18 +72,30 @@
     assert_eq!(store.find(20_000, key("a")), Some(&writer("v1")));
 }
 
+/// Guards against streams that nobody knows once their route is split, or a second version has come, after their
+/// router was lost: the leader was told only of those that several writers could have begun when they began.
 #[test]
-fn the_leader_is_told_of_streams_only_where_several_versions_or_services_can_have_begun_them() {
+fn the_leader_is_told_of_every_stream_and_first_of_those_that_several_writers_can_have_begun() {
     let mut recent = RecentStreams::default();
-    assert!(!recent.record(0, key("a"), writer("v1"), false));
-    assert!(recent.record(0, key("b"), writer("v1"), true), "the route leads to two services");
-    assert_eq!(recent.take_report(), [begun("v1", &["b"])]);
-    assert!(!recent.has_report());
-    // Streams that began before the second version came are told of when it comes.
+    assert_eq!(recent.next_report_time(), None);
+    assert_eq!(recent.record(0, key("a"), writer("v1"), false), ReportTime::Soon);
+    assert_eq!(recent.next_report_time(), Some(ReportTime::Soon));
+    let is_urgent = recent.record(0, key("b"), writer("v1"), true);
+    assert_eq!(is_urgent, ReportTime::BeforeFirstEvent, "the route leads to two services");
+    assert_eq!(recent.next_report_time(), Some(ReportTime::BeforeFirstEvent));
+    assert!(recent.can_begin(key("a")) && !recent.can_begin(key("b")));
+    assert_eq!(recent.take_report(), [begun("v1", &["a", "b"])]);
+    assert_eq!(recent.next_report_time(), None);
+    recent.confirm_report();
+    assert!(recent.can_begin(key("b")));
+    // Streams that were not told of when the second version comes are told of at once.
+    recent.record(0, key("c"), writer("v1"), false);
     recent.set_mixed(cursor(1), vec![service("llm")]);
-    assert!(recent.record(0, key("c"), writer("v2"), false));
-    assert_eq!(recent.take_report(), [begun("v1", &["a"]), begun("v2", &["c"])]);
-    assert!(!recent.has_report());
+    assert_eq!(recent.next_report_time(), Some(ReportTime::BeforeFirstEvent));
+    let is_urgent = recent.record(0, key("d"), writer("v2"), false);
+    assert_eq!(is_urgent, ReportTime::BeforeFirstEvent);
+    assert_eq!(recent.take_report(), [begun("v1", &["c"]), begun("v2", &["d"])]);
+    assert_eq!(recent.next_report_time(), None);
 }
 
 #[test]
@@ -133,13 +145,16 @@
     recent.set_mixed(cursor(1), vec![service("llm")]);
     assert_eq!(recent.told(), FeedCursor::default());
     recent.take_report();
-    assert!(!recent.is_told(key("a")));
+    assert!(!recent.can_begin(key("a")));
     assert_eq!((recent.told(), recent.told_after_report()), (FeedCursor::default(), cursor(1)));
     recent.put_back();
     assert_eq!(recent.told_after_report(), FeedCursor::default());
     recent.take_report();
     recent.confirm_report();
-    assert!(recent.is_told(key("a")));
+    assert!(recent.can_begin(key("a")));
+    assert_eq!(recent.told(), cursor(1));
+    // Streams of other services that are told of soon don't count.
+    recent.record(1, key("b"), Writer { service: service("other"), ..writer("v1") }, false);
     assert_eq!(recent.told(), cursor(1));
 }
 
--- a/tests/stream_support/mod.rs
+++ b/tests/stream_support/mod.rs
@@ -132,10 +132,15 @@
     }
 
     pub fn announced(&self) -> Announced {
+        self.announced_in("llm")
+    }
+
+    /// The same, as a target of this service.
+    pub fn announced_in(&self, service: &'static str) -> Announced {
         Announced {
             id: self.id.clone(),
             address: self.address,
-            service: "llm",
+            service,
             software: self.software,
             born: 7,
             slots: 64,
