An endless answer ends at the deadline of its request

A report of another operator: a faulty target sent bytes without end, and its router kept them all and ran out of memory.

Cause: a read of the body has the time that is left, and where data is always at hand no read ever waits, so the time that is left is never looked at.

Ruled out: that the caller's connection was left open (data went on arriving), and slow answers (they end in time).

Change: the relay ends an answer whose request has no time left before it reads on.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -337,6 +337,10 @@
     /// events.
     async fn read_data(&mut self) -> NextData {
         loop {
+            if self.routed.remaining_ms(&self.router) == 0 {
+                // Data of an endless response is always at hand, so no read of it times out.
+                return NextData::Failed(AttemptFailure::TimedOut);
+            }
             let timeout = Duration::from_millis(self.read_timeout_ms());
             let Some(response) = &mut self.response else {
                 return NextData::Failed(AttemptFailure::ConnectionClosed);
