A stream with an event that trickles without end is resumed at another target

Callers of resumable streams got nothing more from a target that kept sending bytes of one event, until their deadline, while another target could have gone on.

Cause: the time without data after which a stream is resumed began anew with every byte.

Change: it begins with the read of an event. It is not measured while a caller does not read, as before.

Before: the new test fails, the answer is cut off at its deadline. After: it goes on at the other target, also where the first event trickles. Ruled out: the bound on the size of an event, which a trickle reaches too late.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,7 +26,7 @@
 use crate::slot_lease::pool::Ending;
 use crate::web::{self, Body};
 
-/// Time without data after which a resumable stream is continued at another target.
+/// Time without a whole event after which a resumable stream is continued at another target.
 const STALL_TIMEOUT_MS: u64 = 1_500;
 /// Responses up to this size are buffered until they are complete. Larger ones are streamed to the
 /// caller.
@@ -336,12 +336,13 @@
     /// Reads the next data from the target. For resumable streams this is one or more complete
     /// events.
     async fn read_data(&mut self) -> NextData {
+        let since_ms = self.router.now_ms();
         loop {
             if self.routed.remaining_ms(&self.router) == 0 {
                 // Data of an endless response is always at hand, so no read of it times out.
                 return NextData::Failed(AttemptFailure::TimedOut);
             }
-            let timeout = Duration::from_millis(self.read_timeout_ms());
+            let timeout = Duration::from_millis(self.read_timeout_ms(since_ms));
             let Some(response) = &mut self.response else {
                 return NextData::Failed(AttemptFailure::ConnectionClosed);
             };
@@ -378,16 +379,21 @@
         }
     }
 
-    /// Timeout for the next data. It is shorter if the stream can be resumed at another target.
-    fn read_timeout_ms(&self) -> u64 {
+    /// Timeout for the next data of a read that began at `since_ms`. It is shorter if the stream can be resumed at
+    /// another target, and then covers the whole event, whose bytes may come one by one.
+    fn read_timeout_ms(&self, since_ms: u64) -> u64 {
         let remaining_ms = self.routed.remaining_ms(&self.router);
+        let read_ms = self.router.now_ms().saturating_sub(since_ms);
         let can_resume_elsewhere =
             self.is_resumable() && self.routed.has_attempts_left() && self.has_other_target();
         let stall_ms = match self.has_sent_data {
             true => STALL_TIMEOUT_MS,
             false => self.routed.route.latency_target_ms,
         };
-        if can_resume_elsewhere { remaining_ms.min(stall_ms) } else { remaining_ms }
+        match can_resume_elsewhere {
+            true => remaining_ms.min(stall_ms.saturating_sub(read_ms)),
+            false => remaining_ms,
+        }
     }
 
     fn has_other_target(&self) -> bool {
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -111,6 +111,26 @@
     });
 }
 
+/// Guards against streams that stay at a target that keeps sending but completes no event.
+#[test]
+fn a_stream_with_an_event_that_trickles_without_end_is_resumed_at_another_target() {
+    on_one_thread(async {
+        for begun in [events(1, 2), events(1, 0)] {
+            let first_missing = if begun.contains("e2") { 3 } else { 1 };
+            let bad = Action::Trickle { first: begun, more: "4\r\nxxxx\r\n", gap_ms: 50 };
+            let bad = ScriptedTarget::start("a", vec![bad]).await;
+            let rest = Action::Write(events(first_missing, 4) + END);
+            let good = ScriptedTarget::start("b", vec![rest]).await;
+            let router =
+                Router::start(vec![bad.entry("llm", &["m1"]), good.suspect_entry("llm", &["m1"])])
+                    .await;
+            let got = router.request("POST", "/contract/x", "Model: m1\r\n", "b").await;
+            assert!(got.contains("e1") && got.contains("e4") && got.ends_with(END), "{got}");
+            eventually(|| bad.seen.borrow().closed_by_router == 1).await;
+        }
+    });
+}
+
 /// Guards against waiting without limit for a request body that stops halfway or never ends.
 #[test]
 fn a_request_whose_body_does_not_end_is_answered_within_its_timeout() {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -36,6 +36,8 @@
     /// Writes the first text once and the second one repeatedly, until the router closes the
     /// connection.
     Flood(String, &'static str),
+    /// The same with a pause after each repetition.
+    Trickle { first: String, more: &'static str, gap_ms: u64 },
     /// Writes this text and then nothing more, until the router closes the connection.
     WriteAndHang(String),
 }
@@ -173,6 +175,15 @@
                 seen.borrow_mut().closed_by_router += 1;
                 return;
             }
+            Action::Trickle { first, more, gap_ms } => {
+                let mut is_open = stream.write_all(fill(&first).as_bytes()).await.is_ok();
+                while is_open {
+                    tokio::time::sleep(Duration::from_millis(gap_ms)).await;
+                    is_open = stream.write_all(more.as_bytes()).await.is_ok();
+                }
+                seen.borrow_mut().closed_by_router += 1;
+                return;
+            }
             Action::WriteAndHang(text) => {
                 let _ = stream.write_all(fill(&text).as_bytes()).await;
                 let mut byte = [0; 1];
