A forwarded stream ends at its deadline if the other router stands still

Change: the answer that is passed on has the deadline of its request and the margin that its head has.

Before: the new test fails, the answer is still open after 20 s with a deadline of 2 s. After: it ends, and does not look whole.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use http_body::Frame;
 use http_body_util::{Full, StreamBody};
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::attempt::RoutedRequest;
 use super::events::{self, RequestEvent};
@@ -233,8 +234,8 @@
     metrics::counter!("fescuebay_forwarded_total").increment(1);
     routed.attempts.set(routed.attempts.get() + 1);
     let request = build_request(router, routed, remaining_ms);
-    let limit = Duration::from_millis(remaining_ms + ANSWER_MARGIN_MS);
-    let (head, body) = match tokio::time::timeout(limit, connection.send(request)).await {
+    let ends_by = Instant::now() + Duration::from_millis(remaining_ms + ANSWER_MARGIN_MS);
+    let (head, body) = match tokio::time::timeout_at(ends_by, connection.send(request)).await {
         Ok(Ok(response)) => response.into_parts(),
         Ok(Err(web::Error::Connect)) => return HelperOutcome::NotRun(None),
         Ok(Err(_)) => return HelperOutcome::Failed(RequestFailure::TargetFailed),
@@ -247,7 +248,9 @@
         ResponseClass::Answer => {
             let first_response_ms = routed.elapsed_ms(router);
             relay::record_answer(routed, &name, head.status, first_response_ms);
-            HelperOutcome::Answered(pass_on(head, body, connection, helper_use))
+            let passed_on =
+                PassedOn { body, ends_by, _connection: connection, _helper_use: helper_use };
+            HelperOutcome::Answered(pass_on(head, passed_on))
         }
         ResponseClass::NotRun | ResponseClass::Misdirected | ResponseClass::Invalid => {
             own_answer(routed, router, &head)
@@ -295,21 +298,30 @@
 /// A response on its way through: dropping it closes the connection, which tells the other router.
 struct PassedOn {
     body: Incoming,
+    /// When it has to have ended.
+    ends_by: Instant,
     _connection: Connection,
     _helper_use: HelperUse,
 }
 
+impl PassedOn {
+    /// The next data; it fails once the response has to have ended.
+    async fn next_data(&mut self) -> Option<Result<Bytes, web::Error>> {
+        let next = tokio::time::timeout_at(self.ends_by, web::next_data(&mut self.body)).await;
+        let is_late = Instant::now() >= self.ends_by;
+        match next {
+            Ok(None) => None,
+            Ok(Some(data)) if !is_late => Some(data),
+            Ok(Some(_)) | Err(_) => Some(Err(web::Error::Timeout)),
+        }
+    }
+}
+
 /// Passes the response on as its parts arrive.
-fn pass_on(
-    head: http::response::Parts,
-    body: Incoming,
-    connection: Connection,
-    helper_use: HelperUse,
-) -> http::Response<Body> {
-    let passed_on = PassedOn { body, _connection: connection, _helper_use: helper_use };
+fn pass_on(head: http::response::Parts, passed_on: PassedOn) -> http::Response<Body> {
     let parts = stream::unfold(Some(passed_on), |passed_on| async move {
         let mut passed_on = passed_on?;
-        match web::next_data(&mut passed_on.body).await {
+        match passed_on.next_data().await {
             Some(Ok(data)) => Some((Ok(Frame::data(data)), Some(passed_on))),
             Some(Err(error)) => Some((Err(error), None)),
             None => None,
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -106,6 +106,32 @@
     });
 }
 
+/// Guards against forwarded streams that stay open without end if the router that helps stands still.
+#[test]
+fn a_forwarded_stream_ends_at_its_deadline_if_the_other_router_stands_still() {
+    on_one_thread(async {
+        let partitioned = start_cut("forward-stopped", 2, 0..1).await;
+        let routers = &partitioned.fleet.routers;
+        let headers = "Attempt-Id: stream-3\r\nDeadline-Ms: 2000\r\n";
+        let mut stream =
+            send(routers[0].callers(), "POST", "/draft/slow", headers, "b").await.unwrap();
+        let mut buffer = [0; 1 << 10];
+        let mut text = String::new();
+        while !text.contains("data: e2\n") {
+            let count = stream.read(&mut buffer).await.unwrap();
+            assert!(count > 0, "cut off: {text}");
+            text += &String::from_utf8_lossy(&buffer[..count]);
+        }
+        routers[1].signal("STOP");
+        let mut rest = Vec::new();
+        let ended = tokio::time::timeout(10 * IN_TIME, stream.read_to_end(&mut rest)).await;
+        routers[1].signal("CONT");
+        assert!(ended.is_ok(), "the answer never ends");
+        text += &String::from_utf8_lossy(&rest);
+        assert!(!text.ends_with(gateway_support::END), "it does not look whole: {text}");
+    });
+}
+
 /// The router that helps is killed in the middle of a stream: the answer does not look whole.
 #[test]
 fn a_forwarded_stream_that_is_lost_with_the_other_router_does_not_look_whole() {
