Tests: a stream of a new version is not joined at routers that are out of step

A report of another operator: a machine that was out of step while targets of a new version joined continued streams of that version at another one.

--- a/tests/stream_changes.rs
+++ b/tests/stream_changes.rs
@@ -14,7 +14,9 @@
 use fleet_support::Fleet;
 use gateway_support::on_one_thread;
 use roles_support::call;
-use stream_support::{DOCUMENT, PATH, StreamTarget, Summary, start_targets, take_all};
+use stream_support::{
+    DOCUMENT, PATH, StreamTarget, Summary, start_targets, take_all, take_all_from,
+};
 
 const CONFIG: &str = "/api/config";
 const STREAMS: usize = 80;
@@ -149,3 +151,89 @@
     fleet.routers[0].signal("KILL");
     fleet.routers[0].exit_code().await;
 }
+
+/// Two routers that do not hear of the leader, or stand still, for a while.
+#[derive(Clone, Copy, Debug)]
+enum OutOfStep {
+    /// They are cut off from all voters.
+    CutOff,
+    /// They are suspended.
+    Suspended,
+}
+
+impl OutOfStep {
+    fn begin(self, fleet: &Fleet) {
+        for router in 2..4 {
+            match self {
+                Self::CutOff => fleet.set_paths_from(router, PathMode::Silent),
+                Self::Suspended => fleet.routers[router].signal("STOP"),
+            }
+        }
+    }
+
+    /// Ends it. Suspended routers have the table of before, and callers come at once; those that are cut off see
+    /// callers come before.
+    async fn end(self, fleet: &Fleet) {
+        match self {
+            Self::CutOff => {
+                tokio::time::sleep(STILL_CUT).await;
+                (2..4).for_each(|router| fleet.set_paths_from(router, PathMode::Open));
+            }
+            Self::Suspended => (2..4).for_each(|router| fleet.routers[router].signal("CONT")),
+        }
+    }
+}
+
+/// Guards against streams of a new version that go on at the only version that a router with an old table knows.
+/// The load: half of the routers are out of step as targets of a second version join, all others are killed, or the
+/// new targets are lost, and callers take their streams up at those.
+#[test]
+fn a_stream_of_a_new_version_is_not_joined_at_routers_that_are_out_of_step() {
+    for how in [OutOfStep::CutOff, OutOfStep::Suspended] {
+        for are_targets_lost in [false, true] {
+            on_one_thread(begin_at_a_new_version(how, are_targets_lost));
+        }
+    }
+}
+
+/// Time for which routers are still cut off when callers come.
+const STILL_CUT: Duration = Duration::from_millis(1_500);
+/// Time after which a version is on record although some routers have not told of their streams.
+const RECORDED: Duration = Duration::from_millis(2_500);
+
+async fn begin_at_a_new_version(how: OutOfStep, are_targets_lost: bool) {
+    let targets = start_targets(&["v1", "v1", "v1", "v2", "v2", "v2"]).await;
+    let mut fleet = start("changes-step", &targets[..3], &[]).await;
+    how.begin(&fleet);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let newer = targets.iter().skip(3).map(|newer| newer.announced());
+    fleet.targets.borrow_mut().extend(newer);
+    tokio::time::sleep(RECORDED).await;
+    let all = fleet.callers();
+    // Whoever begins at a router in step goes on at one that is not.
+    let (stories, ()) = futures::join!(
+        take_all_from(&all[..2], &all[2..], STREAMS, PAUSE),
+        lose(&mut fleet, &targets, how, are_targets_lost)
+    );
+    let summary = Summary::of(&stories);
+    println!("{how:?}, targets lost {are_targets_lost}: {summary:?}");
+    assert!(summary.taken_up >= MIN_TAKEN_UP, "{summary:?}");
+    assert_eq!(summary.joined, 0, "{how:?}: {summary:?}");
+    assert_eq!(summary.disordered, 0, "{how:?}: {summary:?}");
+    assert!(are_targets_lost || summary.goes_on_well(), "{how:?}: {summary:?}");
+}
+
+/// All streams have begun, and the new targets or the routers in step are lost.
+async fn lose(
+    fleet: &mut Fleet,
+    targets: &[Rc<StreamTarget>],
+    how: OutOfStep,
+    are_targets_lost: bool,
+) {
+    tokio::time::sleep(ALL_BEGUN).await;
+    match are_targets_lost {
+        true => targets.iter().skip(3).for_each(|newer| newer.stop()),
+        false => fleet.kill_routers(0..2, DOWN).await,
+    }
+    how.end(fleet).await;
+}
--- a/tests/stream_support/mod.rs
+++ b/tests/stream_support/mod.rs
@@ -222,10 +222,37 @@
     streams: usize,
     pause: Duration,
     begun: &Rc<Cell<usize>>,
+) -> Vec<Story> {
+    let order = |number| callers.iter().copied().cycle().skip(number % callers.len()).take(TRIES);
+    take_in_order(streams, pause, begun, order).await
+}
+
+/// Asks for streams at the routers `first`, and takes them up at the others by turns.
+pub async fn take_all_from(
+    first: &[SocketAddr],
+    others: &[SocketAddr],
+    streams: usize,
+    pause: Duration,
+) -> Vec<Story> {
+    let order = |number: usize| {
+        let begin = std::iter::once(first[number % first.len()]);
+        let then = others.iter().copied().cycle().skip(number % others.len());
+        begin.chain(then).take(TRIES)
+    };
+    take_in_order(streams, pause, &Rc::default(), order).await
+}
+
+/// Asks for streams, each at the routers that `order` names by its number.
+async fn take_in_order<T: Iterator<Item = SocketAddr>>(
+    streams: usize,
+    pause: Duration,
+    begun: &Rc<Cell<usize>>,
+    order: impl Fn(usize) -> T,
 ) -> Vec<Story> {
     let mut open = Vec::new();
     for number in 0..streams {
-        open.push(tokio::task::spawn_local(take(callers.to_vec(), number, Rc::clone(begun))));
+        let routers = order(number).collect();
+        open.push(tokio::task::spawn_local(take(routers, Rc::clone(begun))));
         tokio::time::sleep(pause).await;
     }
     let mut stories = Vec::new();
@@ -236,11 +263,11 @@
 }
 
 /// Asks for one stream, and takes it up at the next router where it breaks off.
-async fn take(callers: Vec<SocketAddr>, first: usize, begun: Rc<Cell<usize>>) -> Story {
+async fn take(routers: Vec<SocketAddr>, begun: Rc<Cell<usize>>) -> Story {
     let mut story = Story::default();
     let stream = rand::random::<u64>();
     let mut began_with = None;
-    for number in 0..TRIES {
+    for (number, to) in routers.into_iter().enumerate() {
         let attempt = format!("{stream:x}-{number}");
         let mut headers = format!("Attempt-Id: {attempt}\r\nDeadline-Ms: {DEADLINE_MS}\r\n");
         if let Some(began_with) = &began_with {
@@ -249,7 +276,6 @@
             story.is_taken_up = true;
         }
         let before = story.numbers.len();
-        let to = callers[(first + number) % callers.len()];
         let (status, retry_after) = take_once(to, &headers, &mut story, &begun).await;
         story.statuses.push(status);
         let has_come = story.numbers.len() > before;
