Tests: changes are taken after disks of voters were full in turn

A report of another operator: after disks of counted machines had been full one after another, changes were refused or stayed unanswered for good. Tried with real processes whose writes fail at once or in the middle of a record (a limit on the size of files, whose signal is ignored): five voters in turn, voters whose places others take meanwhile, and a voter that is let in again while its disk fills.

--- /dev/null
+++ b/tests/full_disks.rs
@@ -0,0 +1,178 @@
+//! Disks of voters that are full for a while, one after another, while documents change: writes of the real
+//! processes fail, also in the middle.
+
+mod common;
+mod gateway_support;
+mod roles_support;
+
+use std::time::Duration;
+
+use common::process::until;
+use gateway_support::on_one_thread;
+use roles_support::{Net, Vm, ask, call};
+use tokio::time::Instant;
+
+const CONFIG: &str = "/api/config";
+const VOTERS: usize = 5;
+/// A disk is full for longer than a voter is silent before it may be replaced.
+const FULL: Duration = Duration::from_millis(2_500);
+/// Time between two changes.
+const CHANGE_PAUSE: Duration = Duration::from_millis(250);
+/// Time of one call of an operator.
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+/// A write fails in the middle of a record, or before it.
+const TORN_BYTES: u64 = 100;
+
+/// Routes that make a document longer than a write that fails in the middle.
+const ROUTES: &str = r#"{"name":"a","host":"h.example","pathPrefix":"/a/","kind":"safe","timeoutMs":1500,
+  "targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2}"#;
+
+fn document(version: u64) -> String {
+    format!(r#"{{"version":{version},"routes":[{ROUTES}],"services":[{{"name":"app"}}]}}"#)
+}
+
+async fn form_group(net: &Net, count: usize) -> Vec<Vm> {
+    let mut voters: Vec<Vm> = (0..count).map(|number| net.voter(number)).collect();
+    voters.iter_mut().for_each(Vm::start_with_bounded_disk);
+    let first = voters[0].control();
+    let taken = async || call(first, "PUT", CONFIG, &document(1)).await == 200;
+    until("a first document", taken).await;
+    voters
+}
+
+/// Sends a change to one voter after another until it is acknowledged, as an operator does. Returns whether any
+/// voter refused it for good.
+async fn change(voters: &[std::net::SocketAddr], version: u64) -> bool {
+    let mut is_refused = false;
+    until("a change is acknowledged", async || {
+        for voter in voters {
+            let text = document(version);
+            let put = call(*voter, "PUT", CONFIG, &text);
+            let put = tokio::time::timeout(CALL_LIMIT, put).await.unwrap_or_default();
+            match put {
+                200 => return true,
+                400..=499 => is_refused = true,
+                _ => {}
+            }
+        }
+        false
+    })
+    .await;
+    is_refused
+}
+
+/// Changes the document again and again until `end`, and returns the newest version and the longest that a change took.
+async fn keep_changing(voters: Vec<std::net::SocketAddr>, end: Instant) -> (u64, Duration) {
+    let (mut version, mut longest) = (1, Duration::ZERO);
+    while Instant::now() < end {
+        version += 1;
+        let since = Instant::now();
+        // Each change goes to another voter first.
+        let mut order = voters.clone();
+        order.rotate_left(version as usize % voters.len());
+        assert!(!change(&order, version).await, "change {version} is refused");
+        longest = longest.max(since.elapsed());
+        tokio::time::sleep(CHANGE_PAUSE).await;
+    }
+    (version, longest)
+}
+
+/// Whether a voter reads this version.
+async fn reads(voter: &Vm, version: u64) -> bool {
+    let text = ask(voter.control(), "GET", CONFIG, "", "").await;
+    text.contains(&format!(r#""version":{version},"#))
+}
+
+/// Fills the disks of these voters in turn while documents change. Afterwards all changes are acknowledged, and all
+/// voters read the newest one.
+async fn fill_in_turn(voters: &[Vm], bytes: u64) {
+    let controls: Vec<_> = voters.iter().map(Vm::control).collect();
+    let end = Instant::now() + FULL * (voters.len() as u32 + 1);
+    let ((version, longest), ()) = futures::join!(keep_changing(controls, end), async {
+        for voter in voters {
+            voter.bound_disk(Some(bytes));
+            tokio::time::sleep(FULL).await;
+            voter.bound_disk(None);
+        }
+    });
+    println!("{bytes} bytes: {version} changes, the longest took {longest:?}");
+    for voter in voters {
+        until("a voter reads the newest document", async || reads(voter, version).await).await;
+    }
+    let last = voters[0].control();
+    assert!(!change(&[last], version + 1).await, "a change is refused after all disks have room");
+}
+
+/// Guards against a group that takes no changes any more after the disks of its voters were full, never two at once.
+#[test]
+fn changes_are_taken_after_five_disks_were_full_in_turn() {
+    for bytes in [0, TORN_BYTES] {
+        on_one_thread(async move {
+            let net = Net::new(&format!("disks-five-{bytes}"), VOTERS);
+            let mut voters = form_group(&net, VOTERS).await;
+            fill_in_turn(&voters, bytes).await;
+            assert!(voters.iter_mut().all(|voter| voter.ended().is_none()), "a voter ended");
+            assert!(voters.iter().all(|voter| starts(voter) > 1), "a disk was not full");
+        });
+    }
+}
+
+/// The same where others wait for the places of voters that fall silent, so that places change in between.
+#[test]
+fn changes_are_taken_after_disks_were_full_while_others_took_the_places_of_their_voters() {
+    on_one_thread(async {
+        let net = Net::new("disks-places", 3);
+        let mut voters = form_group(&net, 3).await;
+        for number in 3..VOTERS {
+            let mut waiting = net.voter(number);
+            waiting.start_with_bounded_disk();
+            voters.push(waiting);
+        }
+        fill_in_turn(&voters, TORN_BYTES).await;
+        fill_in_turn(&voters, 0).await;
+        assert!(voters.iter_mut().all(|voter| voter.ended().is_none()), "a voter ended");
+    });
+}
+
+/// How often a voter has opened its log.
+fn starts(voter: &Vm) -> usize {
+    let is_start = |line: &&str| line.contains(r#""message":"voter "#) && line.contains(" runs\"");
+    voter.log().lines().filter(is_start).count()
+}
+
+/// Whether a leader has logged that it made this voter one of the group again.
+fn has_let_in(leader: &Vm, voter: &Vm) -> bool {
+    let new = format!("new: VoterId {{ daemon: DaemonId(\\\"{}\\\")", voter.ip);
+    let is_one = |line: &str| line.contains("the group has changed") && line.contains(&new);
+    leader.log().lines().any(is_one)
+}
+
+/// A voter loses its folder and is let in again while its disk fills up, so that a snapshot for it can't be written.
+#[test]
+fn a_voter_whose_disk_fills_while_it_is_let_in_again_is_a_voter_later() {
+    on_one_thread(async {
+        let net = Net::new("disks-snapshot", 3);
+        let mut voters = form_group(&net, 3).await;
+        let first = [voters[0].control()];
+        // Enough changes for a snapshot.
+        for version in 2..120 {
+            assert!(!change(&first, version).await);
+        }
+        voters[2].signal("KILL");
+        voters[2].exit_code().await;
+        voters[2].lose_data();
+        voters[2].start_with_bounded_disk();
+        for bytes in [TORN_BYTES, 0] {
+            voters[2].bound_disk(Some(bytes));
+            tokio::time::sleep(FULL).await;
+            voters[2].bound_disk(None);
+        }
+        let is_in = async || voters[..2].iter().any(|other| has_let_in(other, &voters[2]));
+        until("it is let in", is_in).await;
+        assert!(reads(&voters[2], 119).await);
+        // The group bears the loss of another voter.
+        voters[1].signal("KILL");
+        voters[1].exit_code().await;
+        assert!(!change(&[voters[2].control(), voters[0].control()], 200).await);
+    });
+}
--- a/tests/roles_support/mod.rs
+++ b/tests/roles_support/mod.rs
@@ -67,8 +67,9 @@
         format!(
             "[vm]\nrole = {role}\nip = {ip}\navailability_zone = z\npeer_port = {PEERS}\n{keys}\
              [targets]\nheartbeat_ms = 500\ntakeover_ms = 300\n[stop]\nlimit_s = 12\n\
-             [group]\ncluster = c\nfirst = {}\nmay_form = true\nmax_lost = 1\n",
-            first.join(",")
+             [group]\ncluster = c\nfirst = {}\nmay_form = true\nmax_lost = {}\n",
+            first.join(","),
+            self.voters.div_ceil(2).max(2) - 1
         )
     }
 
@@ -106,6 +107,26 @@
         self.process = Some(Process::spawn(&mut command));
     }
 
+    /// Starts it so that writes beyond a limit fail, as on a full disk, and do not end it.
+    pub fn start_with_bounded_disk(&mut self) {
+        let program = common::fescuebay().get_program().to_owned();
+        let mut command = std::process::Command::new("sh");
+        command.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]).arg(program);
+        command.args(["serve", "--role", self.role]).env("FESCUEBAY_BOOT", &self.settings);
+        let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
+        command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        self.process = Some(Process::spawn(&mut command));
+    }
+
+    /// Lets no file of its process grow beyond this many bytes. `None`: its disk has room again.
+    pub fn bound_disk(&self, bytes: Option<u64>) {
+        let id = self.process_id().expect("it runs").to_string();
+        let limit = bytes.map_or("unlimited".to_owned(), |bytes| bytes.to_string());
+        let mut command = std::process::Command::new("prlimit");
+        command.args(["--pid", &id, &format!("--fsize={limit}:unlimited")]);
+        assert!(command.status().unwrap().success());
+    }
+
     /// Sends a signal by name to its process alone.
     pub fn signal(&self, name: &str) {
         self.process.as_ref().expect("it runs").signal(name);
