Lines are written again after the log of a process could not be written

Found while full disks were traced: after a write to standard output had failed, a process logged nothing more until its end, although its disk had room again. Whoever looks for the cause of what followed has nothing.

Cause: the thread that writes the lines ended with the first error, taken for a reader that is gone.

Change: it tries again every 500 ms, with what is left of the lines. Lines that come meanwhile wait within the bound of the ring, beyond it they are dropped and counted, as before. fescuebay_log_write_failures_total counts failures.

--- a/src/logging/ring.rs
+++ b/src/logging/ring.rs
@@ -12,6 +12,8 @@
 const CAPACITY_BYTES: usize = 256 << 10;
 /// Time for which lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(150);
+/// Time after which lines that could not be written are tried again: the disk that they go to may be full.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 #[derive(Default)]
 struct Waiting {
@@ -93,9 +95,25 @@
             waiting.bytes.extend_from_slice(line.as_bytes());
             metrics::counter!("fescuebay_log_lines_dropped_total").increment(waiting.dropped);
         }
-        if output.write_all(&waiting.bytes).and_then(|()| output.flush()).is_err() {
-            // Nobody reads any more: lines are dropped from here on.
-            return;
+        write_out(&mut output, &waiting.bytes);
+    }
+}
+
+/// Writes all bytes, and tries again where that fails. What is logged meanwhile waits, or is dropped and counted.
+fn write_out(output: &mut impl Write, mut bytes: &[u8]) {
+    while !bytes.is_empty() {
+        match output.write(bytes) {
+            Ok(count) if count > 0 => bytes = &bytes[count..],
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Ok(_) | Err(_) => pause_after_failure(),
         }
     }
+    while output.flush().is_err() {
+        pause_after_failure();
+    }
+}
+
+fn pause_after_failure() {
+    metrics::counter!("fescuebay_log_write_failures_total").increment(1);
+    thread::sleep(RETRY_PAUSE);
 }
--- a/tests/full_disks.rs
+++ b/tests/full_disks.rs
@@ -61,9 +61,14 @@
     is_refused
 }
 
-/// Changes the document again and again until `end`, and returns the newest version and the longest that a change took.
-async fn keep_changing(voters: Vec<std::net::SocketAddr>, end: Instant) -> (u64, Duration) {
-    let (mut version, mut longest) = (1, Duration::ZERO);
+/// Changes the document again and again until `end`, from the version after this one. Returns the newest version and
+/// the longest that a change took.
+async fn keep_changing(
+    voters: Vec<std::net::SocketAddr>,
+    mut version: u64,
+    end: Instant,
+) -> (u64, Duration) {
+    let mut longest = Duration::ZERO;
     while Instant::now() < end {
         version += 1;
         let since = Instant::now();
@@ -83,12 +88,12 @@
     text.contains(&format!(r#""version":{version},"#))
 }
 
-/// Fills the disks of these voters in turn while documents change. Afterwards all changes are acknowledged, and all
-/// voters read the newest one.
-async fn fill_in_turn(voters: &[Vm], bytes: u64) {
+/// Fills the disks of these voters in turn while documents change, from the version after `before`. Afterwards all
+/// changes are acknowledged, and all voters read the newest one, whose version is returned.
+async fn fill_in_turn(voters: &[Vm], before: u64, bytes: u64) -> u64 {
     let controls: Vec<_> = voters.iter().map(Vm::control).collect();
     let end = Instant::now() + FULL * (voters.len() as u32 + 1);
-    let ((version, longest), ()) = futures::join!(keep_changing(controls, end), async {
+    let ((version, longest), ()) = futures::join!(keep_changing(controls, before, end), async {
         for voter in voters {
             voter.bound_disk(Some(bytes));
             tokio::time::sleep(FULL).await;
@@ -101,6 +106,26 @@
     }
     let last = voters[0].control();
     assert!(!change(&[last], version + 1).await, "a change is refused after all disks have room");
+    version + 1
+}
+
+/// Guards against processes that log nothing any more once a write to their log has failed.
+#[test]
+fn lines_are_written_again_after_the_disk_of_the_log_was_full() {
+    on_one_thread(async {
+        let net = Net::new("disks-log", 1);
+        let voters = form_group(&net, 1).await;
+        voters[0].bound_disk(Some(0));
+        // The voter stops because its log of changes can't be written, and says so.
+        let _ = call(voters[0].control(), "PUT", CONFIG, &document(2)).await;
+        tokio::time::sleep(FULL).await;
+        voters[0].bound_disk(None);
+        until("what was logged meanwhile is written", async || {
+            voters[0].log().contains("the voter pauses")
+        })
+        .await;
+        until("the voter runs again", async || starts(&voters[0]) > 1).await;
+    });
 }
 
 /// Guards against a group that takes no changes any more after the disks of its voters were full, never two at once.
@@ -110,7 +135,7 @@
         on_one_thread(async move {
             let net = Net::new(&format!("disks-five-{bytes}"), VOTERS);
             let mut voters = form_group(&net, VOTERS).await;
-            fill_in_turn(&voters, bytes).await;
+            fill_in_turn(&voters, 1, bytes).await;
             assert!(voters.iter_mut().all(|voter| voter.ended().is_none()), "a voter ended");
             assert!(voters.iter().all(|voter| starts(voter) > 1), "a disk was not full");
         });
@@ -128,8 +153,8 @@
             waiting.start_with_bounded_disk();
             voters.push(waiting);
         }
-        fill_in_turn(&voters, TORN_BYTES).await;
-        fill_in_turn(&voters, 0).await;
+        let version = fill_in_turn(&voters, 1, TORN_BYTES).await;
+        fill_in_turn(&voters, version, 0).await;
         assert!(voters.iter_mut().all(|voter| voter.ended().is_none()), "a voter ended");
     });
 }
