A request that waits for a slot is answered although its target leaves

The router logs a panic for each, "index out of bounds".

Cause: the choice made before the wait names a target by its index in the sorted list, and the refusal after the wait looked that index up in the list of then. Where the list was not shorter, it named another target.

Change: after a wait the targets are chosen anew, which also names the true reason.

The class: uses of Balancer::target and of `targets[..]` in src/gateway were read one by one. Each other index is used before its function waits; the choice says so now.

Before: a_request_that_waits_for_a_slot_is_answered_although_the_target_leaves panics the same way.

--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -30,7 +30,7 @@
     pub salt: u64,
 }
 
-/// The result of choosing a target.
+/// The result of choosing a target. Its indices are valid until the list of targets changes, so not across a wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetChoice {
     /// The target at this index can take the request.
--- a/src/gateway/slot.rs
+++ b/src/gateway/slot.rs
@@ -55,7 +55,11 @@
         return Err(refusal_reason(router, &query, reason));
     }
     let choice = wait_in_queue(router, routed, &query, reason, give_up_ms).await?;
-    choice.map_err(|reason| refusal_reason(router, &query, reason))
+    choice.map_err(|_| {
+        // Targets may have come and left during the wait, and their indices are others now.
+        let reason = router.balancer.borrow().choose(router.now_ms(), &query);
+        refusal_reason(router, &query, reason)
+    })
 }
 
 /// Whether no target can take the request by `give_up_ms`.
@@ -72,7 +76,8 @@
     }
 }
 
-/// Waits in the queue for a slot until `give_up_ms`. Without one, returns why there was none.
+/// Waits in the queue for a slot until `give_up_ms`. Without one, returns why there was none, as it was known before
+/// the wait ended: its indices are not valid any more.
 async fn wait_in_queue(
     router: &RouterState,
     routed: &RoutedRequest,
--- a/tests/gateway_brittle.rs
+++ b/tests/gateway_brittle.rs
@@ -63,3 +63,23 @@
         assert_eq!((a.requests(), b.requests(), c.requests()), (1, 1, 1));
     });
 }
+
+/// Guards against a request that is cut off without an answer because the target whose slot it waited for has left:
+/// the place of that target in the list was kept over the wait.
+#[test]
+fn a_request_that_waits_for_a_slot_is_answered_although_the_target_leaves() {
+    on_one_thread(async {
+        let other = ScriptedTarget::start("a", vec![brittle()]).await;
+        let target = ScriptedTarget::start("b", vec![brittle()]).await;
+        let router = Router::start(vec![other.entry("llm", &[]), target.entry("app", &[])]).await;
+        assert_eq!(status(&router.request("POST", "/unsafe/x", "", "").await), 200);
+        // No leader grants slots, so the next request waits for one until its time is up.
+        let waiting = router.request("POST", "/unsafe/x", "Deadline-Ms: 1200\r\n", "");
+        let (answer, ()) = futures::join!(waiting, async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            router.set_targets(vec![other.entry("llm", &[])]);
+        });
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert_eq!(target.requests(), 1, "the second request was not sent");
+    });
+}
