A request whose task panics is answered

Change: the handling of a request is caught, counted (fescuebay_request_panics_total), told with the request's id and answered with 502, which promises nothing: how far it came is not known. State is in cells that are borrowed for a step and in guards that are dropped, so the next request finds it whole.

Before: there was no such answer. After: a_request_whose_task_panics_is_answered_as_one_that_may_have_run passes. Not covered: a panic in the middle of an answer, which still ends it broken.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod helpers;
 mod leases;
 mod origins;
+pub mod panics;
 mod permits;
 mod poison;
 mod pool;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -21,7 +21,7 @@
 use super::state::RouterState;
 use super::{
     AttemptOptions, ConnectionUse, RequestInfo, ResponseClass, continuation, forward, origins,
-    poison, reach, relay, slot, wait_limit,
+    panics, poison, reach, relay, slot, wait_limit,
 };
 use crate::ids::{self, ServiceName, TargetId};
 use crate::poison::{ContentHash, Subject};
@@ -78,6 +78,20 @@
     let arrived_ms = router.now_ms();
     let (head, body) = request.into_parts();
     let info = router.protocol.read_request(&head.headers);
+    let id = info.id.clone();
+    let handling = handle_read(router, head, body, info, arrived_ms, source);
+    panics::answer_or_fail(&id, handling).await
+}
+
+/// Handles one request whose head has been read.
+async fn handle_read(
+    router: Rc<RouterState>,
+    head: http::request::Parts,
+    body: Incoming,
+    info: RequestInfo,
+    arrived_ms: u64,
+    source: RequestSource,
+) -> Answer {
     let id = info.id.clone();
     match route_request(&router, head, body, info, arrived_ms).await {
         Ok(mut routed) => {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -81,6 +81,8 @@
     ShuttingDown,
     /// The last attempt failed and is not retried.
     AttemptFailed(AttemptFailure),
+    /// The router failed while it handled the request.
+    Panicked,
 }
 
 impl RefusalReason {
@@ -110,6 +112,7 @@
             RefusalReason::AwaitsTrial => "targets may have ended under it; it waits for a trial",
             RefusalReason::ShuttingDown => "the router stops",
             RefusalReason::AttemptFailed(failure) => events::failure_name(failure),
+            RefusalReason::Panicked => "the router failed under it",
         }
     }
 
--- a/tests/gateway_faults.rs
+++ b/tests/gateway_faults.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 
 use fescuebay::coordinator::follow::Follower as _;
+use fescuebay::gateway::panics;
+use fescuebay::web;
+use fescuebay::web::server::Answer;
 
 use gateway_support::{
     Action, END, Router, ScriptedTarget, answer, document, events, eventually, header,
@@ -413,3 +416,24 @@
         assert!(gone.requests() <= 2, "{} of 20 requests went there", gone.requests());
     });
 }
+
+/// Guards against callers whose connection is closed without an answer because the task of their request ends in a
+/// panic: it is not known whether the request ran, so the answer promises nothing.
+#[test]
+fn a_request_whose_task_panics_is_answered_as_one_that_may_have_run() {
+    on_one_thread(async {
+        let before_panic = async {
+            tokio::task::yield_now().await;
+            panic!("a fault that the test makes")
+        };
+        let Answer::Send(response) = panics::answer_or_fail("a1", before_panic).await else {
+            panic!("the connection is closed without an answer")
+        };
+        assert_eq!(response.status(), http::StatusCode::BAD_GATEWAY);
+        let sound = async { Answer::Send(web::empty(http::StatusCode::OK)) };
+        let Answer::Send(response) = panics::answer_or_fail("a2", sound).await else {
+            panic!("the connection is closed without an answer")
+        };
+        assert_eq!(response.status(), http::StatusCode::OK);
+    });
+}
