--- a/src/coordinator/voter.rs
+++ b/src/coordinator/voter.rs
@@ -1,5 +1,8 @@
 //! A voter: opens its log, forms or joins its group, and runs the leader while it has leadership.
 
+mod answers;
+mod documents;
+mod leading;
 mod membership;
 mod orders;
 mod origins;
@@ -14,9 +17,9 @@
 use rand::rngs::StdRng;
 
 use super::client::VoterClient;
-use super::leader::{self, Leader};
+use super::leader::Leader;
 use super::members;
-use super::message::{PutRoutesOutcome, Reply, Request, Status};
+use super::message::{Reply, Request};
 use super::{EngineClient, Error, Result, follow};
 use crate::clock::BootClock;
 use crate::consensus::entry::VoterId;
@@ -27,11 +30,12 @@
 use crate::membership::targets;
 use crate::origins::message::BegunStreams;
 use crate::origins::store::OriginStore;
-use crate::peer;
 use crate::placement::swap;
 use crate::routes;
 use crate::traffic::clock::Clock as WallClock;
 
+pub(super) use answers::PeerHandler;
+
 /// Interval between two rounds of querying the founders for a group.
 const FORM_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a status request to a founder.
@@ -44,8 +48,6 @@
 /// for models that no engine holds wait until a lost leader is replaced.
 const TIMING: Timing =
     Timing { heartbeat_ms: 350, election_ms: 1_200, election_jitter_ms: 300, lease_ms: 1_050 };
-/// Timeout of a read. During a longer one the VM may have been paused and the value replaced.
-const READ_TIMEOUT_MS: u64 = 700;
 
 /// Time for the new leader to win its election after a leadership transfer.
 const TRANSFER_PAUSE: Duration = Duration::from_millis(400);
@@ -201,68 +203,6 @@
         }
     }
 
-    /// Starts the leader when this voter gains leadership and stops it when leadership is lost.
-    async fn follow_leadership(self: &Rc<Self>, node: &node::Handle) -> Result<()> {
-        let mut leadership = node.subscribe();
-        loop {
-            let now = leadership.borrow_and_update().clone();
-            self.stop_leading();
-            self.client.set_leader(now.leader.as_ref().map(|leader| leader.daemon.clone()));
-            if now.is_leader {
-                // Entries of earlier terms are applied only after an entry of this term is committed.
-                let is_ready = node.read_barrier().await.is_ok();
-                if is_ready && !leadership.has_changed().unwrap_or(true) {
-                    self.start_leading(&now);
-                }
-            }
-            if leadership.changed().await.is_err() || node.status().failure.is_some() {
-                let failure = node.status().failure.unwrap_or_default();
-                let error = Error { step: "write the log" };
-                return Err(error_stack::Report::new(error).attach(failure));
-            }
-        }
-    }
-
-    fn start_leading(self: &Rc<Self>, now: &node::Leadership) {
-        let entries = self.following.feed.borrow().table().entries().to_vec();
-        let voter = Rc::downgrade(self);
-        let machine = Rc::clone(&self.machine.borrow());
-        let context = leader::LeaderContext {
-            own_id: self.config.own_id.clone(),
-            clock: self.config.clock,
-            wall_clock: WallClock::system(),
-            engines: Rc::clone(&self.config.engines),
-            silence_timeouts: self.config.silence_timeouts,
-            placement: self.config.placement,
-            is_leased: Rc::new(move || {
-                voter.upgrade().and_then(|voter| voter.lease_left_ms()).is_some_and(|ms| ms > 0)
-            }),
-            record_departure: {
-                let voter = Rc::downgrade(self);
-                Rc::new(move |command| {
-                    let Some(voter) = voter.upgrade() else { return };
-                    tokio::task::spawn_local(async move {
-                        voter.record(commands::Command::Departures(command)).await;
-                    });
-                })
-            },
-            find_departure: Rc::new(move |target, life| {
-                machine.borrow().state().departures.find(target, life)
-            }),
-            software: Rc::new(origins::LoggedSoftware { voter: Rc::downgrade(self) }),
-        };
-        let leader = Leader::start(now.term, context, &entries);
-        leader.inherit_rate_limits(&self.following.rate_limits.borrow());
-        leader.inherit_brittle(&self.following.brittle.borrow());
-        leader.inherit_suspects(&self.following.suspects.borrow());
-        self.led_since_ms.set(self.config.clock.now_ms());
-        self.membership_requests.borrow_mut().clear();
-        self.tolerated_losses.set(None);
-        self.leader.replace(Some(Rc::clone(&leader)));
-        self.publish_document();
-        tokio::task::spawn_local(Rc::clone(self).allow_orders(leader));
-    }
-
     /// Records a command without an outcome. Returns whether it was certainly recorded.
     async fn record(&self, command: commands::Command) -> bool {
         let Some(node) = self.node.borrow().clone() else { return false };
@@ -276,187 +216,10 @@
         }
     }
 
-    /// Acknowledges an announcement or departure of a target, after recording it if required.
-    async fn acknowledge(&self, when: leader::AckCondition) -> Reply {
-        let is_recorded = match when {
-            leader::AckCondition::Immediate => true,
-            leader::AckCondition::AfterRecord(command) => {
-                self.record(commands::Command::Departures(command)).await
-            }
-        };
-        if is_recorded { Reply::Done } else { Reply::NotLeader(None) }
-    }
-
-    fn stop_leading(&self) {
-        if let Some(leader) = self.leader.take() {
-            leader.stop();
-            self.last_order_ms.set(leader.last_order_ms().or(self.last_order_ms.get()));
-        }
-    }
-
     fn lease_left_ms(&self) -> Option<u64> {
         Some(self.node.borrow().as_ref()?.status().lease_left_ms)
     }
 
-    /// Passes the route document in the log to the leader.
-    fn publish_document(&self) {
-        let Some(leader) = self.leader.borrow().clone() else { return };
-        let machine = Rc::clone(&self.machine.borrow());
-        let (version, text) = {
-            let machine = machine.borrow();
-            let routes = &machine.state().routes;
-            (routes.version(), routes.text().clone())
-        };
-        leader.apply_document(version, text, self.config.decode);
-    }
-
-    /// Handles a request of `from`, which may be this daemon.
-    pub(super) async fn answer(self: &Rc<Self>, from: &DaemonId, request: Request) -> Reply {
-        let leader = self.leader.borrow().clone().filter(|leader| !leader.is_stopped());
-        let Some(leader) = leader else {
-            return match request {
-                Request::Status => self.status(),
-                Request::LastOrder(term) => Reply::LastOrder(self.last_order(term)),
-                Request::CopyStreams(begun) => self.answer_copy(&begun),
-                Request::RecallStreams(streams) => self.answer_recall(&streams),
-                _ => self.not_leader(),
-            };
-        };
-        match request {
-            Request::Status => self.status(),
-            Request::LastOrder(term) => Reply::LastOrder(self.last_order(term)),
-            Request::Join(voter) => {
-                self.client.add_voter(&voter.daemon);
-                Reply::Joined(self.join(&voter))
-            }
-            Request::Retire(voter) => {
-                self.retire(&voter).await;
-                Reply::Done
-            }
-            // A leader without a lease may have been replaced, and its successor would not learn of
-            // what it acknowledges.
-            Request::Announce(_) | Request::Leave(..) if self.lease_left_ms() == Some(0) => {
-                Reply::NotLeader(None)
-            }
-            Request::Announce(state) => self.acknowledge(leader.handle_announcement(*state)).await,
-            Request::Leave(target, incarnation) => {
-                self.acknowledge(leader.handle_departure(&target, incarnation)).await
-            }
-            Request::PutRoutes(command) => self.put_routes(command).await,
-            Request::GetRoutes => self.get_routes().await,
-            Request::Usage(usage) => {
-                leader.record_usage(from, *usage);
-                Reply::Done
-            }
-            Request::LeaseSlots(request) => match leader.answer_leases(from, &request) {
-                Some(grants) => Reply::LeasedSlots(grants),
-                None => Reply::NotLeader(None),
-            },
-            Request::Permits(asks) => match leader.answer_permits(from, &asks) {
-                Some(grants) => Reply::Permits(grants),
-                None => Reply::NotLeader(None),
-            },
-            Request::Poison(report) => match leader.answer_poison(from, &report) {
-                Some(permission) => Reply::Poison(permission),
-                None => Reply::NotLeader(None),
-            },
-            Request::RecordStreams(report) => {
-                self.record_streams(report.begun);
-                leader.note_streams_told(from, report.streams_told);
-                Reply::Done
-            }
-            Request::CopyStreams(begun) => self.answer_copy(&begun),
-            Request::RecallStreams(streams) => self.answer_recall(&streams),
-            Request::FindHelpers(query) => Reply::Helpers(leader.find_helpers(from, &query)),
-            Request::FindStreams(queries) => self.find_streams(&queries).await,
-            Request::Watch(watch) => match leader.answer_watch(from, *watch, self.voters()).await {
-                Some(news) => Reply::Watch(Box::new(news)),
-                None => Reply::NotLeader(None),
-            },
-        }
-    }
-
-    fn not_leader(&self) -> Reply {
-        let known = self.node.borrow().as_ref().and_then(|node| node.status().core.leader);
-        let other =
-            known.map(|leader| leader.daemon).filter(|leader| *leader != self.config.own_id);
-        Reply::NotLeader(other)
-    }
-
-    fn status(&self) -> Reply {
-        if let Some(node) = &*self.node.borrow() {
-            let status = node.status();
-            let leader = status.core.leader.map(|leader| leader.daemon);
-            let (voter, seen) = (status.id, node.folder_state());
-            return Reply::Status(Box::new(Status { voter, seen, leader }));
-        }
-        match self.unformed.borrow().clone() {
-            Some(voter) => {
-                let seen = formation::FolderState::Empty(voter.clone());
-                Reply::Status(Box::new(Status { voter, seen, leader: None }))
-            }
-            None => Reply::NotLeader(None),
-        }
-    }
-
-    fn voters(&self) -> Vec<DaemonId> {
-        let membership = self.node.borrow().as_ref().map(|node| node.status().core.membership);
-        let voters = membership.map(|membership| membership.voters).unwrap_or_default();
-        voters.into_iter().map(|id| id.daemon).collect()
-    }
-
-    async fn put_routes(&self, command: routes::state::Command) -> Reply {
-        let Some(node) = self.node.borrow().clone() else {
-            return Reply::PutRoutes(PutRoutesOutcome::NotDone);
-        };
-        let now_ms = self.config.clock.now_ms();
-        let entry = commands::Entry { now_ms, command: commands::Command::Routes(command) };
-        let outcome = match node.propose(entry.encode()).await {
-            Ok(bytes) => commands::Outcome::decode(&bytes),
-            Err(report) => {
-                log::warn!("a document was not stored: {report}");
-                return match report.current_context() {
-                    node::Error::NotLeader(hint) => Reply::NotLeader(hint.clone()),
-                    node::Error::Unknown => Reply::PutRoutes(PutRoutesOutcome::Unknown),
-                    node::Error::Unavailable(_) | node::Error::Start(_) => {
-                        Reply::PutRoutes(PutRoutesOutcome::NotDone)
-                    }
-                };
-            }
-        };
-        self.publish_document();
-        match outcome {
-            Ok(commands::Outcome::Routes(outcome)) => {
-                Reply::PutRoutes(PutRoutesOutcome::Acknowledged(outcome))
-            }
-            Ok(other) => {
-                log::error!("unexpected outcome of storing a document: {other:?}");
-                Reply::PutRoutes(PutRoutesOutcome::Unknown)
-            }
-            Err(error) => {
-                log::error!("the outcome of a document cannot be read: {error}");
-                Reply::PutRoutes(PutRoutesOutcome::Unknown)
-            }
-        }
-    }
-
-    /// Reads the document in force. A read that takes so long that a later leader may have replaced
-    /// the document is not answered.
-    async fn get_routes(&self) -> Reply {
-        let Some(node) = self.node.borrow().clone() else { return Reply::NotLeader(None) };
-        let begin_ms = self.config.clock.now_ms();
-        if let Err(report) = node.read_barrier().await {
-            log::info!("a reading is not answered: {report}");
-            return Reply::NotLeader(None);
-        }
-        let machine = Rc::clone(&self.machine.borrow());
-        let text = machine.borrow().state().routes.text().clone();
-        match self.config.clock.now_ms() < begin_ms + READ_TIMEOUT_MS {
-            true => Reply::Routes(text),
-            false => Reply::NotLeader(None),
-        }
-    }
-
     /// Stops the voter. A leader transfers its leadership first, so that a planned shutdown leaves
     /// no time without a leader. Its place goes to a voter that waits for one.
     pub(super) async fn shut_down(&self) {
@@ -477,27 +240,3 @@
         node.stop().await;
     }
 }
-
-impl peer::Handler for PeerHandler {
-    fn consensus(&self, from: &DaemonId, group: GroupId, message: &[u8]) {
-        let node = self.voter.node.borrow().clone();
-        if let Some(node) = node.filter(|_| group == GROUP) {
-            node.receive(from, message);
-        }
-    }
-
-    async fn ask(
-        &self,
-        from: peer::PeerId,
-        request: Vec<u8>,
-    ) -> std::result::Result<Vec<u8>, String> {
-        let request = super::message::decode(&request).map_err(|error| error.to_string())?;
-        let reply = self.voter.answer(&from.daemon, request).await;
-        Ok(super::message::encode(&reply))
-    }
-}
-
-/// Handles messages and requests of other daemons.
-pub(super) struct PeerHandler {
-    pub voter: Rc<Voter>,
-}
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -90,6 +90,11 @@
 }
 
 impl PermitClaims {
+    /// Whether no request counts on a permit.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
     /// Adds a request.
     pub fn add(&mut self, life: TargetLife, is_patient: bool) {
         let at = match self.claims.binary_search_by(|(known, _)| known.cmp(&life)) {
--- a/src/gateway/leases.rs
+++ b/src/gateway/leases.rs
@@ -9,7 +9,7 @@
 use super::wait_limit;
 use crate::coordinator::client::VoterClient;
 use crate::coordinator::message::{Reply, Request};
-use crate::ids::{Incarnation, ServiceName, TargetId};
+use crate::ids::ServiceName;
 use crate::rate_limit::TargetLife;
 use crate::rate_limit::statements::StatedAt;
 use crate::slot_lease::Statement;
@@ -109,20 +109,14 @@
     }
 
     /// Records what a target said in a response about how brittle it is.
-    pub(super) fn note_brittle(
-        &self,
-        target: &TargetId,
-        incarnation: Incarnation,
-        statement: Statement,
-        at: StatedAt,
-    ) {
-        let life = TargetLife { target: target.clone(), incarnation };
+    pub(super) fn note_brittle(&self, life: &TargetLife, statement: Statement, at: StatedAt) {
         let mut balancer = self.balancer.borrow_mut();
-        if !balancer.leases_mut().record(at.read_ms, &life, statement, at) {
+        if !balancer.leases_mut().record(at.read_ms, life, statement, at) {
             return;
         }
         drop(balancer);
-        let sent_age_ms = at.read_ms.saturating_sub(at.sent_ms);
+        let TargetLife { target, incarnation } = life;
+        let sent_age_ms = at.age_ms();
         log::info!(
             target_id:% = target, life = incarnation.0, sent_age_ms = sent_age_ms,
             brittle:? = statement;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,11 +15,10 @@
 use super::continuation::Continuation;
 use super::event_buffer::EventBuffer;
 use super::events::{self, RequestEvent};
-use super::poison;
-use super::proxy;
 use super::refusal::RefusalReason;
 use super::retry::AttemptFailure;
 use super::state::RouterState;
+use super::{failure, poison, send};
 use crate::ids::{self, TargetId};
 use crate::poison::ANSWER_BEGUN_MS;
 use crate::routes::Kind;
@@ -79,7 +78,7 @@
         let is_within_budget = router.budget.borrow_mut().try_take(now_ms, &routed.service);
         if is_within_budget {
             routed.avoided_targets.borrow_mut().push(reservation.target.clone());
-            proxy::record_failed_attempt(
+            failure::record_failed_attempt(
                 router,
                 routed,
                 &reservation.target,
@@ -112,12 +111,12 @@
     };
     let reservation = router.try_reserve(&query, routed.prompt_tokens(), false).ok()?;
     let attempt = SentAttempt::begin(router, &reservation);
-    let answered = match proxy::send_attempt(router, routed, reservation, None).await {
+    let answered = match send::send_attempt(router, routed, reservation, None).await {
         Ok(response) => Box::pin(relay_whole(router, routed, response)).await,
         Err(failure) => Err(failure),
     };
     if let Err(failure) = &answered {
-        proxy::note_failure(router, routed, &attempt, *failure);
+        failure::note_failure(router, routed, &attempt, *failure);
     }
     answered.ok()
 }
@@ -445,7 +444,7 @@
         let mut failure = failure;
         loop {
             let (router, routed) = (&self.router, &self.routed);
-            let can_retry = proxy::handle_failure(router, routed, &attempt, failure).is_ok();
+            let can_retry = failure::handle_failure(router, routed, &attempt, failure).is_ok();
             if !can_retry || !self.is_resumable() {
                 return Err(None);
             }
@@ -457,7 +456,7 @@
             let reserved = poison::reserve_permitted(router, routed, since_ms).await;
             let reservation = reserved.map_err(Some)?;
             attempt = SentAttempt::begin(router, &reservation);
-            match proxy::send_attempt(router, routed, reservation, self.events.last_id()).await {
+            match send::send_attempt(router, routed, reservation, self.events.last_id()).await {
                 Ok(response) if self.can_go_on_with(&response.head) => {
                     let last_event_id = self.events.last_id();
                     let target = attempt.life.target.as_str();
--- a/src/rate_limit/statements.rs
+++ b/src/rate_limit/statements.rs
@@ -35,6 +35,13 @@
     pub read_ms: u64,
 }
 
+impl StatedAt {
+    /// Age of the request when its response was read, in milliseconds.
+    pub fn age_ms(self) -> u64 {
+        self.read_ms.saturating_sub(self.sent_ms)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry<L> {
     life: TargetLife,
