--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use fescuebay::gateway::balancer::{Balancer, TargetChoice, TargetQuery};
-use fescuebay::gateway::continuation::Continuation;
+use fescuebay::gateway::continuation::{self, Continuation};
 use fescuebay::gateway::queue::{RequestQueue, WaitingRequest};
 use fescuebay::gateway::retry::{
     AttemptFailure, FailedAttempt, RequestFailure, RetryDecision, UnsentAttempts, decide_retry,
@@ -12,8 +12,9 @@
 use fescuebay::gateway::retry_budget::{RetryBudget, RetryBudgetSettings};
 use fescuebay::ids::{Incarnation, ModelRef, ServiceName, TargetId};
 use fescuebay::membership::table::{Replica, Standing, TargetEntry};
+use fescuebay::origins::message::Writer;
 use fescuebay::rate_limit::TargetLife;
-use fescuebay::routes::Kind;
+use fescuebay::routes::{Destination, Kind, Route};
 use fescuebay::target::order;
 use proptest::prelude::*;
 
@@ -340,3 +341,41 @@
         }
     }
 }
+
+/// The load: the shares of a route change, it is moved, and it is moved away from all that began streams, while these
+/// run; their callers take them up at routers with the new document.
+#[test]
+fn a_stream_goes_on_at_the_service_that_began_it_or_at_one_of_its_version() {
+    let service = |name: &str| name.parse::<ServiceName>().unwrap();
+    let route = |shares: &[(&str, u64)]| Route {
+        name: "draft".to_owned(),
+        host: "h.example".to_owned(),
+        path_prefix: "/draft/".to_owned(),
+        kind: Kind::Idempotent,
+        timeout_ms: 1_500,
+        latency_target_ms: 300,
+        rank: 0,
+        destinations: shares
+            .iter()
+            .map(|(name, weight)| Destination { service: service(name), weight: *weight })
+            .collect(),
+        max_attempts: 2,
+    };
+    let writer = Writer { service: service("old"), software: "v1".parse().unwrap() };
+    let serves_v1 = |name: &ServiceName| ["old", "same"].contains(&name.as_str());
+    let cases: [(&[(&str, u64)], Option<&str>); 6] = [
+        (&[("old", 1)], Some("old")),
+        (&[("same", 99), ("old", 1)], Some("old")),
+        (&[("same", 1), ("other", 99)], Some("same")),
+        (&[("same", 1), ("old", 0)], Some("same")),
+        (&[("other", 1)], None),
+        (&[("other", 1), ("old", 0)], None),
+    ];
+    for (shares, expected) in cases {
+        for draw in [0, 1, 57, 99, u64::MAX] {
+            let route = route(shares);
+            let found = continuation::choose_service(&route, &writer, draw, serves_v1);
+            assert_eq!(found.map(ServiceName::as_str), expected, "{shares:?}, draw {draw}");
+        }
+    }
+}
