--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -346,8 +346,10 @@
 /// run; their callers take them up at routers with the new document.
 #[test]
 fn a_stream_goes_on_at_the_service_that_began_it_or_at_one_of_its_version() {
+    /// The services of a route with their weights.
+    type Shares<'a> = &'a [(&'a str, u64)];
     let service = |name: &str| name.parse::<ServiceName>().unwrap();
-    let route = |shares: &[(&str, u64)]| Route {
+    let route = |shares: Shares<'_>| Route {
         name: "draft".to_owned(),
         host: "h.example".to_owned(),
         path_prefix: "/draft/".to_owned(),
@@ -363,7 +365,7 @@
     };
     let writer = Writer { service: service("old"), software: "v1".parse().unwrap() };
     let serves_v1 = |name: &ServiceName| ["old", "same"].contains(&name.as_str());
-    let cases: [(&[(&str, u64)], Option<&str>); 6] = [
+    let cases: [(Shares<'_>, Option<&str>); 6] = [
         (&[("old", 1)], Some("old")),
         (&[("same", 99), ("old", 1)], Some("old")),
         (&[("same", 1), ("other", 99)], Some("same")),
