Tests: a group of voters is formed, and an admission found, in one place

Cause: tests/full_disks.rs brought a second form_group and a second search for "the group has changed" beside those of tests/voter_places.rs, and the losses that a group bears were reckoned in an expression without a name.

Change: both stand in tests/roles_support, used by both files; the losses have a name. No check or bound has changed: admissions counts the same line as before.

--- a/tests/full_disks.rs
+++ b/tests/full_disks.rs
@@ -9,7 +9,7 @@
 
 use common::process::until;
 use gateway_support::on_one_thread;
-use roles_support::{Net, Vm, ask, call};
+use roles_support::{Net, Vm, admissions, ask, call, form_group};
 use tokio::time::Instant;
 
 const CONFIG: &str = "/api/config";
@@ -31,15 +31,6 @@
     format!(r#"{{"version":{version},"routes":[{ROUTES}],"services":[{{"name":"app"}}]}}"#)
 }
 
-async fn form_group(net: &Net, count: usize) -> Vec<Vm> {
-    let mut voters: Vec<Vm> = (0..count).map(|number| net.voter(number)).collect();
-    voters.iter_mut().for_each(Vm::start_with_bounded_disk);
-    let first = voters[0].control();
-    let taken = async || call(first, "PUT", CONFIG, &document(1)).await == 200;
-    until("a first document", taken).await;
-    voters
-}
-
 /// Sends a change to one voter after another until it is acknowledged, as an operator does. Returns whether any
 /// voter refused it for good.
 async fn change(voters: &[std::net::SocketAddr], version: u64) -> bool {
@@ -114,7 +105,7 @@
 fn lines_are_written_again_after_the_disk_of_the_log_was_full() {
     on_one_thread(async {
         let net = Net::new("disks-log", 1);
-        let voters = form_group(&net, 1).await;
+        let voters = form_group(&net, 1, Vm::start_with_bounded_disk, &document(1)).await;
         voters[0].bound_disk(Some(0));
         // The voter stops because its log of changes can't be written, and says so.
         let _ = call(voters[0].control(), "PUT", CONFIG, &document(2)).await;
@@ -134,7 +125,8 @@
     for bytes in [0, TORN_BYTES] {
         on_one_thread(async move {
             let net = Net::new(&format!("disks-five-{bytes}"), VOTERS);
-            let mut voters = form_group(&net, VOTERS).await;
+            let mut voters =
+                form_group(&net, VOTERS, Vm::start_with_bounded_disk, &document(1)).await;
             fill_in_turn(&voters, 1, bytes).await;
             assert!(voters.iter_mut().all(|voter| voter.ended().is_none()), "a voter ended");
             assert!(voters.iter().all(|voter| starts(voter) > 1), "a disk was not full");
@@ -147,7 +139,7 @@
 fn changes_are_taken_after_disks_were_full_while_others_took_the_places_of_their_voters() {
     on_one_thread(async {
         let net = Net::new("disks-places", 3);
-        let mut voters = form_group(&net, 3).await;
+        let mut voters = form_group(&net, 3, Vm::start_with_bounded_disk, &document(1)).await;
         for number in 3..VOTERS {
             let mut waiting = net.voter(number);
             waiting.start_with_bounded_disk();
@@ -165,19 +157,12 @@
     voter.log().lines().filter(is_start).count()
 }
 
-/// Whether a leader has logged that it made this voter one of the group again.
-fn has_let_in(leader: &Vm, voter: &Vm) -> bool {
-    let new = format!("new: VoterId {{ daemon: DaemonId(\\\"{}\\\")", voter.ip);
-    let is_one = |line: &str| line.contains("the group has changed") && line.contains(&new);
-    leader.log().lines().any(is_one)
-}
-
 /// A voter loses its folder and is let in again while its disk fills up, so that a snapshot for it can't be written.
 #[test]
 fn a_voter_whose_disk_fills_while_it_is_let_in_again_is_a_voter_later() {
     on_one_thread(async {
         let net = Net::new("disks-snapshot", 3);
-        let mut voters = form_group(&net, 3).await;
+        let mut voters = form_group(&net, 3, Vm::start_with_bounded_disk, &document(1)).await;
         let first = [voters[0].control()];
         // Enough changes for a snapshot.
         for version in 2..120 {
@@ -192,7 +177,7 @@
             tokio::time::sleep(FULL).await;
             voters[2].bound_disk(None);
         }
-        let is_in = async || voters[..2].iter().any(|other| has_let_in(other, &voters[2]));
+        let is_in = async || admissions(&[&voters[0], &voters[1]], &voters[2]) > 0;
         until("it is let in", is_in).await;
         assert!(reads(&voters[2], 119).await);
         // The group bears the loss of another voter.
--- a/tests/roles_support/mod.rs
+++ b/tests/roles_support/mod.rs
@@ -39,6 +39,9 @@
     is_proxied: bool,
 }
 
+/// Where operators read and change the document.
+const CONFIG: &str = "/api/config";
+
 impl Net {
     /// Room for this many voters, and for routers.
     pub fn new(name: &str, voters: usize) -> Self {
@@ -69,10 +72,15 @@
              [targets]\nheartbeat_ms = 500\ntakeover_ms = 300\n[stop]\nlimit_s = 12\n\
              [group]\ncluster = c\nfirst = {}\nmay_form = true\nmax_lost = {}\n",
             first.join(","),
-            self.voters.div_ceil(2).max(2) - 1
+            self.max_lost()
         )
     }
 
+    /// The losses that the group bears. A single voter is told one, since no group bears none.
+    fn max_lost(&self) -> usize {
+        ((self.voters - 1) / 2).max(1)
+    }
+
     fn vm(&self, role: &'static str, number: usize, text: &str, data: Option<PathBuf>) -> Vm {
         let settings = self.folder.join(format!("{number}.ini"));
         std::fs::write(&settings, text).unwrap();
@@ -172,6 +180,28 @@
     }
 }
 
+/// Starts the voters that form the group, each by `start`, and waits until it has a document.
+pub async fn form_group(
+    net: &Net,
+    count: usize,
+    start: impl Fn(&mut Vm),
+    document: &str,
+) -> Vec<Vm> {
+    let mut voters: Vec<Vm> = (0..count).map(|number| net.voter(number)).collect();
+    voters.iter_mut().for_each(start);
+    let first = voters[0].control();
+    let taken = async || call(first, "PUT", CONFIG, document).await == 200;
+    process::until("a first document", taken).await;
+    voters
+}
+
+/// How often a leader has let `joined` in, by the logs of these voters.
+pub fn admissions(voters: &[&Vm], joined: &Vm) -> usize {
+    let new = format!("new: VoterId {{ daemon: DaemonId(\\\"{}\\\")", joined.ip);
+    let is_one = |text: &&str| text.contains("the group has changed") && text.contains(&new);
+    voters.iter().map(|vm| vm.log().lines().filter(is_one).count()).sum()
+}
+
 /// Sends a request over a connection of its own. `None`: it could not connect.
 pub async fn send(
     to: SocketAddr,
--- a/tests/voter_places.rs
+++ b/tests/voter_places.rs
@@ -6,7 +6,7 @@
 
 use common::process::until;
 use gateway_support::on_one_thread;
-use roles_support::{Net, Vm, call};
+use roles_support::{Net, Vm, admissions, call, form_group};
 
 const CONFIG: &str = "/api/config";
 
@@ -14,23 +14,6 @@
     format!(r#"{{"version":{version},"routes":[],"services":[]}}"#)
 }
 
-/// Starts the voters that form the group, and waits until it has a document.
-async fn form_group(net: &Net, count: usize) -> Vec<Vm> {
-    let mut voters: Vec<Vm> = (0..count).map(|number| net.voter(number)).collect();
-    voters.iter_mut().for_each(Vm::start);
-    let first = voters[0].control();
-    let taken = async || call(first, "PUT", CONFIG, &document(1)).await == 200;
-    until("a first document", taken).await;
-    voters
-}
-
-/// How often a leader has let this voter in.
-fn admissions(voters: &[&Vm], joined: &Vm) -> usize {
-    let new = format!("new: VoterId {{ daemon: DaemonId(\\\"{}\\\")", joined.ip);
-    let is_one = |text: &&str| text.contains("the group has changed") && text.contains(&new);
-    voters.iter().map(|vm| vm.log().lines().filter(is_one).count()).sum()
-}
-
 /// A newcomer took the place of a voter that was only silent, and then another voter leaves for good. Guards
 /// against a group that is one loss poorer from then on: it lost its leader, and what it had acknowledged,
 /// with the next loss.
@@ -38,7 +21,7 @@
 fn a_voter_that_was_replaced_while_it_was_silent_takes_the_place_of_one_that_leaves() {
     on_one_thread(async {
         let net = Net::new("voter-places-silent", 3);
-        let mut voters = form_group(&net, 3).await;
+        let mut voters = form_group(&net, 3, Vm::start, &document(1)).await;
         let mut newcomer = net.voter(3);
         newcomer.start();
         until("the group is full", async || newcomer.log().contains("Full")).await;
@@ -70,7 +53,7 @@
     for leaving in 0..3 {
         on_one_thread(async move {
             let net = Net::new(&format!("voter-places-stop-{leaving}"), 3);
-            let mut voters = form_group(&net, 3).await;
+            let mut voters = form_group(&net, 3, Vm::start, &document(1)).await;
             let mut newcomer = net.voter(3);
             newcomer.start();
             until("the group is full", async || newcomer.log().contains("Full")).await;
