Review: streams go on at a runner that came back with other software

Cause: a target whose connections broke is kept from one stream alone, and the table is trusted for all others.

--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -292,9 +292,10 @@
         self.address = address or self.listen_address
         self.born = int(time.time() * 1000)
         self.sequence, self.orders, self.is_busy = 0, 0, False
+        self.software = "v1"
         self.silent_until = 0.0
         self.beat_to = 0
-        self.tasks = []
+        self.tasks, self.beats, self.connections = [], None, set()
 
     def is_silent(self):
         return time.monotonic() < self.silent_until
@@ -305,18 +306,31 @@
             await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
 
     async def start(self):
+        await self.listen()
+        self.begin_beats()
+
+    async def listen(self):
         self.server = await asyncio.start_server(self.serve, *self.listen_address)
-        self.tasks.append(asyncio.create_task(self.beat()))
+
+    def begin_beats(self):
+        self.beats = asyncio.create_task(self.beat())
+
+    def crash(self):
+        """Ends without a word: its connections are reset, and new ones are refused."""
+        self.stop()
+        for writer in list(self.connections):
+            writer.transport.abort()
 
     def stop(self):
         self.server.close()
-        for task in self.tasks:
-            task.cancel()
+        for task in self.tasks + [self.beats]:
+            if task is not None:
+                task.cancel()
 
     def description(self):
         self.sequence += 1
         text = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": "ready", "coldRemainingMs": 0,
+                "version": self.software, "slots": self.slots, "state": "ready", "coldRemainingMs": 0,
                 "sequence": self.sequence, "born": self.born}
         if self.models is not None:
             text["stage"] = "unified"
@@ -341,6 +355,7 @@
             await asyncio.sleep(HEARTBEAT_MS / 1000)
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 start, headers = await read_head(reader)
@@ -366,6 +381,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def answer(self, writer, status, headers, body, asked):
